--- /dev/null
+++ b/Libraries/LibCore/StepError.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <stdexcept>
+#include <string>
+
+namespace Core {
+
+// An error that names the step that failed and the peer at which it failed.
+// The text reads "step: peer: reason", for example "claim row: table service 127.0.0.1:9000: timed out".
+class StepError : public std::runtime_error
+{
+public:
+    StepError(std::string step, std::string peer, const std::string &reason)
+        : std::runtime_error(step + ": " + peer + ": " + reason), m_step(std::move(step)), m_peer(std::move(peer))
+    {
+    }
+
+    // What was being done.
+    [[nodiscard]] const std::string &step() const
+    {
+        return m_step;
+    }
+
+    // Who it was being done with.
+    [[nodiscard]] const std::string &peer() const
+    {
+        return m_peer;
+    }
+
+private:
+    std::string m_step;
+    std::string m_peer;
+};
+
+}
