--- /dev/null
+++ b/Libraries/LibSettings/DaemonSettings.cpp
@@ -0,0 +1,87 @@
+#include <LibSettings/DaemonSettings.h>
+
+#include <LibCore/StepError.h>
+#include <fstream>
+#include <sstream>
+
+namespace Settings {
+
+namespace {
+
+constexpr long long DefaultBodyBytes = 1 << 20;
+constexpr long long LargestBodyBytes = 64 << 20;
+constexpr long long DefaultConnections = 2000;
+constexpr long long MostConnections = 60000;
+constexpr long long DefaultRequestMilliseconds = 120000;
+constexpr long long LongestRequestMilliseconds = 3600000;
+constexpr long long DefaultDrainMilliseconds = 150000;
+
+std::vector<TokenHolder> readTokens(SettingsReader &reader, const char *list, const char *name)
+{
+    std::vector<TokenHolder> holders;
+    for (auto &entry : reader.objects(list)) {
+        holders.push_back({.name = entry.text(name), .token = entry.text("token")});
+        entry.finish();
+    }
+    return holders;
+}
+
+}
+
+DaemonSettings parseDaemonSettings(std::string_view text)
+{
+    nlohmann::json json;
+    try {
+        json = nlohmann::json::parse(text, nullptr, true, true);
+    } catch (const nlohmann::json::parse_error &error) {
+        throw InvalidSettings({std::string("settings: found text that isn't JSON with comments: ") + error.what()});
+    }
+    std::vector<std::string> mistakes;
+    SettingsReader root(json, "", mistakes);
+    DaemonSettings settings;
+    auto host = root.object("host");
+    settings.hostId = host.text("id");
+    settings.zone = host.text("zone");
+    host.finish();
+    auto listen = root.object("listen");
+    settings.callerAddress = listen.address("callers");
+    settings.peerAddress = listen.address("peers");
+    listen.finish();
+    auto platform = root.object("platform");
+    settings.platformAddress = platform.address("address");
+    platform.finish();
+    settings.peerKey = root.text("peerKey");
+    settings.callers = readTokens(root, "callers", "customer");
+    settings.operators = readTokens(root, "operators", "name");
+    auto trace = root.object("trace");
+    settings.traceFile = trace.text("file", "");
+    trace.finish();
+    auto limits = root.object("limits");
+    settings.largestBodyBytes
+        = static_cast<std::size_t>(limits.number("bodyBytes", DefaultBodyBytes, 1, LargestBodyBytes));
+    settings.mostConnections
+        = static_cast<unsigned>(limits.number("connections", DefaultConnections, 1, MostConnections));
+    settings.requestTimeout = std::chrono::milliseconds(
+        limits.number("requestMilliseconds", DefaultRequestMilliseconds, 1, LongestRequestMilliseconds));
+    settings.drainTimeout = std::chrono::milliseconds(
+        limits.number("drainMilliseconds", DefaultDrainMilliseconds, 0, LongestRequestMilliseconds));
+    limits.finish();
+    root.finish();
+    if (!mistakes.empty()) {
+        throw InvalidSettings(std::move(mistakes));
+    }
+    return settings;
+}
+
+DaemonSettings loadDaemonSettings(const std::string &path)
+{
+    std::ifstream file(path);
+    if (!file) {
+        throw Core::StepError("read settings", path, "the file can't be opened");
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    return parseDaemonSettings(text.str());
+}
+
+}
