LibNet: Join ACE, libmicrohttpd, curl and nng in one event loop

curl's sockets are kept in an epoll descriptor of the client's own, which the reactor watches. That rules out deleting a handler inside its own upcall.

--- /dev/null
+++ b/Libraries/LibNet/EventLoop.cpp
@@ -0,0 +1,150 @@
+#include <LibNet/EventLoop.h>
+
+#include <LibCore/StepError.h>
+#include <ace/Dev_Poll_Reactor.h>
+#include <ace/Event_Handler.h>
+#include <ace/Reactor.h>
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+
+namespace Net {
+
+namespace {
+
+constexpr auto LongestWait = std::chrono::milliseconds(1000);
+
+// Passes one descriptor's or signal's events to a function.
+class FunctionHandler final : public ACE_Event_Handler
+{
+public:
+    FunctionHandler(ACE_HANDLE handle, EventLoop::Task task) : m_handle(handle), m_task(std::move(task))
+    {
+    }
+
+    [[nodiscard]] ACE_HANDLE get_handle() const override
+    {
+        return m_handle;
+    }
+
+    int handle_input(ACE_HANDLE /*handle*/) override
+    {
+        m_task();
+        return 0;
+    }
+
+    int handle_signal(int /*number*/, siginfo_t * /*information*/, ucontext_t * /*context*/) override
+    {
+        m_task();
+        return 0;
+    }
+
+private:
+    ACE_HANDLE m_handle;
+    EventLoop::Task m_task;
+};
+
+}
+
+EventLoop::EventLoop() : m_reactor(std::make_unique<ACE_Reactor>(new ACE_Dev_Poll_Reactor(ACE::max_handles()), true))
+{
+}
+
+EventLoop::~EventLoop()
+{
+    m_reactor->close();
+}
+
+Core::TimePoint EventLoop::now() const
+{
+    return Core::Clock::now();
+}
+
+Core::TimerId EventLoop::runAfter(Core::Duration delay, Task task)
+{
+    return m_timers.add(now() + delay, std::move(task));
+}
+
+void EventLoop::cancel(Core::TimerId timer)
+{
+    m_timers.cancel(timer);
+}
+
+void EventLoop::post(Task task)
+{
+    m_posted.push_back(std::move(task));
+}
+
+void EventLoop::watchReadable(int fd, Task handler)
+{
+    auto entry = std::make_unique<FunctionHandler>(fd, std::move(handler));
+    if (m_reactor->register_handler(entry.get(), ACE_Event_Handler::READ_MASK) != 0) {
+        throw Core::StepError("watch descriptor", "descriptor " + std::to_string(fd), std::strerror(errno));
+    }
+    m_handlers.push_back(std::move(entry));
+}
+
+void EventLoop::unwatch(int fd)
+{
+    m_reactor->remove_handler(fd, ACE_Event_Handler::ALL_EVENTS_MASK | ACE_Event_Handler::DONT_CALL);
+    // The handler may be running now, so it is destroyed after it has returned.
+    post([this, fd] {
+        std::erase_if(m_handlers, [fd](const auto &handler) {
+            return handler->get_handle() == fd;
+        });
+    });
+}
+
+void EventLoop::watchSignal(int signalNumber, Task handler)
+{
+    // A signal handler must not do work itself, so the work is posted to the loop.
+    auto entry = std::make_unique<FunctionHandler>(ACE_INVALID_HANDLE, [this, handler = std::move(handler)] {
+        post(handler);
+    });
+    m_reactor->register_handler(signalNumber, entry.get());
+    m_handlers.push_back(std::move(entry));
+}
+
+void EventLoop::run()
+{
+    m_isStopped = false;
+    while (!m_isStopped) {
+        runDueTimers();
+        runPostedTasks();
+        if (m_isStopped) {
+            break;
+        }
+        auto wait = std::chrono::duration_cast<std::chrono::microseconds>(LongestWait);
+        if (!m_posted.empty()) {
+            wait = {};
+        } else if (const auto due = m_timers.nextDue()) {
+            const auto untilDue = std::chrono::ceil<std::chrono::microseconds>(*due - now());
+            wait = std::clamp(untilDue, std::chrono::microseconds(0), wait);
+        }
+        ACE_Time_Value timeout(0, static_cast<suseconds_t>(wait.count()));
+        m_reactor->handle_events(timeout);
+    }
+}
+
+void EventLoop::stop()
+{
+    m_isStopped = true;
+}
+
+void EventLoop::runDueTimers()
+{
+    while (auto task = m_timers.takeDue(now())) {
+        (*task)();
+    }
+}
+
+void EventLoop::runPostedTasks()
+{
+    std::vector<Task> tasks;
+    tasks.swap(m_posted);
+    for (const auto &task : tasks) {
+        task();
+    }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibNet/EventLoop.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <LibCore/TimerQueue.h>
+#include <functional>
+#include <memory>
+#include <vector>
+
+class ACE_Reactor;
+class ACE_Event_Handler;
+
+namespace Net {
+
+// The one event loop of a process: an ACE reactor for descriptors and signals, and a queue of timers and tasks.
+// Everything registered here runs on the thread that calls run().
+class EventLoop final : public Core::Scheduler
+{
+public:
+    EventLoop();
+    ~EventLoop() override;
+    EventLoop(const EventLoop &) = delete;
+    EventLoop &operator=(const EventLoop &) = delete;
+
+    [[nodiscard]] Core::TimePoint now() const override;
+    Core::TimerId runAfter(Core::Duration delay, Task task) override;
+    void cancel(Core::TimerId timer) override;
+
+    // Runs the task once, after the current handler has returned.
+    void post(Task task);
+    // Calls the handler whenever the descriptor is readable, for as long as the loop lives or until unwatched.
+    // Throws StepError when the descriptor can't be registered.
+    void watchReadable(int fd, Task handler);
+    // Stops calling the descriptor's handler. The caller closes the descriptor after this.
+    void unwatch(int fd);
+    // Calls the handler when the process receives the signal.
+    void watchSignal(int signalNumber, Task handler);
+
+    // Serves events until stop() is called.
+    void run();
+    void stop();
+
+private:
+    void runDueTimers();
+    void runPostedTasks();
+
+    std::unique_ptr<ACE_Reactor> m_reactor;
+    Core::TimerQueue m_timers;
+    std::vector<Task> m_posted;
+    std::vector<std::unique_ptr<ACE_Event_Handler>> m_handlers;
+    bool m_isStopped = false;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -0,0 +1,247 @@
+#include <LibNet/HttpClient.h>
+
+#include <LibCore/StepError.h>
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <curl/curl.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+namespace Net {
+
+struct HttpClient::Transfer {
+    HttpClient *client = nullptr;
+    std::uint64_t id = 0;
+    CURL *easy = nullptr;
+    curl_slist *headers = nullptr;
+    HttpRequest request;
+    DoneFunction done;
+    DataFunction data;
+    std::string body;
+    Core::TimePoint lastActivity {};
+    Core::TimerId silenceTimer = Core::TimerId::None;
+};
+
+// curl's C callbacks. The sockets are kept in an epoll descriptor of the client's own, which the event loop
+// watches, so that no handler has to be registered or deleted inside a handler's own upcall.
+struct HttpClient::CurlCallbacks {
+    static int onSocket(CURL * /*easy*/, curl_socket_t socket, int what, void *context, void * /*socketContext*/)
+    {
+        auto *client = static_cast<HttpClient *>(context);
+        if (what == CURL_POLL_REMOVE) {
+            epoll_ctl(client->m_epollFd, EPOLL_CTL_DEL, socket, nullptr);
+            return 0;
+        }
+        epoll_event event {};
+        event.data.fd = socket;
+        event.events = ((what & CURL_POLL_IN) != 0 ? EPOLLIN : 0U) | ((what & CURL_POLL_OUT) != 0 ? EPOLLOUT : 0U);
+        if (epoll_ctl(client->m_epollFd, EPOLL_CTL_MOD, socket, &event) != 0) {
+            epoll_ctl(client->m_epollFd, EPOLL_CTL_ADD, socket, &event);
+        }
+        return 0;
+    }
+
+    static int onTimer(CURLM * /*multi*/, long timeoutMilliseconds, void *context)
+    {
+        auto *client = static_cast<HttpClient *>(context);
+        client->m_loop.cancel(client->m_timer);
+        client->m_timer = Core::TimerId::None;
+        if (timeoutMilliseconds >= 0) {
+            client->m_timer = client->m_loop.runAfter(std::chrono::milliseconds(timeoutMilliseconds), [client] {
+                client->serveTimeout();
+            });
+        }
+        return 0;
+    }
+
+    static std::size_t onData(char *bytes, std::size_t size, std::size_t count, void *context)
+    {
+        auto *transfer = static_cast<Transfer *>(context);
+        const std::string_view piece(bytes, size * count);
+        transfer->lastActivity = transfer->client->m_loop.now();
+        if (transfer->data) {
+            long status = 0;
+            curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
+            transfer->data(status, piece);
+        } else {
+            transfer->body += piece;
+        }
+        return piece.size();
+    }
+};
+
+HttpClient::HttpClient(EventLoop &loop) : m_loop(loop)
+{
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    m_multi = curl_multi_init();
+    m_epollFd = epoll_create1(EPOLL_CLOEXEC);
+    if (m_multi == nullptr || m_epollFd < 0) {
+        throw Core::StepError("start HTTP client", "local host", std::strerror(errno));
+    }
+    curl_multi_setopt(m_multi, CURLMOPT_SOCKETFUNCTION, &CurlCallbacks::onSocket);
+    curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, &CurlCallbacks::onTimer);
+    curl_multi_setopt(m_multi, CURLMOPT_TIMERDATA, this);
+    m_loop.watchReadable(m_epollFd, [this] {
+        serveSockets();
+    });
+}
+
+HttpClient::~HttpClient()
+{
+    for (auto &[id, transfer] : m_transfers) {
+        release(*transfer);
+    }
+    m_transfers.clear();
+    curl_multi_cleanup(m_multi);
+    m_loop.cancel(m_timer);
+    m_loop.unwatch(m_epollFd);
+    close(m_epollFd);
+}
+
+HttpRequestId HttpClient::start(HttpRequest request, DoneFunction done, DataFunction data)
+{
+    auto transfer = std::make_unique<Transfer>();
+    transfer->client = this;
+    transfer->id = ++m_lastId;
+    transfer->easy = curl_easy_init();
+    transfer->request = std::move(request);
+    transfer->done = std::move(done);
+    transfer->data = std::move(data);
+    transfer->lastActivity = m_loop.now();
+    const auto &wanted = transfer->request;
+    auto *easy = transfer->easy;
+    for (const auto &header : wanted.headers) {
+        transfer->headers = curl_slist_append(transfer->headers, header.c_str());
+    }
+    // Waiting for "100 Continue" would add a round trip to every larger request.
+    transfer->headers = curl_slist_append(transfer->headers, "Expect:");
+    curl_easy_setopt(easy, CURLOPT_URL, wanted.url.c_str());
+    curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
+    curl_easy_setopt(easy, CURLOPT_PROXY, "");
+    curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, wanted.method.c_str());
+    if (!wanted.body.empty() || wanted.method != "GET") {
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, wanted.body.data());
+        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(wanted.body.size()));
+    }
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->headers);
+    curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(Core::toMilliseconds(wanted.connectTimeout)));
+    curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(Core::toMilliseconds(wanted.totalTimeout)));
+    if (wanted.connectionUse == ConnectionUse::Fresh) {
+        curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+        curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+    }
+    curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &CurlCallbacks::onData);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer.get());
+    const auto id = transfer->id;
+    auto &kept = *m_transfers.emplace(id, std::move(transfer)).first->second;
+    watchForSilence(kept);
+    curl_multi_add_handle(m_multi, easy);
+    return HttpRequestId(id);
+}
+
+void HttpClient::cancel(HttpRequestId id)
+{
+    const auto found = m_transfers.find(static_cast<std::uint64_t>(id));
+    if (found == m_transfers.end()) {
+        return;
+    }
+    // A cancel may come from inside curl's own data callback, where the handle can't be removed yet.
+    auto transfer = std::shared_ptr<Transfer>(std::move(found->second));
+    m_transfers.erase(found);
+    transfer->done = nullptr;
+    transfer->data = nullptr;
+    m_loop.cancel(transfer->silenceTimer);
+    m_loop.post([this, transfer] {
+        release(*transfer);
+    });
+}
+
+void HttpClient::serveSockets()
+{
+    std::array<epoll_event, 64> events {};
+    const int count = epoll_wait(m_epollFd, events.data(), static_cast<int>(events.size()), 0);
+    for (int i = 0; i < count; ++i) {
+        const auto happened = events.at(static_cast<std::size_t>(i)).events;
+        const int mask = ((happened & EPOLLIN) != 0 ? CURL_CSELECT_IN : 0)
+            | ((happened & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0)
+            | ((happened & (EPOLLERR | EPOLLHUP)) != 0 ? CURL_CSELECT_ERR : 0);
+        int running = 0;
+        curl_multi_socket_action(m_multi, events.at(static_cast<std::size_t>(i)).data.fd, mask, &running);
+    }
+    takeFinished();
+}
+
+void HttpClient::serveTimeout()
+{
+    m_timer = Core::TimerId::None;
+    int running = 0;
+    curl_multi_socket_action(m_multi, CURL_SOCKET_TIMEOUT, 0, &running);
+    takeFinished();
+}
+
+void HttpClient::takeFinished()
+{
+    int remaining = 0;
+    while (const auto *message = curl_multi_info_read(m_multi, &remaining)) {
+        if (message->msg != CURLMSG_DONE) {
+            continue;
+        }
+        Transfer *transfer = nullptr;
+        curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
+        if (m_transfers.contains(transfer->id)) {
+            finish(*transfer, message->data.result);
+        }
+    }
+}
+
+void HttpClient::finish(Transfer &transfer, int curlCode)
+{
+    HttpResult result;
+    long sentBytes = 0;
+    curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &result.status);
+    curl_easy_getinfo(transfer.easy, CURLINFO_REQUEST_SIZE, &sentBytes);
+    if (curlCode != CURLE_OK) {
+        result.status = 0;
+        result.error = curl_easy_strerror(static_cast<CURLcode>(curlCode));
+        result.mayHaveBeenSent = sentBytes > 0;
+    }
+    result.body = std::move(transfer.body);
+    const auto owned = std::move(m_transfers.at(transfer.id));
+    m_transfers.erase(transfer.id);
+    m_loop.cancel(owned->silenceTimer);
+    release(*owned);
+    if (owned->done) {
+        owned->done(std::move(result));
+    }
+}
+
+void HttpClient::watchForSilence(Transfer &transfer)
+{
+    if (transfer.request.silenceTimeout <= Core::Duration::zero()) {
+        return;
+    }
+    const auto due = transfer.lastActivity + transfer.request.silenceTimeout;
+    transfer.silenceTimer = m_loop.runAfter(due - m_loop.now(), [this, &transfer] {
+        if (m_loop.now() - transfer.lastActivity >= transfer.request.silenceTimeout) {
+            finish(transfer, CURLE_OPERATION_TIMEDOUT);
+            return;
+        }
+        watchForSilence(transfer);
+    });
+}
+
+void HttpClient::release(Transfer &transfer)
+{
+    curl_multi_remove_handle(m_multi, transfer.easy);
+    curl_easy_cleanup(transfer.easy);
+    curl_slist_free_all(transfer.headers);
+    transfer.easy = nullptr;
+    transfer.headers = nullptr;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -0,0 +1,313 @@
+#include <LibNet/HttpServer.h>
+
+#include <LibCore/StepError.h>
+#include <algorithm>
+#include <arpa/inet.h>
+#include <cerrno>
+#include <cstring>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <unistd.h>
+
+namespace Net {
+
+namespace {
+
+constexpr std::size_t StreamBlockBytes = 16 * 1024;
+
+std::string toLower(std::string_view text)
+{
+    std::string lower(text);
+    std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char c) {
+        return std::tolower(c);
+    });
+    return lower;
+}
+
+MHD_Result collectValue(void *context, MHD_ValueKind kind, const char *name, const char *value)
+{
+    auto &request = *static_cast<ServerRequest *>(context);
+    if (kind == MHD_HEADER_KIND) {
+        request.headers[toLower(name)] = value == nullptr ? "" : value;
+    } else {
+        request.query[name] = value == nullptr ? "" : value;
+    }
+    return MHD_YES;
+}
+
+}
+
+// libmicrohttpd's C callbacks.
+struct ServerCallbacks {
+    static MHD_Result onRequest(void *context, MHD_Connection *connection, const char *url, const char *method,
+                                const char * /*version*/, const char *data, std::size_t *size, void **state)
+    {
+        auto *server = static_cast<HttpServer *>(context);
+        if (*state == nullptr) {
+            auto exchange = std::make_shared<Exchange>();
+            exchange->m_server = server;
+            exchange->m_connection = connection;
+            exchange->m_request.method = method;
+            exchange->m_request.path = url;
+            MHD_get_connection_values(connection, MHD_HEADER_KIND, &collectValue, &exchange->m_request);
+            MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &collectValue, &exchange->m_request);
+            ++server->m_openExchanges;
+            *state = new std::shared_ptr<Exchange>(std::move(exchange));
+            return MHD_YES;
+        }
+        const auto exchange = *static_cast<std::shared_ptr<Exchange> *>(*state);
+        if (*size > 0) {
+            if (exchange->m_request.body.size() + *size > server->m_options.largestBody) {
+                exchange->m_isTooLarge = true;
+            } else if (!exchange->m_isTooLarge) {
+                exchange->m_request.body.append(data, *size);
+            }
+            *size = 0;
+            return MHD_YES;
+        }
+        return answer(*server, exchange);
+    }
+
+    static MHD_Result answer(HttpServer &server, const std::shared_ptr<Exchange> &exchange)
+    {
+        if (!exchange->m_isHandled) {
+            exchange->m_isHandled = true;
+            if (exchange->m_isTooLarge) {
+                exchange->respond({.status = 413, .headers = {{"Currantbay-Outcome", "not-run"}}},
+                                  R"({"error":{"message":"the request body is larger than )"
+                                      + std::to_string(server.m_options.largestBody)
+                                      + R"( bytes; it did not run; send a smaller one"}})");
+            } else {
+                server.m_handler(exchange);
+            }
+        }
+        if (exchange->m_isQueued) {
+            return MHD_YES;
+        }
+        if (!exchange->m_isAnswered) {
+            exchange->m_isSuspended = true;
+            MHD_suspend_connection(exchange->m_connection);
+            return MHD_YES;
+        }
+        return queue(exchange);
+    }
+
+    static MHD_Result queue(const std::shared_ptr<Exchange> &exchange)
+    {
+        exchange->m_isQueued = true;
+        MHD_Response *response = nullptr;
+        if (exchange->m_isStreamed) {
+            response = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, StreamBlockBytes, &onReadBody,
+                                                         new std::shared_ptr<Exchange>(exchange), &onBodyFreed);
+        } else {
+            response = MHD_create_response_from_buffer(exchange->m_pending.size(), exchange->m_pending.data(),
+                                                       MHD_RESPMEM_MUST_COPY);
+        }
+        MHD_add_response_header(response, "Content-Type", exchange->m_head.contentType.c_str());
+        for (const auto &[name, value] : exchange->m_head.headers) {
+            MHD_add_response_header(response, name.c_str(), value.c_str());
+        }
+        const auto result = MHD_queue_response(exchange->m_connection, exchange->m_head.status, response);
+        MHD_destroy_response(response);
+        return result;
+    }
+
+    static ssize_t onReadBody(void *context, std::uint64_t /*position*/, char *buffer, std::size_t most)
+    {
+        auto &exchange = **static_cast<std::shared_ptr<Exchange> *>(context);
+        const auto available = exchange.m_pending.size() - exchange.m_pendingOffset;
+        if (available == 0) {
+            if (exchange.m_end == Exchange::BodyEnd::Whole) {
+                return MHD_CONTENT_READER_END_OF_STREAM;
+            }
+            if (exchange.m_end == Exchange::BodyEnd::Cut) {
+                return MHD_CONTENT_READER_END_WITH_ERROR;
+            }
+            exchange.m_isSuspended = true;
+            MHD_suspend_connection(exchange.m_connection);
+            return 0;
+        }
+        const auto count = std::min(available, most);
+        std::memcpy(buffer, exchange.m_pending.data() + exchange.m_pendingOffset, count);
+        exchange.m_pendingOffset += count;
+        if (exchange.m_pendingOffset == exchange.m_pending.size()) {
+            exchange.m_pending.clear();
+            exchange.m_pendingOffset = 0;
+        }
+        return static_cast<ssize_t>(count);
+    }
+
+    static void onBodyFreed(void *context)
+    {
+        delete static_cast<std::shared_ptr<Exchange> *>(context);
+    }
+
+    static void onCompleted(void *context, MHD_Connection * /*connection*/, void **state,
+                            MHD_RequestTerminationCode code)
+    {
+        auto *server = static_cast<HttpServer *>(context);
+        if (*state == nullptr) {
+            return;
+        }
+        const auto exchange = *static_cast<std::shared_ptr<Exchange> *>(*state);
+        delete static_cast<std::shared_ptr<Exchange> *>(*state);
+        *state = nullptr;
+        exchange->m_connection = nullptr;
+        --server->m_openExchanges;
+        auto closed = std::move(exchange->m_closed);
+        exchange->m_closed = nullptr;
+        if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK && closed) {
+            closed();
+        }
+    }
+};
+
+std::string_view ServerRequest::header(const std::string &name) const
+{
+    const auto found = headers.find(name);
+    return found == headers.end() ? std::string_view() : std::string_view(found->second);
+}
+
+const ServerRequest &Exchange::request() const
+{
+    return m_request;
+}
+
+void Exchange::respond(ResponseHead head, std::string body)
+{
+    if (m_connection == nullptr || m_isAnswered) {
+        return;
+    }
+    m_head = std::move(head);
+    m_pending = std::move(body);
+    m_isAnswered = true;
+    wake();
+}
+
+void Exchange::beginStream(ResponseHead head)
+{
+    if (m_connection == nullptr || m_isAnswered) {
+        return;
+    }
+    m_head = std::move(head);
+    m_isAnswered = true;
+    m_isStreamed = true;
+    wake();
+}
+
+void Exchange::send(std::string_view piece)
+{
+    if (m_connection == nullptr) {
+        return;
+    }
+    m_pending += piece;
+    wake();
+}
+
+void Exchange::endStream()
+{
+    m_end = BodyEnd::Whole;
+    wake();
+}
+
+void Exchange::cutStream()
+{
+    m_end = BodyEnd::Cut;
+    wake();
+}
+
+void Exchange::onClosed(ClosedFunction closed)
+{
+    m_closed = std::move(closed);
+}
+
+void Exchange::wake()
+{
+    if (m_connection == nullptr || !m_isSuspended) {
+        return;
+    }
+    m_isSuspended = false;
+    MHD_resume_connection(m_connection);
+    m_server->scheduleRun();
+}
+
+HttpServer::HttpServer(EventLoop &loop, HttpServerOptions options, RequestFunction handler)
+    : m_loop(loop), m_options(std::move(options)), m_handler(std::move(handler))
+{
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(m_options.port);
+    const auto place = m_options.address + ":" + std::to_string(m_options.port);
+    if (inet_pton(AF_INET, m_options.address.c_str(), &address.sin_addr) != 1) {
+        throw Core::StepError("listen for HTTP", place, "not an IPv4 address");
+    }
+    m_daemon = MHD_start_daemon(
+        MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, m_options.port, nullptr, nullptr, &ServerCallbacks::onRequest, this,
+        MHD_OPTION_SOCK_ADDR, reinterpret_cast<sockaddr *>(&address), MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
+        MHD_OPTION_NOTIFY_COMPLETED, &ServerCallbacks::onCompleted, this, MHD_OPTION_CONNECTION_LIMIT,
+        m_options.mostConnections, MHD_OPTION_CONNECTION_TIMEOUT, m_options.idleTimeoutSeconds, MHD_OPTION_END);
+    if (m_daemon == nullptr) {
+        throw Core::StepError("listen for HTTP", place, std::strerror(errno));
+    }
+    m_epollFd = MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
+    m_loop.watchReadable(m_epollFd, [this] {
+        serve();
+    });
+}
+
+HttpServer::~HttpServer()
+{
+    *m_isAlive = false;
+    m_loop.cancel(m_timer);
+    m_loop.unwatch(m_epollFd);
+    MHD_stop_daemon(m_daemon);
+    if (m_listenFd >= 0) {
+        close(m_listenFd);
+    }
+}
+
+void HttpServer::stopListening()
+{
+    if (m_listenFd < 0) {
+        m_listenFd = MHD_quiesce_daemon(m_daemon);
+    }
+}
+
+std::size_t HttpServer::openExchanges() const
+{
+    return m_openExchanges;
+}
+
+void HttpServer::scheduleRun()
+{
+    if (m_isRunScheduled) {
+        return;
+    }
+    m_isRunScheduled = true;
+    m_loop.post([this, isAlive = m_isAlive] {
+        if (*isAlive) {
+            m_isRunScheduled = false;
+            serve();
+        }
+    });
+}
+
+void HttpServer::serve()
+{
+    // After a resume MHD_run has work left while the timeout it reports is zero.
+    MHD_UNSIGNED_LONG_LONG timeoutMilliseconds = 0;
+    bool isTimed = false;
+    do {
+        MHD_run(m_daemon);
+        isTimed = MHD_get_timeout(m_daemon, &timeoutMilliseconds) == MHD_YES;
+    } while (isTimed && timeoutMilliseconds == 0);
+    m_loop.cancel(m_timer);
+    m_timer = Core::TimerId::None;
+    if (isTimed) {
+        m_timer = m_loop.runAfter(std::chrono::milliseconds(timeoutMilliseconds), [this] {
+            serve();
+        });
+    }
+}
+
+}
