--- /dev/null
+++ b/Libraries/LibEngine/EngineJson.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <LibEngine/EngineLink.h>
+#include <nlohmann/json.hpp>
+#include <string_view>
+
+namespace Engine {
+
+// The JSON forms of the engines' HTTP interface. Reading throws nlohmann::json::exception on a wrong shape.
+[[nodiscard]] nlohmann::json toJson(const AdapterOrder &order);
+[[nodiscard]] AdapterOrder orderFromJson(const nlohmann::json &json);
+[[nodiscard]] nlohmann::json toJson(const EngineStatus &status);
+[[nodiscard]] EngineStatus statusFromJson(const nlohmann::json &json);
+[[nodiscard]] nlohmann::json toJson(const GenerateRequest &request);
+[[nodiscard]] GenerateRequest generateFromJson(const nlohmann::json &json);
+// One line of a stream, without the line feed.
+[[nodiscard]] std::string toLine(const StreamEvent &event);
+[[nodiscard]] StreamEvent eventFromLine(std::string_view line);
+
+}
--- /dev/null
+++ b/Libraries/LibEngine/HttpEngineLink.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <LibEngine/EngineLink.h>
+#include <LibNet/HttpClient.h>
+
+namespace Engine {
+
+struct HttpEngineLinkOptions {
+    Core::Duration orderTimeout = std::chrono::seconds(10);
+    Core::Duration statusTimeout = std::chrono::milliseconds(800);
+    Core::Duration silenceTimeout = std::chrono::seconds(5); // Between two pieces of a stream.
+};
+
+// Model engines, reached over HTTP; a stream is a sequence of JSON lines.
+class HttpEngineLink final : public EngineLink
+{
+public:
+    HttpEngineLink(Net::HttpClient &client, HttpEngineLinkOptions options);
+
+    void load(const EngineAddress &engine, const AdapterOrder &order, OrderFunction done) override;
+    void unload(const EngineAddress &engine, const AdapterOrder &order, OrderFunction done) override;
+    void status(const EngineAddress &engine, StatusFunction done) override;
+    StreamId generate(const EngineAddress &engine, const GenerateRequest &request, StreamFunction events) override;
+    void cancel(StreamId stream) override;
+
+private:
+    void sendOrder(const EngineAddress &engine, const char *path, const AdapterOrder &order, OrderFunction done);
+
+    Net::HttpClient &m_client;
+    HttpEngineLinkOptions m_options;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibPeer/MessageKind.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <cstdint>
+
+namespace Peer {
+
+// The number of each message between the system's own processes. A number is never given a second meaning.
+enum class MessageKind : std::uint16_t {
+    Reply = 1,
+    // LibMembership, 10 to 19.
+    Ping = 10,
+    // LibOwner, 20 to 39.
+    GrantRequest = 20,
+    GrantRelease = 21,
+    // LibTicket, 40 to 49.
+    TicketHint = 40,
+    SnapshotRequest = 41,
+    // LibLedger, 50 to 59.
+    ClaimQuery = 50,
+    // LibRouting, 60 to 69.
+    QuarantineNotice = 60,
+};
+
+}
--- /dev/null
+++ b/Libraries/LibPeer/PeerRouter.h
@@ -0,0 +1,106 @@
+#pragma once
+
+#include <LibCore/Scheduler.h>
+#include <LibPeer/Envelope.h>
+#include <LibPeer/PeerTransport.h>
+#include <functional>
+#include <map>
+#include <optional>
+#include <unordered_map>
+
+namespace Peer {
+
+struct PeerRouterOptions {
+    Core::HostId self;
+    std::uint64_t incarnation = 0;
+    std::string key; // Shared by all hosts of the system.
+};
+
+// Sends typed messages to other hosts and joins replies to their calls. A message type declares its
+// MSGPACK_DEFINE members and "static constexpr MessageKind Kind". A host may send to itself.
+class PeerRouter
+{
+public:
+    PeerRouter(Core::Scheduler &scheduler, PeerTransport &transport, PeerRouterOptions options);
+
+    // Sends a message that wants no reply.
+    template<typename Message> void send(const Core::HostId &to, const Message &message)
+    {
+        sendEnvelope(to, Message::Kind, 0, pack(message));
+    }
+
+    // Sends a message and waits for its reply; without a value, none came in time or it could not be read.
+    template<typename Reply, typename Message>
+    void call(const Core::HostId &to, const Message &message, Core::Duration timeout,
+              std::function<void(std::optional<Reply>)> done)
+    {
+        startCall(to, Message::Kind, pack(message), timeout, [done = std::move(done)](std::optional<std::string> body) {
+            std::optional<Reply> reply;
+            if (body.has_value()) {
+                try {
+                    reply = unpack<Reply>(*body);
+                } catch (const msgpack::unpack_error &) {
+                } catch (const msgpack::type_error &) {
+                }
+            }
+            done(std::move(reply));
+        });
+    }
+
+    // Serves messages that want no reply.
+    template<typename Message> void onMessage(std::function<void(const Core::HostId &from, Message message)> handler)
+    {
+        m_handlers[static_cast<std::uint16_t>(Message::Kind)] = [handler](const Envelope &envelope) {
+            handler(envelope.from, unpack<Message>(envelope.body));
+        };
+    }
+
+    // Serves calls. The reply function may be called later, once.
+    template<typename Message, typename Reply>
+    void onCall(std::function<void(const Core::HostId &from, Message message, std::function<void(const Reply &)> reply)>
+                    handler)
+    {
+        m_handlers[static_cast<std::uint16_t>(Message::Kind)] = [this, handler](const Envelope &envelope) {
+            handler(envelope.from, unpack<Message>(envelope.body),
+                    [this, to = envelope.from, correlation = envelope.correlation](const Reply &reply) {
+                        sendEnvelope(to, MessageKind::Reply, correlation, pack(reply));
+                    });
+        };
+    }
+
+    // Takes bytes that arrived. Those that are malformed or carry a wrong key are dropped and counted.
+    void receive(std::string_view bytes);
+
+    // How many arrivals were dropped as malformed or not authentic.
+    [[nodiscard]] std::uint64_t refusedMessages() const;
+    // How many messages were sent.
+    [[nodiscard]] std::uint64_t sentMessages() const;
+    [[nodiscard]] const Core::HostId &self() const;
+
+private:
+    using BodyFunction = std::function<void(std::optional<std::string>)>;
+    struct PendingCall {
+        Core::HostId to;
+        Core::TimerId timer = Core::TimerId::None;
+        Core::TimePoint sentAt {};
+        BodyFunction done;
+    };
+
+    void sendEnvelope(const Core::HostId &to, MessageKind kind, std::uint64_t correlation, std::string body);
+    void startCall(const Core::HostId &to, MessageKind kind, std::string body, Core::Duration timeout,
+                   BodyFunction done);
+    void expire(std::uint64_t correlation);
+    void takeReply(const Envelope &envelope);
+
+    Core::Scheduler &m_scheduler;
+    PeerTransport &m_transport;
+    PeerRouterOptions m_options;
+    std::uint64_t m_lastCorrelation = 0;
+    std::uint64_t m_refusedMessages = 0;
+    std::uint64_t m_sentMessages = 0;
+    std::unordered_map<std::uint64_t, PendingCall> m_pending;
+    std::map<std::uint16_t, std::function<void(const Envelope &)>> m_handlers;
+    std::unordered_map<Core::HostId, Core::TimePoint> m_lastHeard;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibPlatform/HttpPlatform.cpp
@@ -0,0 +1,127 @@
+#include <LibPlatform/HttpPlatform.h>
+
+#include <LibPlatform/PlatformJson.h>
+
+namespace Platform {
+
+namespace {
+
+constexpr long StatusOk = 200;
+constexpr long StatusNotFound = 404;
+constexpr long StatusConflict = 409;
+
+std::string escape(std::string_view text)
+{
+    static constexpr std::string_view Digits = "0123456789ABCDEF";
+    std::string escaped;
+    for (const unsigned char c : text) {
+        if (std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.') {
+            escaped += static_cast<char>(c);
+        } else {
+            escaped += {'%', Digits[c >> 4U], Digits[c & 15U]};
+        }
+    }
+    return escaped;
+}
+
+std::string describeFailure(const Net::HttpResult &result)
+{
+    return result.isComplete() ? "answered with status " + std::to_string(result.status) : result.error;
+}
+
+}
+
+HttpPlatform::HttpPlatform(Net::HttpClient &client, HttpPlatformOptions options)
+    : m_client(client), m_options(std::move(options))
+{
+}
+
+Net::HttpRequest HttpPlatform::request(std::string method, const std::string &path) const
+{
+    return {.method = std::move(method),
+            .url = "http://" + m_options.address + path,
+            .headers = {"Content-Type: application/json"},
+            .totalTimeout = m_options.timeout};
+}
+
+void HttpPlatform::transact(Transaction transaction, TransactionFunction done)
+{
+    auto outgoing = request("POST", "/v1/transact");
+    outgoing.body = toJson(transaction).dump();
+    m_client.start(std::move(outgoing), [done = std::move(done)](const Net::HttpResult &result) {
+        if (result.isComplete() && result.status == StatusOk) {
+            done({.outcome = TransactionOutcome::Committed});
+        } else if (result.isComplete() && result.status == StatusConflict) {
+            done({.outcome = TransactionOutcome::Conflicted});
+        } else if (!result.isComplete() && !result.mayHaveBeenSent) {
+            done({.outcome = TransactionOutcome::NotSent, .error = result.error});
+        } else {
+            done({.outcome = TransactionOutcome::Unknown, .error = describeFailure(result)});
+        }
+    });
+}
+
+void HttpPlatform::read(std::string_view table, std::string_view key, ReadFunction done)
+{
+    m_client.start(request("GET", "/v1/row?table=" + escape(table) + "&key=" + escape(key)),
+                   [done = std::move(done)](const Net::HttpResult &result) {
+                       if (result.isComplete() && result.status == StatusNotFound) {
+                           done({.isAvailable = true});
+                           return;
+                       }
+                       const auto json = nlohmann::json::parse(result.body, nullptr, false);
+                       if (!result.isComplete() || result.status != StatusOk || json.is_discarded()) {
+                           done({.error = describeFailure(result)});
+                           return;
+                       }
+                       try {
+                           done({.isAvailable = true, .row = rowFromJson(json)});
+                       } catch (const nlohmann::json::exception &error) {
+                           done({.error = error.what()});
+                       }
+                   });
+}
+
+void HttpPlatform::scan(std::string_view table, std::string_view afterKey, std::size_t most, ScanFunction done)
+{
+    const auto path
+        = "/v1/rows?table=" + escape(table) + "&after=" + escape(afterKey) + "&most=" + std::to_string(most);
+    m_client.start(request("GET", path), [done = std::move(done)](const Net::HttpResult &result) {
+        const auto json = nlohmann::json::parse(result.body, nullptr, false);
+        if (!result.isComplete() || result.status != StatusOk || !json.is_array()) {
+            done({.error = describeFailure(result)});
+            return;
+        }
+        ScanResult scanned {.isAvailable = true};
+        try {
+            for (const auto &row : json) {
+                scanned.rows.push_back(rowFromJson(row));
+            }
+        } catch (const nlohmann::json::exception &error) {
+            scanned = {.error = error.what()};
+        }
+        done(std::move(scanned));
+    });
+}
+
+void HttpPlatform::list(ListFunction done)
+{
+    m_client.start(request("GET", "/v1/hosts"), [done = std::move(done)](const Net::HttpResult &result) {
+        const auto json = nlohmann::json::parse(result.body, nullptr, false);
+        if (!result.isComplete() || result.status != StatusOk || !json.is_array()) {
+            done(std::nullopt);
+            return;
+        }
+        std::optional<std::vector<ListedMachine>> machines {std::in_place};
+        try {
+            for (const auto &machine : json) {
+                machines->push_back(machineFromJson(machine));
+            }
+        } catch (const nlohmann::json::exception &) {
+            machines.reset();
+        }
+        done(std::move(machines));
+    });
+}
+
+}
