LibTicket, LibMembership, LibOwner, LibFront, LibHost: Add the thin path's decisions

Tickets decide adapter and version, a front asks the owner for a grant and streams the engine's answer.

--- /dev/null
+++ b/Libraries/LibHost/Host.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <LibCore/IdSource.h>
+#include <LibFront/Completion.h>
+#include <LibMembership/HashedOwnership.h>
+#include <LibMembership/HostLeases.h>
+#include <LibOwner/OwnedTargets.h>
+#include <LibPeer/PeerRouter.h>
+#include <LibPlatform/TargetDirectory.h>
+#include <LibTicket/TicketDesk.h>
+#include <LibTicket/TicketFeed.h>
+#include <map>
+
+namespace Host {
+
+// The outside world as one host sees it. The daemon gives real ones, scenarios give fakes.
+struct HostPorts {
+    Core::Scheduler &scheduler;
+    Platform::TableService &table;
+    Platform::HostList &hostList;
+    Peer::PeerTransport &transport;
+    Engine::EngineLink &engines;
+    Core::IdSource &ids;
+    Trace::Tracer &tracer;
+    Metrics::Registry &metrics;
+};
+
+struct HostOptions {
+    Membership::HostRecord record;
+    std::string peerKey;
+    Core::Duration listRefreshPeriod = std::chrono::milliseconds(1000);
+    Membership::HostLeasesOptions leases;
+    Ticket::TicketFeedOptions tickets;
+    Owner::OwnedTargetsOptions owner;
+};
+
+// Every duty of one entry host, joined. It does no input or output of its own.
+class Host
+{
+public:
+    Host(const HostPorts &ports, const HostOptions &options);
+
+    void start();
+    // True when this host knows the tickets, its peers and the targets.
+    [[nodiscard]] bool isReady() const;
+    // Starts a caller's request. The returned function is to be called should the caller go away.
+    std::function<void()> complete(Front::CompletionRequest request, std::shared_ptr<Front::CallerAnswer> answer);
+    // Accepts an operator's ticket.
+    void submitTicket(Ticket::Ticket ticket, Ticket::TicketDesk::AcceptFunction done);
+    // Takes no new requests; those that run go on. The function runs when none is left.
+    void leave(std::function<void()> done);
+    [[nodiscard]] bool isLeaving() const;
+    [[nodiscard]] std::size_t runningCount() const;
+
+    [[nodiscard]] Peer::PeerRouter &router();
+    [[nodiscard]] const Membership::HostLeases &leases() const;
+    [[nodiscard]] const Membership::OwnershipView &ownership() const;
+    [[nodiscard]] const Platform::TargetDirectory &directory() const;
+    [[nodiscard]] const Ticket::TicketFeed &tickets() const;
+    [[nodiscard]] const Owner::OwnedTargets &owner() const;
+
+private:
+    void checkLeft();
+
+    HostPorts m_ports;
+    HostOptions m_options;
+    Peer::PeerRouter m_router;
+    Platform::TargetDirectory m_directory;
+    Membership::HostLeases m_leases;
+    Membership::HashedOwnership m_ownership;
+    Ticket::TicketFeed m_tickets;
+    Ticket::TicketDesk m_desk;
+    Owner::OwnedTargets m_owner;
+    std::uint64_t m_lastRun = 0;
+    std::map<std::uint64_t, std::shared_ptr<Front::Completion>> m_running;
+    std::function<void()> m_left;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibMembership/HostRecord.cpp
@@ -0,0 +1,31 @@
+#include <LibMembership/HostRecord.h>
+
+#include <nlohmann/json.hpp>
+
+namespace Membership {
+
+std::string toText(const HostRecord &record)
+{
+    return nlohmann::json {{"id", record.id.value},
+                           {"zone", record.zone.value},
+                           {"peerAddress", record.peerAddress},
+                           {"callerAddress", record.callerAddress},
+                           {"incarnation", record.incarnation},
+                           {"ticketSequence", record.ticketSequence},
+                           {"leaving", record.isLeaving}}
+        .dump();
+}
+
+HostRecord hostRecordFromText(const std::string &text)
+{
+    const auto json = nlohmann::json::parse(text);
+    return {.id = {json.at("id").get<std::string>()},
+            .zone = {json.at("zone").get<std::string>()},
+            .peerAddress = json.at("peerAddress").get<std::string>(),
+            .callerAddress = json.at("callerAddress").get<std::string>(),
+            .incarnation = json.at("incarnation").get<std::uint64_t>(),
+            .ticketSequence = json.at("ticketSequence").get<std::uint64_t>(),
+            .isLeaving = json.at("leaving").get<bool>()};
+}
+
+}
--- /dev/null
+++ b/Libraries/LibOwner/GrantMessages.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <LibCore/Identifier.h>
+#include <LibPeer/MessageKind.h>
+#include <cstdint>
+#include <msgpack.hpp>
+#include <string>
+
+namespace Owner {
+
+// A front asks a target's owner for a place to run one attempt. The front names the grant, so that a doubled
+// request is recognised.
+struct GrantRequest {
+    static constexpr auto Kind = Peer::MessageKind::GrantRequest;
+
+    Core::GrantId grant;
+    Core::AdapterVersion adapter;
+    std::string baseModel;
+    Core::CustomerId customer;
+    std::int64_t patienceMilliseconds = 0; // How long the answer may take.
+
+    MSGPACK_DEFINE(grant, adapter, baseModel, customer, patienceMilliseconds)
+};
+
+enum class GrantOutcome : std::uint8_t {
+    Granted,
+    // This host owns no target that could serve the request.
+    NotOwner,
+    // No slot became free in time.
+    Overloaded,
+    // The adapter could not be loaded.
+    LoadFailed,
+};
+
+// The owner's answer. The adapter stays resident on the target until the front releases the grant.
+struct GrantReply {
+    GrantOutcome outcome = GrantOutcome::NotOwner;
+    Core::GrantId grant;
+    Core::TargetId target;
+    std::string targetIncarnation;
+    std::string reason;
+    std::int64_t retryAfterMilliseconds = 0;
+
+    MSGPACK_DEFINE(outcome, grant, target, targetIncarnation, reason, retryAfterMilliseconds)
+};
+
+// The front has finished with a grant, or no longer wants it.
+struct GrantRelease {
+    static constexpr auto Kind = Peer::MessageKind::GrantRelease;
+
+    Core::GrantId grant;
+
+    MSGPACK_DEFINE(grant)
+};
+
+}
+
+MSGPACK_ADD_ENUM(Owner::GrantOutcome)
