--- /dev/null
+++ b/Services/currantbayd/CompletionAnswer.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <LibFront/CallerAnswer.h>
+#include <LibNet/HttpServer.h>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace Daemon {
+
+// Which of the two OpenAI-style interfaces an answer belongs to.
+enum class AnswerForm { Completion, Chat };
+
+enum class AnswerMode { Whole, Streamed };
+
+// Writes an answer to a caller over HTTP: as one JSON body, or as server-sent events.
+class CompletionAnswer final : public Front::CallerAnswer
+{
+public:
+    CompletionAnswer(std::shared_ptr<Net::Exchange> exchange, AnswerForm form, AnswerMode mode, std::string id);
+
+    void refuse(const Front::Refusal &refusal) override;
+    void begin(const Front::AnswerHead &head) override;
+    void text(std::string_view piece) override;
+    void finish(std::uint32_t tokenCount) override;
+    void cut(const Front::Refusal &reason) override;
+
+private:
+    [[nodiscard]] nlohmann::json chunk(std::string_view piece, const char *finishReason) const;
+    [[nodiscard]] Net::ResponseHead responseHead() const;
+    void sendEvent(const nlohmann::json &json);
+
+    std::shared_ptr<Net::Exchange> m_exchange;
+    AnswerForm m_form;
+    AnswerMode m_mode;
+    std::string m_id;
+    Front::AnswerHead m_head;
+    std::string m_text;
+};
+
+}
--- /dev/null
+++ b/Services/currantbayd/Daemon.cpp
@@ -0,0 +1,159 @@
+#include <currantbayd/Daemon.h>
+
+#include <LibLog/Log.h>
+#include <csignal>
+#include <currantbayd/HttpRefusal.h>
+#include <random>
+
+namespace Daemon {
+
+namespace {
+
+constexpr auto ExchangePollPeriod = std::chrono::milliseconds(20);
+
+std::uint64_t randomWord()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+Net::HttpServerOptions serverOptions(const Settings::DaemonSettings &settings)
+{
+    const auto colon = settings.callerAddress.rfind(':');
+    return {.address = settings.callerAddress.substr(0, colon),
+            .port = static_cast<std::uint16_t>(std::stoi(settings.callerAddress.substr(colon + 1))),
+            .largestBody = settings.largestBodyBytes,
+            .mostConnections = settings.mostConnections};
+}
+
+Host::HostOptions hostOptions(const Settings::DaemonSettings &settings, std::uint64_t incarnation)
+{
+    return {.record = {.id = {settings.hostId},
+                       .zone = {settings.zone},
+                       .peerAddress = settings.peerAddress,
+                       .callerAddress = settings.callerAddress,
+                       .incarnation = incarnation},
+            .peerKey = settings.peerKey};
+}
+
+}
+
+Daemon::Daemon(const Settings::DaemonSettings &settings)
+    : m_settings(settings)
+    , m_ids(randomWord())
+    , m_tracer(m_ids, {.file = settings.traceFile, .host = settings.hostId})
+    , m_client(m_loop)
+    , m_platform(m_client, {.address = settings.platformAddress})
+    , m_engines(m_client, {})
+    , m_peers(m_loop, settings.peerAddress,
+              [this](std::string_view bytes) {
+                  m_host.router().receive(bytes);
+              })
+    , m_host({.scheduler = m_loop,
+              .table = m_platform,
+              .hostList = m_platform,
+              .transport = *this,
+              .engines = m_engines,
+              .ids = m_ids,
+              .tracer = m_tracer,
+              .metrics = m_metrics},
+             hostOptions(settings, m_ids.randomNumber()))
+    , m_callers(m_host, {.callers = settings.callers, .requestTimeout = settings.requestTimeout})
+    , m_operators(m_host, settings.operators)
+    , m_server(m_loop, serverOptions(settings), [this](const auto &exchange) {
+        takeRequest(exchange);
+    })
+{
+    m_metrics.gauge("currantbay_running_requests", [this] {
+        return static_cast<double>(m_host.runningCount());
+    });
+    m_metrics.gauge("currantbay_waiting_requests", [this] {
+        return static_cast<double>(m_host.owner().waitingCount());
+    });
+    m_metrics.gauge("currantbay_ticket_sequence", [this] {
+        return static_cast<double>(m_host.tickets().state()->sequence());
+    });
+}
+
+void Daemon::run()
+{
+    m_loop.watchSignal(SIGTERM, [this] {
+        beginShutdown();
+    });
+    m_loop.watchSignal(SIGINT, [this] {
+        beginShutdown();
+    });
+    m_host.start();
+    Log::write(Log::Event::DaemonStarted, {{"zone", m_settings.zone}, {"callers", m_settings.callerAddress}});
+    m_loop.run();
+    Log::write(Log::Event::DaemonStopped);
+}
+
+void Daemon::send(const Core::HostId &to, std::string bytes)
+{
+    if (const auto peer = m_host.leases().find(to); peer.has_value()) {
+        m_peers.send(peer->peerAddress, bytes);
+    }
+}
+
+void Daemon::reconnect(const Core::HostId &to)
+{
+    if (const auto peer = m_host.leases().find(to); peer.has_value()) {
+        m_peers.disconnect(peer->peerAddress);
+    }
+}
+
+void Daemon::takeRequest(const std::shared_ptr<Net::Exchange> &exchange)
+{
+    const auto &path = exchange->request().path;
+    if (path == "/healthz") {
+        exchange->respond({.contentType = "text/plain"}, "alive\n");
+    } else if (path == "/readyz") {
+        const bool isReady = m_host.isReady();
+        exchange->respond({.status = isReady ? 200U : 503U, .contentType = "text/plain"},
+                          isReady ? "ready\n" : "not ready\n");
+    } else if (path == "/metrics") {
+        exchange->respond({.contentType = "text/plain; version=0.0.4"}, m_metrics.toPrometheusText());
+    } else if (path.starts_with("/operator/")) {
+        m_operators.take(exchange);
+    } else if (m_isStopping) {
+        refuse(*exchange,
+               {.status = 503,
+                .code = "stopping",
+                .message = "this entry host is stopping",
+                .advice = "send the request again; another host answers it",
+                .retryAfterMilliseconds = 1000});
+    } else {
+        m_callers.take(exchange);
+    }
+}
+
+void Daemon::beginShutdown()
+{
+    if (m_isStopping) {
+        return;
+    }
+    m_isStopping = true;
+    Log::write(Log::Event::DaemonStopping, {{"running", std::to_string(m_host.runningCount())}});
+    m_loop.runAfter(m_settings.drainTimeout, [this] {
+        m_loop.stop();
+    });
+    m_host.leave([this] {
+        m_server.stopListening();
+        awaitExchanges();
+    });
+}
+
+// An ended answer may still have bytes on their way to the caller.
+void Daemon::awaitExchanges()
+{
+    if (m_server.openExchanges() == 0) {
+        m_loop.stop();
+        return;
+    }
+    m_loop.runAfter(ExchangePollPeriod, [this] {
+        awaitExchanges();
+    });
+}
+
+}
--- /dev/null
+++ b/Services/currantbayd/HttpRefusal.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <LibFront/CallerAnswer.h>
+#include <LibNet/HttpServer.h>
+#include <nlohmann/json.hpp>
+
+namespace Daemon {
+
+// The body of a refusal: {"error": {"code", "message", "outcome", "advice"}}.
+[[nodiscard]] inline nlohmann::json toJson(const Front::Refusal &refusal)
+{
+    return {{"error",
+             {{"code", refusal.code},
+              {"message", refusal.message},
+              {"outcome", std::string(Front::toText(refusal.outcome))},
+              {"advice", refusal.advice}}}};
+}
+
+// Answers an exchange with a refusal: status, outcome header, Retry-After and a body for people and programs.
+inline void refuse(Net::Exchange &exchange, const Front::Refusal &refusal)
+{
+    Net::ResponseHead head {.status = refusal.status,
+                            .headers = {{"Currantbay-Outcome", std::string(Front::toText(refusal.outcome))}}};
+    if (refusal.retryAfterMilliseconds > 0) {
+        const auto seconds = (refusal.retryAfterMilliseconds + 999) / 1000;
+        head.headers.emplace_back("Retry-After", std::to_string(seconds));
+    }
+    exchange.respond(std::move(head), toJson(refusal).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+}
+
+}
