Tests: Add the scenario language over fakes on a virtual clock

Scenarios run the real Host objects with fakes for platform, network and engines; invariants (no eviction in use, own answer, whole answer, true not-run) are checked every 50 ms of virtual time.

--- a/Libraries/LibHost/Host.cpp
+++ b/Libraries/LibHost/Host.cpp
@@ -1,6 +1,7 @@
 #include <LibHost/Host.h>
 
 #include <LibLog/Log.h>
+#include <utility>
 
 namespace Host {
 
--- /dev/null
+++ b/Tests/Scenario/FakePlatform.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <LibPlatform/HostList.h>
+#include <LibPlatform/TableService.h>
+#include <StandIns/MemoryTable.h>
+#include <Tests/Scenario/Network.h>
+#include <deque>
+
+namespace Scenario {
+
+// The platform of a scenario: rows, host list, and what can go wrong with them.
+class FakePlatform
+{
+public:
+    FakePlatform(Core::VirtualScheduler &world, Network &network);
+
+    // While down, nothing that is sent to it arrives.
+    void setDown(bool isDown);
+    // So many of the next transactions take effect, but their answers are lost.
+    void loseAnswers(int count);
+    // Reads and scans show the rows as they were this long ago.
+    void setReadLag(Core::Duration lag);
+    // Changes to the host list are seen this much later.
+    void setListLag(Core::Duration lag);
+    void putMachine(const Platform::ListedMachine &machine);
+    void removeMachine(const std::string &name);
+    [[nodiscard]] const StandIns::MemoryTable &rows() const;
+    [[nodiscard]] std::uint64_t writeCount() const;
+
+private:
+    friend class HostPlatform;
+    [[nodiscard]] const StandIns::MemoryTable &laggingRows();
+    void changeList(std::function<void(std::map<std::string, Platform::ListedMachine> &)> change);
+
+    Core::VirtualScheduler &m_world;
+    Network &m_network;
+    ProcessScheduler m_process;
+    StandIns::MemoryTable m_rows;
+    std::deque<std::pair<Core::TimePoint, StandIns::MemoryTable>> m_history;
+    std::map<std::string, Platform::ListedMachine> m_machines;
+    bool m_isDown = false;
+    int m_lostAnswers = 0;
+    std::uint64_t m_writeCount = 0;
+    Core::Duration m_readLag {};
+    Core::Duration m_listLag {};
+};
+
+// The platform as one host reaches it.
+class HostPlatform final : public Platform::TableService, public Platform::HostList
+{
+public:
+    HostPlatform(FakePlatform &platform, std::string host, ProcessScheduler &process);
+
+    void transact(Platform::Transaction transaction, TransactionFunction done) override;
+    void read(std::string_view table, std::string_view key, ReadFunction done) override;
+    void scan(std::string_view table, std::string_view afterKey, std::size_t most, ScanFunction done) override;
+    void list(ListFunction done) override;
+
+private:
+    // Sends a question whose answer is made by the first function and taken by the second; should none arrive in
+    // time, the third runs.
+    template<typename Answer>
+    void ask(std::function<std::optional<Answer>()> serve, std::function<void(Answer)> take,
+             std::function<void()> expire);
+
+    FakePlatform &m_platform;
+    std::string m_host;
+    ProcessScheduler &m_process;
+};
+
+}
--- /dev/null
+++ b/Tests/Scenario/World.cpp
@@ -0,0 +1,243 @@
+#include <Tests/Scenario/World.h>
+
+#include <stdexcept>
+
+namespace Scenario {
+
+namespace {
+
+constexpr auto InvariantPeriod = std::chrono::milliseconds(50);
+
+}
+
+// Carries peers' messages over the scenario's network.
+class World::Transport final : public Peer::PeerTransport
+{
+public:
+    Transport(World &world, std::string self) : m_world(world), m_self(std::move(self))
+    {
+    }
+
+    void send(const Core::HostId &to, std::string bytes) override
+    {
+        const auto found = m_world.m_hosts.find(to.value);
+        if (found == m_world.m_hosts.end()) {
+            return;
+        }
+        auto *receiver = found->second.host.get();
+        m_world.m_network.deliver(m_self, to.value, *found->second.process, [receiver, bytes = std::move(bytes)] {
+            receiver->router().receive(bytes);
+        });
+    }
+
+    void reconnect(const Core::HostId & /*to*/) override
+    {
+    }
+
+private:
+    World &m_world;
+    std::string m_self;
+};
+
+World::World(std::uint64_t seed)
+    : m_lastSeed(seed), m_network(m_clock), m_platform(m_clock, m_network), m_engines(m_clock, m_network)
+{
+}
+
+World::~World() = default;
+
+void World::run(Core::Duration duration)
+{
+    while (duration > Core::Duration::zero()) {
+        const auto step = std::min<Core::Duration>(duration, InvariantPeriod);
+        m_clock.advance(step);
+        duration -= step;
+        checkInvariants();
+    }
+}
+
+void World::addEngine(const FakeEngineOptions &options)
+{
+    m_engines.add(options);
+    m_platform.putMachine({.kind = Platform::MachineKind::Engine,
+                           .name = options.name,
+                           .zone = {options.zone},
+                           .address = options.name,
+                           .role = "base",
+                           .fenceChecking = options.fenceChecking});
+}
+
+void World::addHost(const std::string &name, const std::string &zone)
+{
+    auto &host = m_hosts[name];
+    host.name = name;
+    host.zone = zone;
+    boot(host);
+}
+
+void World::boot(FakeHost &host)
+{
+    host.process = std::make_unique<ProcessScheduler>(m_clock);
+    host.ids = std::make_unique<Core::IdSource>(++m_lastSeed);
+    host.tracer = std::make_unique<Trace::Tracer>(*host.ids, Trace::TracerOptions {});
+    host.metrics = std::make_unique<Metrics::Registry>();
+    host.platform = std::make_unique<HostPlatform>(m_platform, host.name, *host.process);
+    host.engines = std::make_unique<HostEngines>(m_engines, host.name, *host.process);
+    host.transport = std::make_unique<Transport>(*this, host.name);
+    host.hasLeft = false;
+    const Host::HostPorts ports {.scheduler = *host.process,
+                                 .table = *host.platform,
+                                 .hostList = *host.platform,
+                                 .transport = *host.transport,
+                                 .engines = *host.engines,
+                                 .ids = *host.ids,
+                                 .tracer = *host.tracer,
+                                 .metrics = *host.metrics};
+    host.host = std::make_unique<Host::Host>(ports,
+                                             Host::HostOptions {.record = {.id = {host.name},
+                                                                           .zone = {host.zone},
+                                                                           .peerAddress = host.name,
+                                                                           .callerAddress = host.name,
+                                                                           .incarnation = host.ids->randomNumber()},
+                                                                .peerKey = "key"});
+    host.host->start();
+}
+
+void World::killHost(const std::string &name)
+{
+    host(name).process->kill();
+    loseCallers(name);
+}
+
+void World::restartHost(const std::string &name)
+{
+    killHost(name);
+    auto &current = host(name);
+    FakeHost fresh;
+    fresh.name = name;
+    fresh.zone = current.zone;
+    m_formerHosts.push_back(std::exchange(current, std::move(fresh)));
+    boot(current);
+}
+
+void World::stopHost(const std::string &name)
+{
+    auto &stopping = host(name);
+    stopping.host->leave([this, name] {
+        host(name).hasLeft = true;
+        killHost(name);
+    });
+}
+
+void World::submitTicket(const std::string &host, Ticket::Ticket ticket, Ticket::TicketDesk::AcceptFunction done)
+{
+    this->host(host).host->submitTicket(std::move(ticket), std::move(done));
+}
+
+void World::request(const std::string &name, const std::string &host, const std::string &customer,
+                    const std::string &model, std::uint32_t mostTokens, Core::Duration timeout)
+{
+    auto &request = m_requests[name];
+    request = {.name = name, .host = host, .mostTokens = mostTokens, .caller = std::make_shared<FakeCaller>()};
+    auto &entry = this->host(host);
+    if (entry.process->state() == ProcessState::Dead) {
+        request.caller->refuse({.message = "connection refused"});
+        return;
+    }
+    entry.process->runAfter({}, [&request, &entry, customer, model, mostTokens, timeout] {
+        request.abandon = entry.host->complete({.customer = {customer},
+                                                .model = model,
+                                                .prompt = request.name,
+                                                .mostTokens = mostTokens,
+                                                .timeout = timeout},
+                                               request.caller);
+    });
+}
+
+void World::checkInvariants()
+{
+    for (const auto &[name, engine] : m_engines.all()) {
+        if (engine.earlierEvictionsInUse + engine.model->evictionsInUse() > 0) {
+            throw std::runtime_error("invariant: " + name + " evicted an adapter that was serving a request");
+        }
+    }
+    for (const auto &[name, request] : m_requests) {
+        checkAnswer(request);
+    }
+}
+
+void World::checkAnswer(const FakeRequest &request)
+{
+    const auto &caller = *request.caller;
+    if (caller.isToldNotRun()) {
+        for (const auto &[name, engine] : m_engines.all()) {
+            if (engine.startedPrompts.contains(request.name)) {
+                throw std::runtime_error("invariant: " + request.name + " was told \"not run\" but ran on " + name);
+            }
+        }
+    }
+    if (caller.received().empty()) {
+        return;
+    }
+    std::string whole;
+    for (std::uint32_t i = 0; i < request.mostTokens; ++i) {
+        whole += StandIns::tokenAt(caller.head().adapter, request.name, i);
+    }
+    if (!whole.starts_with(caller.received())) {
+        throw std::runtime_error("invariant: " + request.name + " received text that isn't its own answer");
+    }
+    if (caller.state() == FakeCaller::State::Completed && caller.received() != whole) {
+        throw std::runtime_error("invariant: " + request.name + " completed without its whole answer");
+    }
+}
+
+void World::loseCallers(const std::string &host)
+{
+    for (auto &[name, request] : m_requests) {
+        if (request.host == host) {
+            request.caller->lose();
+        }
+    }
+}
+
+Core::VirtualScheduler &World::clock()
+{
+    return m_clock;
+}
+
+Network &World::network()
+{
+    return m_network;
+}
+
+FakePlatform &World::platform()
+{
+    return m_platform;
+}
+
+FakeEngines &World::engines()
+{
+    return m_engines;
+}
+
+FakeHost &World::host(const std::string &name)
+{
+    return m_hosts.at(name);
+}
+
+std::map<std::string, FakeHost> &World::hosts()
+{
+    return m_hosts;
+}
+
+FakeRequest &World::requestNamed(const std::string &name)
+{
+    return m_requests.at(name);
+}
+
+std::map<std::string, FakeRequest> &World::requests()
+{
+    return m_requests;
+}
+
+}
--- /dev/null
+++ b/Tests/Scenario/WorldCommands.cpp
@@ -0,0 +1,57 @@
+#include <Tests/Scenario/Script.h>
+
+namespace Scenario {
+
+namespace {
+
+// host NAME zone ZONE
+void addHost(Script &script, Words words)
+{
+    script.world().addHost(words[0], option(words, "zone", "a"));
+}
+
+// engine NAME zone ZONE [slots N] [load DURATION] [token DURATION] [fence checks|ignores]
+void addEngine(Script &script, Words words)
+{
+    script.world().addEngine({.name = words[0],
+                              .zone = option(words, "zone", "a"),
+                              .slots = static_cast<std::uint32_t>(std::stoul(option(words, "slots", "2"))),
+                              .fenceChecking = option(words, "fence", "checks") == "checks"
+                                  ? Platform::FenceChecking::Checks
+                                  : Platform::FenceChecking::Ignores,
+                              .loadTime = parseDuration(option(words, "load", "250ms")),
+                              .tokenTime = parseDuration(option(words, "token", "10ms"))});
+}
+
+// run DURATION
+void run(Script &script, Words words)
+{
+    script.world().run(parseDuration(words[0]));
+}
+
+// expect ready HOST yes|no
+void expectReady(Script &script, Words words)
+{
+    const bool isReady = script.world().host(words[0]).host->isReady();
+    expect(isReady == (words[1] == "yes"), isReady ? "the host is ready" : "the host isn't ready");
+}
+
+// expect loads ENGINE COUNT
+void expectLoads(Script &script, Words words)
+{
+    const auto count = script.world().engines().at(words[0]).model->loadCount();
+    expect(count == std::stoul(words[1]), std::to_string(count) + " loads");
+}
+
+}
+
+void addWorldCommands(Script &script)
+{
+    script.add("host", addHost);
+    script.add("engine", addEngine);
+    script.add("run", run);
+    script.add("expect ready", expectReady);
+    script.add("expect loads", expectLoads);
+}
+
+}
