--- a/Tests/Scenario/Network.cpp
+++ b/Tests/Scenario/Network.cpp
@@ -8,10 +8,6 @@
 
 }
 
-Network::Network(Core::VirtualScheduler &world) : m_world(world)
-{
-}
-
 void Network::deliver(const std::string &from, const std::string &to, ProcessScheduler &receiver,
                       Core::Scheduler::Task task)
 {
--- a/Tests/Scenario/Network.h
+++ b/Tests/Scenario/Network.h
@@ -12,7 +12,7 @@
 class Network
 {
 public:
-    explicit Network(Core::VirtualScheduler &world);
+    Network() = default;
 
     // Runs the task at the receiver after the link's delay, unless the link is cut.
     void deliver(const std::string &from, const std::string &to, ProcessScheduler &receiver,
@@ -30,7 +30,6 @@
 private:
     using Link = std::pair<std::string, std::string>;
 
-    Core::VirtualScheduler &m_world;
     std::set<Link> m_cuts;
     std::map<Link, Core::Duration> m_delays;
     Core::Duration m_duplicateAfter {};
