--- a/Tests/Scenario/World.cpp
+++ b/Tests/Scenario/World.cpp
@@ -39,8 +39,7 @@
     std::string m_self;
 };
 
-World::World(std::uint64_t seed)
-    : m_lastSeed(seed), m_network(m_clock), m_platform(m_clock, m_network), m_engines(m_clock, m_network)
+World::World(std::uint64_t seed) : m_lastSeed(seed), m_platform(m_clock, m_network), m_engines(m_clock, m_network)
 {
 }
 
