--- a/Libraries/LibCore/IdSource.cpp
+++ b/Libraries/LibCore/IdSource.cpp
@@ -3,7 +3,8 @@
 
 namespace Core {
 
-IdSource::IdSource(std::uint64_t seed) : m_random(seed)
+IdSource::IdSource(std::uint64_t seed)
+    : m_random(seed)
 {
     char text[17];
     std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(m_random()));
--- a/Libraries/LibCore/StepError.h
+++ b/Libraries/LibCore/StepError.h
@@ -11,7 +11,9 @@
 {
 public:
     StepError(std::string step, std::string peer, const std::string &reason)
-        : std::runtime_error(step + ": " + peer + ": " + reason), m_step(std::move(step)), m_peer(std::move(peer))
+        : std::runtime_error(step + ": " + peer + ": " + reason)
+        , m_step(std::move(step))
+        , m_peer(std::move(peer))
     {
     }
 
--- a/Libraries/LibEngine/HttpEngineLink.cpp
+++ b/Libraries/LibEngine/HttpEngineLink.cpp
@@ -47,7 +47,8 @@
 }
 
 HttpEngineLink::HttpEngineLink(Net::HttpClient &client, HttpEngineLinkOptions options)
-    : m_client(client), m_options(options)
+    : m_client(client)
+    , m_options(options)
 {
 }
 
--- a/Libraries/LibMembership/HashedOwnership.cpp
+++ b/Libraries/LibMembership/HashedOwnership.cpp
@@ -5,7 +5,8 @@
 namespace Membership {
 
 HashedOwnership::HashedOwnership(const HostLeases &leases, const Platform::TargetDirectory &directory)
-    : m_leases(leases), m_directory(directory)
+    : m_leases(leases)
+    , m_directory(directory)
 {
 }
 
--- a/Libraries/LibMembership/HostLeases.cpp
+++ b/Libraries/LibMembership/HostLeases.cpp
@@ -13,7 +13,10 @@
 
 HostLeases::HostLeases(Core::Scheduler &scheduler, Platform::TableService &table, HostRecord self,
                        HostLeasesOptions options)
-    : m_scheduler(scheduler), m_table(table), m_self(std::move(self)), m_options(options)
+    : m_scheduler(scheduler)
+    , m_table(table)
+    , m_self(std::move(self))
+    , m_options(options)
 {
 }
 
--- a/Libraries/LibNet/EventLoop.cpp
+++ b/Libraries/LibNet/EventLoop.cpp
@@ -18,7 +18,9 @@
 class FunctionHandler final : public ACE_Event_Handler
 {
 public:
-    FunctionHandler(ACE_HANDLE handle, EventLoop::Task task) : m_handle(handle), m_task(std::move(task))
+    FunctionHandler(ACE_HANDLE handle, EventLoop::Task task)
+        : m_handle(handle)
+        , m_task(std::move(task))
     {
     }
 
@@ -46,7 +48,8 @@
 
 }
 
-EventLoop::EventLoop() : m_reactor(std::make_unique<ACE_Reactor>(new ACE_Dev_Poll_Reactor(ACE::max_handles()), true))
+EventLoop::EventLoop()
+    : m_reactor(std::make_unique<ACE_Reactor>(new ACE_Dev_Poll_Reactor(ACE::max_handles()), true))
 {
 }
 
--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -71,7 +71,8 @@
     }
 };
 
-HttpClient::HttpClient(EventLoop &loop) : m_loop(loop)
+HttpClient::HttpClient(EventLoop &loop)
+    : m_loop(loop)
 {
     curl_global_init(CURL_GLOBAL_DEFAULT);
     m_multi = curl_multi_init();
--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -232,7 +232,9 @@
 }
 
 HttpServer::HttpServer(EventLoop &loop, HttpServerOptions options, RequestFunction handler)
-    : m_loop(loop), m_options(std::move(options)), m_handler(std::move(handler))
+    : m_loop(loop)
+    , m_options(std::move(options))
+    , m_handler(std::move(handler))
 {
     sockaddr_in address {};
     address.sin_family = AF_INET;
--- a/Libraries/LibNet/PeerSocket.cpp
+++ b/Libraries/LibNet/PeerSocket.cpp
@@ -25,7 +25,8 @@
 }
 
 PeerSocket::PeerSocket(EventLoop &loop, std::string_view listenAddress, MessageFunction handler)
-    : m_loop(loop), m_handler(std::move(handler))
+    : m_loop(loop)
+    , m_handler(std::move(handler))
 {
     nng_socket socket {};
     check(nng_pull0_open(&socket), "open peer socket", listenAddress);
--- a/Libraries/LibPeer/PeerRouter.cpp
+++ b/Libraries/LibPeer/PeerRouter.cpp
@@ -5,7 +5,9 @@
 namespace Peer {
 
 PeerRouter::PeerRouter(Core::Scheduler &scheduler, PeerTransport &transport, PeerRouterOptions options)
-    : m_scheduler(scheduler), m_transport(transport), m_options(std::move(options))
+    : m_scheduler(scheduler)
+    , m_transport(transport)
+    , m_options(std::move(options))
 {
 }
 
--- a/Libraries/LibPlatform/HttpPlatform.cpp
+++ b/Libraries/LibPlatform/HttpPlatform.cpp
@@ -32,7 +32,8 @@
 }
 
 HttpPlatform::HttpPlatform(Net::HttpClient &client, HttpPlatformOptions options)
-    : m_client(client), m_options(std::move(options))
+    : m_client(client)
+    , m_options(std::move(options))
 {
 }
 
--- a/Libraries/LibPlatform/TargetDirectory.cpp
+++ b/Libraries/LibPlatform/TargetDirectory.cpp
@@ -3,7 +3,9 @@
 namespace Platform {
 
 TargetDirectory::TargetDirectory(Core::Scheduler &scheduler, HostList &hostList, Core::Duration refreshPeriod)
-    : m_scheduler(scheduler), m_hostList(hostList), m_refreshPeriod(refreshPeriod)
+    : m_scheduler(scheduler)
+    , m_hostList(hostList)
+    , m_refreshPeriod(refreshPeriod)
 {
 }
 
--- a/Libraries/LibSettings/SettingsReader.cpp
+++ b/Libraries/LibSettings/SettingsReader.cpp
@@ -41,7 +41,8 @@
 }
 
 InvalidSettings::InvalidSettings(std::vector<std::string> mistakes)
-    : std::runtime_error(join(mistakes, "\n")), m_mistakes(std::move(mistakes))
+    : std::runtime_error(join(mistakes, "\n"))
+    , m_mistakes(std::move(mistakes))
 {
 }
 
@@ -51,7 +52,9 @@
 }
 
 SettingsReader::SettingsReader(const nlohmann::json &json, std::string path, std::vector<std::string> &mistakes)
-    : m_json(json.is_object() ? json : emptyObject()), m_path(std::move(path)), m_mistakes(mistakes)
+    : m_json(json.is_object() ? json : emptyObject())
+    , m_path(std::move(path))
+    , m_mistakes(mistakes)
 {
     if (!json.is_object()) {
         m_mistakes.push_back((m_path.empty() ? "settings" : m_path) + ": found " + json.type_name()
--- a/Libraries/LibTicket/TicketDesk.cpp
+++ b/Libraries/LibTicket/TicketDesk.cpp
@@ -29,7 +29,8 @@
     return std::string(NumberKeyDigits - digits.size(), '0') + digits;
 }
 
-TicketDesk::TicketDesk(Platform::TableService &table) : m_table(table)
+TicketDesk::TicketDesk(Platform::TableService &table)
+    : m_table(table)
 {
 }
 
--- a/Libraries/LibTicket/TicketFeed.cpp
+++ b/Libraries/LibTicket/TicketFeed.cpp
@@ -7,7 +7,10 @@
 
 TicketFeed::TicketFeed(Core::Scheduler &scheduler, Platform::TableService &table, Core::IdSource &ids,
                        TicketFeedOptions options)
-    : m_scheduler(scheduler), m_table(table), m_ids(ids), m_options(options)
+    : m_scheduler(scheduler)
+    , m_table(table)
+    , m_ids(ids)
+    , m_options(options)
 {
 }
 
--- a/Libraries/LibTrace/Tracer.cpp
+++ b/Libraries/LibTrace/Tracer.cpp
@@ -29,7 +29,9 @@
     attributes.emplace_back(std::string(attribute), std::move(value));
 }
 
-Tracer::Tracer(Core::IdSource &ids, TracerOptions options) : m_ids(ids), m_options(std::move(options))
+Tracer::Tracer(Core::IdSource &ids, TracerOptions options)
+    : m_ids(ids)
+    , m_options(std::move(options))
 {
     if (m_options.file.empty()) {
         return;
--- a/Services/currantbayd/CallerInterface.cpp
+++ b/Services/currantbayd/CallerInterface.cpp
@@ -87,7 +87,8 @@
 }
 
 CallerInterface::CallerInterface(Host::Host &host, CallerInterfaceOptions options)
-    : m_host(host), m_options(std::move(options))
+    : m_host(host)
+    , m_options(std::move(options))
 {
 }
 
--- a/Services/currantbayd/CompletionAnswer.cpp
+++ b/Services/currantbayd/CompletionAnswer.cpp
@@ -15,7 +15,10 @@
 
 CompletionAnswer::CompletionAnswer(std::shared_ptr<Net::Exchange> exchange, AnswerForm form, AnswerMode mode,
                                    std::string id)
-    : m_exchange(std::move(exchange)), m_form(form), m_mode(mode), m_id(std::move(id))
+    : m_exchange(std::move(exchange))
+    , m_form(form)
+    , m_mode(mode)
+    , m_id(std::move(id))
 {
 }
 
--- a/Services/currantbayd/OperatorInterface.cpp
+++ b/Services/currantbayd/OperatorInterface.cpp
@@ -51,7 +51,8 @@
 }
 
 OperatorInterface::OperatorInterface(Host::Host &host, std::vector<Settings::TokenHolder> operators)
-    : m_host(host), m_operators(std::move(operators))
+    : m_host(host)
+    , m_operators(std::move(operators))
 {
 }
 
--- a/StandIns/EngineModel.cpp
+++ b/StandIns/EngineModel.cpp
@@ -18,7 +18,8 @@
     return (index == 0 ? "" : " ") + adapter.adapter + "." + std::to_string(word);
 }
 
-EngineModel::EngineModel(EngineModelOptions options) : m_options(std::move(options))
+EngineModel::EngineModel(EngineModelOptions options)
+    : m_options(std::move(options))
 {
 }
 
--- a/StandIns/PlatformStandIn.cpp
+++ b/StandIns/PlatformStandIn.cpp
@@ -20,7 +20,8 @@
 {
 public:
     PlatformStandIn(Net::EventLoop &loop, const StandInOptions &options)
-        : m_loop(loop), m_server(loop, serverOptions(options.address), [this](const auto &exchange) {
+        : m_loop(loop)
+        , m_server(loop, serverOptions(options.address), [this](const auto &exchange) {
             take(exchange);
         })
     {
--- a/StandIns/ServiceStandIn.cpp
+++ b/StandIns/ServiceStandIn.cpp
@@ -13,7 +13,8 @@
 {
 public:
     ServiceStandIn(Net::EventLoop &loop, const StandInOptions &options)
-        : m_name(options.name), m_server(loop, serverOptions(options.address), [this](const auto &exchange) {
+        : m_name(options.name)
+        , m_server(loop, serverOptions(options.address), [this](const auto &exchange) {
             serve(exchange);
         })
     {
--- a/Tests/Scenario/FakeEngines.cpp
+++ b/Tests/Scenario/FakeEngines.cpp
@@ -10,7 +10,9 @@
 
 }
 
-FakeEngines::FakeEngines(Core::VirtualScheduler &world, Network &network) : m_world(world), m_network(network)
+FakeEngines::FakeEngines(Core::VirtualScheduler &world, Network &network)
+    : m_world(world)
+    , m_network(network)
 {
 }
 
@@ -80,7 +82,9 @@
 };
 
 HostEngines::HostEngines(FakeEngines &engines, std::string host, ProcessScheduler &process)
-    : m_engines(engines), m_host(std::move(host)), m_process(process)
+    : m_engines(engines)
+    , m_host(std::move(host))
+    , m_process(process)
 {
 }
 
--- a/Tests/Scenario/FakePlatform.cpp
+++ b/Tests/Scenario/FakePlatform.cpp
@@ -11,7 +11,9 @@
 }
 
 FakePlatform::FakePlatform(Core::VirtualScheduler &world, Network &network)
-    : m_world(world), m_network(network), m_process(world)
+    : m_world(world)
+    , m_network(network)
+    , m_process(world)
 {
 }
 
@@ -82,7 +84,9 @@
 }
 
 HostPlatform::HostPlatform(FakePlatform &platform, std::string host, ProcessScheduler &process)
-    : m_platform(platform), m_host(std::move(host)), m_process(process)
+    : m_platform(platform)
+    , m_host(std::move(host))
+    , m_process(process)
 {
 }
 
--- a/Tests/Scenario/ProcessScheduler.cpp
+++ b/Tests/Scenario/ProcessScheduler.cpp
@@ -4,7 +4,8 @@
 
 namespace Scenario {
 
-ProcessScheduler::ProcessScheduler(Core::VirtualScheduler &world) : m_world(world)
+ProcessScheduler::ProcessScheduler(Core::VirtualScheduler &world)
+    : m_world(world)
 {
 }
 
--- a/Tests/Scenario/Script.cpp
+++ b/Tests/Scenario/Script.cpp
@@ -4,7 +4,8 @@
 
 namespace Scenario {
 
-Script::Script(std::uint64_t seed) : m_world(seed)
+Script::Script(std::uint64_t seed)
+    : m_world(seed)
 {
     addWorldCommands(*this);
     addFaultCommands(*this);
--- a/Tests/Scenario/World.cpp
+++ b/Tests/Scenario/World.cpp
@@ -14,7 +14,9 @@
 class World::Transport final : public Peer::PeerTransport
 {
 public:
-    Transport(World &world, std::string self) : m_world(world), m_self(std::move(self))
+    Transport(World &world, std::string self)
+        : m_world(world)
+        , m_self(std::move(self))
     {
     }
 
@@ -39,7 +41,10 @@
     std::string m_self;
 };
 
-World::World(std::uint64_t seed) : m_lastSeed(seed), m_platform(m_clock, m_network), m_engines(m_clock, m_network)
+World::World(std::uint64_t seed)
+    : m_lastSeed(seed)
+    , m_platform(m_clock, m_network)
+    , m_engines(m_clock, m_network)
 {
 }
 
--- a/Utilities/currantbay/ApiClient.cpp
+++ b/Utilities/currantbay/ApiClient.cpp
@@ -26,7 +26,9 @@
     return parsed.is_discarded() ? nlohmann::json() : parsed;
 }
 
-ApiClient::ApiClient(Connection connection) : m_connection(std::move(connection)), m_http(m_loop)
+ApiClient::ApiClient(Connection connection)
+    : m_connection(std::move(connection))
+    , m_http(m_loop)
 {
 }
 
