--- a/Tests/Scenario/FaultCommands.cpp
+++ b/Tests/Scenario/FaultCommands.cpp
@@ -74,6 +74,16 @@
     processOf(script, words[0]).thaw();
 }
 
+// revive NAME: thaws a frozen process and restarts a dead one.
+void revive(Script &script, Words words)
+{
+    auto &process = processOf(script, words[0]);
+    process.thaw();
+    if (process.state() == ProcessState::Dead) {
+        restart(script, words);
+    }
+}
+
 // stop HOST: a planned stop.
 void stop(Script &script, Words words)
 {
@@ -168,6 +178,7 @@
     script.add("restart", restart);
     script.add("freeze", freeze);
     script.add("thaw", thaw);
+    script.add("revive", revive);
     script.add("stop", stop);
     script.add("cut", cut);
     script.add("part", part);
--- a/Tests/Scenario/RequestCommands.cpp
+++ b/Tests/Scenario/RequestCommands.cpp
@@ -44,6 +44,16 @@
     }
 }
 
+// expect all-ended: no caller is waiting or in mid-answer.
+void expectAllEnded(Script &script, Words /*words*/)
+{
+    for (const auto &[name, request] : script.world().requests()) {
+        const auto state = request.caller->state();
+        expect(state != FakeCaller::State::Waiting && state != FakeCaller::State::Streaming,
+               name + " at " + request.host + " is " + request.caller->describe());
+    }
+}
+
 // expect starts NAME COUNT: how often engines have begun to run the request.
 void expectStarts(Script &script, Words words)
 {
@@ -62,6 +72,7 @@
     script.add("request", request);
     script.add("abandon", abandon);
     script.add("expect request", expectRequest);
+    script.add("expect all-ended", expectAllEnded);
     script.add("expect starts", expectStarts);
 }
 
