--- a/Libraries/LibPeer/PeerRouter.cpp
+++ b/Libraries/LibPeer/PeerRouter.cpp
@@ -47,6 +47,11 @@
     return m_sentMessages;
 }
 
+std::uint64_t PeerRouter::sentBytes() const
+{
+    return m_sentBytes;
+}
+
 const Core::HostId &PeerRouter::self() const
 {
     return m_options.self;
@@ -62,6 +67,7 @@
                              .body = std::move(body)};
     auto bytes = pack(envelope);
     ++m_sentMessages;
+    m_sentBytes += bytes.size();
     if (to == m_options.self) {
         m_scheduler.runAfter({}, [this, bytes = std::move(bytes)] {
             receive(bytes);
--- a/Libraries/LibPeer/PeerRouter.h
+++ b/Libraries/LibPeer/PeerRouter.h
@@ -75,6 +75,8 @@
     [[nodiscard]] std::uint64_t refusedMessages() const;
     // How many messages were sent.
     [[nodiscard]] std::uint64_t sentMessages() const;
+    // Their size on the wire, without the transport's framing.
+    [[nodiscard]] std::uint64_t sentBytes() const;
     [[nodiscard]] const Core::HostId &self() const;
 
 private:
@@ -98,6 +100,7 @@
     std::uint64_t m_lastCorrelation = 0;
     std::uint64_t m_refusedMessages = 0;
     std::uint64_t m_sentMessages = 0;
+    std::uint64_t m_sentBytes = 0;
     std::unordered_map<std::uint64_t, PendingCall> m_pending;
     std::map<std::uint16_t, std::function<void(const Envelope &)>> m_handlers;
     std::unordered_map<Core::HostId, Core::TimePoint> m_lastHeard;
--- a/Tests/Scenario/FakePlatform.cpp
+++ b/Tests/Scenario/FakePlatform.cpp
@@ -72,6 +72,11 @@
     return m_writeCount;
 }
 
+const PlatformTraffic &FakePlatform::trafficOf(const std::string &host)
+{
+    return m_traffic[host];
+}
+
 const StandIns::MemoryTable &FakePlatform::laggingRows()
 {
     const auto seen = m_world.now() - m_readLag;
@@ -118,6 +123,14 @@
 
 void HostPlatform::transact(Platform::Transaction transaction, TransactionFunction done)
 {
+    auto &traffic = m_platform.m_traffic[m_host];
+    ++traffic.writes;
+    for (const auto &put : transaction.puts) {
+        traffic.bytes += put.table.size() + put.key.size() + put.value.size();
+    }
+    for (const auto &condition : transaction.conditions) {
+        traffic.bytes += condition.table.size() + condition.key.size() + sizeof condition.version;
+    }
     // HTTP carries a request once, whatever the network beneath does.
     auto wasServed = std::make_shared<bool>(false);
     ask<Platform::TransactionResult>(
@@ -151,6 +164,9 @@
 {
     ask<Platform::ReadResult>(
         [this, table = std::string(table), key = std::string(key)] {
+            auto &traffic = m_platform.m_traffic[m_host];
+            ++traffic.reads;
+            traffic.bytes += table.size() + key.size();
             return Platform::ReadResult {.isAvailable = true, .row = m_platform.laggingRows().read(table, key)};
         },
         done,
@@ -163,8 +179,14 @@
 {
     ask<Platform::ScanResult>(
         [this, table = std::string(table), afterKey = std::string(afterKey), most] {
-            return Platform::ScanResult {.isAvailable = true,
+            Platform::ScanResult result {.isAvailable = true,
                                          .rows = m_platform.laggingRows().scan(table, afterKey, most)};
+            auto &traffic = m_platform.m_traffic[m_host];
+            ++traffic.reads;
+            for (const auto &row : result.rows) {
+                traffic.bytes += row.key.size() + row.value.size() + sizeof row.version;
+            }
+            return result;
         },
         done,
         [done] {
@@ -177,7 +199,10 @@
     ask<std::vector<Platform::ListedMachine>>(
         [this] {
             std::vector<Platform::ListedMachine> machines;
+            auto &traffic = m_platform.m_traffic[m_host];
+            ++traffic.reads;
             for (const auto &[name, machine] : m_platform.m_machines) {
+                traffic.bytes += name.size() + machine.zone.value.size() + machine.address.size() + machine.role.size();
                 machines.push_back(machine);
             }
             return std::optional(std::move(machines));
--- a/Tests/Scenario/FakePlatform.h
+++ b/Tests/Scenario/FakePlatform.h
@@ -8,6 +8,13 @@
 
 namespace Scenario {
 
+// What one host has asked of the platform. Bytes are those of keys and values, without HTTP headers.
+struct PlatformTraffic {
+    std::uint64_t writes = 0;
+    std::uint64_t reads = 0;
+    std::uint64_t bytes = 0;
+};
+
 // The platform of a scenario: rows, host list, and what can go wrong with them.
 class FakePlatform
 {
@@ -26,6 +33,7 @@
     void removeMachine(const std::string &name);
     [[nodiscard]] const StandIns::MemoryTable &rows() const;
     [[nodiscard]] std::uint64_t writeCount() const;
+    [[nodiscard]] const PlatformTraffic &trafficOf(const std::string &host);
 
 private:
     friend class HostPlatform;
@@ -41,6 +49,7 @@
     bool m_isDown = false;
     int m_lostAnswers = 0;
     std::uint64_t m_writeCount = 0;
+    std::map<std::string, PlatformTraffic> m_traffic;
     Core::Duration m_readLag {};
     Core::Duration m_listLag {};
 };
