--- /dev/null
+++ b/Libraries/LibEngine/Tests/EngineJsonTest.cpp
@@ -0,0 +1,59 @@
+#include <LibEngine/EngineJson.h>
+#include <LibEngine/LineBuffer.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+class EngineJsonTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(EngineJsonTest);
+    CPPUNIT_TEST(eventsSurviveTheirLine);
+    CPPUNIT_TEST(damagedLinesThrowAndDoNoHarm);
+    CPPUNIT_TEST(linesAreCutWhereverThePiecesEnd);
+    CPPUNIT_TEST_SUITE_END();
+
+    void eventsSurviveTheirLine()
+    {
+        const Engine::StreamEvent token = Engine::StreamToken {{"a"}, 3, "line\nfeed \"and\" quotes"};
+        const auto read = Engine::eventFromLine(Engine::toLine(token));
+        CPPUNIT_ASSERT_EQUAL(std::string("line\nfeed \"and\" quotes"), std::get<Engine::StreamToken>(read).text);
+    }
+
+    void damagedLinesThrowAndDoNoHarm()
+    {
+        const auto valid = Engine::toLine(Engine::StreamHead {{"a"}, {"outline", "1"}, "e1#1"});
+        const bool isSound = rc::check([&] {
+            auto line = valid;
+            const auto place = *rc::gen::inRange<std::size_t>(0, line.size());
+            if (*rc::gen::arbitrary<bool>()) {
+                line.resize(place);
+            } else {
+                line[place] = *rc::gen::arbitrary<char>();
+            }
+            try {
+                (void)Engine::eventFromLine(line);
+            } catch (const nlohmann::json::exception &) {
+                return;
+            }
+        });
+        CPPUNIT_ASSERT(isSound);
+    }
+
+    void linesAreCutWhereverThePiecesEnd()
+    {
+        const bool isSound = rc::check([](const std::vector<std::string> &pieces) {
+            std::string all;
+            std::string joined;
+            Engine::LineBuffer buffer;
+            for (const auto &piece : pieces) {
+                all += piece;
+                buffer.append(piece, [&](std::string_view line) {
+                    joined += std::string(line) + '\n';
+                });
+            }
+            RC_ASSERT(joined + buffer.rest() == all);
+        });
+        CPPUNIT_ASSERT(isSound);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(EngineJsonTest);
