--- a/Utilities/currantbay/Commands.h
+++ b/Utilities/currantbay/Commands.h
@@ -10,5 +10,6 @@
 void addListCommands(CLI::App &app, const CommonOptions &common, ExitCode &exitCode);
 void addRequestCommand(CLI::App &app, const CommonOptions &common, ExitCode &exitCode);
 void addSettingsCommands(CLI::App &app, ExitCode &exitCode);
+void addTraceCommands(CLI::App &app, ExitCode &exitCode);
 
 }
--- a/Utilities/currantbay/Main.cpp
+++ b/Utilities/currantbay/Main.cpp
@@ -28,6 +28,7 @@
     Client::addListCommands(app, common, exitCode);
     Client::addRequestCommand(app, common, exitCode);
     Client::addSettingsCommands(app, exitCode);
+    Client::addTraceCommands(app, exitCode);
     try {
         app.parse(argc, argv);
     } catch (const CLI::Success &success) {
