currantbay: Read a trace's lines from a variable that lives long enough

trace show found no span: the loop ran over a part of a parsed temporary that was already destroyed. Ruled out: the files (complete) and the options. whole-path now draws a trace; it failed before and passes.

--- a/Utilities/currantbay/TraceTree.cpp
+++ b/Utilities/currantbay/TraceTree.cpp
@@ -32,7 +32,8 @@
 {
     for (std::string line; std::getline(lines, line);) {
         try {
-            for (const auto &resource : nlohmann::json::parse(line).at("resourceSpans")) {
+            const auto json = nlohmann::json::parse(line);
+            for (const auto &resource : json.at("resourceSpans")) {
                 const auto host = attributeOf(resource.at("resource").at("attributes"), "host.name");
                 for (const auto &scope : resource.at("scopeSpans")) {
                     for (const auto &span : scope.at("spans")) {
