--- /dev/null
+++ b/Libraries/LibPolicy/LoadBudget.cpp
@@ -0,0 +1,99 @@
+#include <LibPolicy/LoadBudget.h>
+
+#include <LibCore/Verify.h>
+#include <algorithm>
+
+namespace Policy {
+
+namespace {
+
+// Accrual is summed in floating point; a permit counts as whole when this little is missing.
+constexpr double PermitTolerance = 1e-9;
+
+}
+
+LoadBudget::LoadBudget(LoadBudgetOptions options, Core::TimePoint now)
+    : m_options(options)
+    , m_permits(0)
+    , m_settledAt(now)
+{
+    // A host that starts again and again gains nothing: it begins without permits.
+}
+
+bool LoadBudget::hasPermit(Core::TimePoint now) const
+{
+    if (m_options.mostInFlight > 0 && m_inFlight >= m_options.mostInFlight) {
+        return false;
+    }
+    return isUnlimited() || m_received >= 1 || permitsAt(now) >= 1 - PermitTolerance;
+}
+
+void LoadBudget::beginLoad(Core::TimePoint now)
+{
+    VERIFY(hasPermit(now));
+    ++m_inFlight;
+    if (isUnlimited()) {
+        return;
+    }
+    settle(now);
+    if (m_received >= 1) {
+        m_received -= 1;
+    } else {
+        m_permits -= 1;
+    }
+}
+
+void LoadBudget::endLoad()
+{
+    VERIFY(m_inFlight > 0);
+    --m_inFlight;
+}
+
+bool LoadBudget::lend(Core::TimePoint now)
+{
+    if (isUnlimited() || permitsAt(now) < 1 - PermitTolerance) {
+        return false;
+    }
+    settle(now);
+    m_permits -= 1;
+    return true;
+}
+
+void LoadBudget::receive()
+{
+    m_received = 1;
+}
+
+Core::Duration LoadBudget::untilPermit(Core::TimePoint now) const
+{
+    if (isUnlimited() || m_received >= 1) {
+        return {};
+    }
+    const double missing = std::max(0.0, 1 - permitsAt(now));
+    const std::chrono::duration<double> wait(missing / m_options.loadsPerSecond);
+    return std::chrono::duration_cast<Core::Duration>(wait);
+}
+
+std::size_t LoadBudget::inFlight() const
+{
+    return m_inFlight;
+}
+
+bool LoadBudget::isUnlimited() const
+{
+    return m_options.loadsPerSecond <= 0;
+}
+
+double LoadBudget::permitsAt(Core::TimePoint now) const
+{
+    const std::chrono::duration<double> elapsed = now - m_settledAt;
+    return std::min(m_options.mostPermits, m_permits + elapsed.count() * m_options.loadsPerSecond);
+}
+
+void LoadBudget::settle(Core::TimePoint now)
+{
+    m_permits = permitsAt(now);
+    m_settledAt = now;
+}
+
+}
