LibOwner: Decide in a dispatcher under a load budget

OwnedTargets ignored the reported batch capacity, ordered loads without limit, evicted before it knew what to load and refused every waiter at the first failed load. Dispatcher holds the decisions without clock or input and output: bounded queue, refusal by deadline with a Retry-After estimated from the queue and the pace of loads, equal shares of customers, batch capacity with lagging reports corrected by own grants, replicas and a slot drained for a load past its age bound. OwnedTargets carries its actions out and borrows permits from other hosts. A load order without an answer is sent again, since it may have taken effect.

--- /dev/null
+++ b/Libraries/LibOwner/Dispatcher.cpp
@@ -0,0 +1,244 @@
+#include <LibOwner/Dispatcher.h>
+
+#include <algorithm>
+#include <iterator>
+
+namespace Owner {
+
+namespace {
+
+constexpr Core::Duration ShortestRetry = std::chrono::seconds(1);
+constexpr Core::Duration LongestRetry = std::chrono::seconds(60);
+
+}
+
+Dispatcher::Dispatcher(const DispatcherOptions &options, Core::TimePoint now)
+    : m_options(options)
+    , m_budget(options.budget, now)
+{
+}
+
+void Dispatcher::setEvictionGuard(EvictionGuard guard)
+{
+    m_mayEvict = std::move(guard);
+}
+
+void Dispatcher::resetTarget(const Core::TargetId &target, const std::string &incarnation, std::uint32_t slotCount,
+                             const std::vector<Core::AdapterVersion> &resident, Core::TimePoint now)
+{
+    removeTarget(target);
+    auto &table = m_tables[target];
+    table.resetTo(incarnation, slotCount);
+    for (const auto &adapter : resident) {
+        table.beginLoad(adapter, now);
+        table.finishLoad(adapter);
+    }
+}
+
+void Dispatcher::setServing(const Core::TargetId &target, const std::string &baseModel, bool isServing)
+{
+    auto &load = m_loads[target];
+    load.baseModel = baseModel;
+    load.isServing = isServing;
+}
+
+void Dispatcher::report(const Core::TargetId &target, std::uint32_t batchCapacity, std::uint32_t running)
+{
+    const auto granted = static_cast<std::uint32_t>(m_tables[target].grantCount());
+    m_loads[target].report(batchCapacity, running, granted);
+}
+
+void Dispatcher::removeTarget(const Core::TargetId &target)
+{
+    if (const auto found = m_tables.find(target); found != m_tables.end()) {
+        // The loads of the former incarnation or ownership are no longer waited for.
+        for (const auto &[adapter, slot] : found->second.slots()) {
+            if (slot.state == SlotState::Loading) {
+                m_budget.endLoad();
+            }
+        }
+        for (std::size_t i = 0; i < m_reservations[target].size(); ++i) {
+            m_budget.endLoad();
+        }
+        m_tables.erase(found);
+    }
+    m_reservations.erase(target);
+    m_draining.erase(target);
+}
+
+bool Dispatcher::isServed(const std::string &baseModel) const
+{
+    return std::any_of(m_tables.begin(), m_tables.end(), [&](const auto &entry) {
+        return canServe(entry.first, baseModel);
+    });
+}
+
+void Dispatcher::request(WaitingRequest request, Core::TimePoint now)
+{
+    m_popularity.count(request.adapter, now);
+    if (m_waiting.size() >= m_options.mostWaiting) {
+        refuse(std::move(request), GrantOutcome::Overloaded, "too many requests are waiting");
+        return;
+    }
+    const bool isNew = m_waiting.waitingFor(request.adapter) == 0 && copiesOf(request.adapter) == 0;
+    if (m_options.policy->shedsEarly && isNew) {
+        const auto wait = m_pace.estimate(m_backlog + 1);
+        if (now + wait > request.deadline) {
+            refuse(std::move(request), GrantOutcome::Overloaded, "its adapter can't be loaded in time");
+            return;
+        }
+    }
+    m_waiting.push(std::move(request));
+}
+
+void Dispatcher::release(const Core::GrantId &grant, Core::TimePoint now)
+{
+    if (m_waiting.remove(grant)) {
+        return;
+    }
+    for (auto &[target, table] : m_tables) {
+        if (table.release(grant, now)) {
+            return;
+        }
+    }
+}
+
+void Dispatcher::finishLoad(const Core::TargetId &target, const std::string &incarnation,
+                            const Core::AdapterVersion &adapter, bool isLoaded)
+{
+    const auto found = m_tables.find(target);
+    if (found == m_tables.end() || found->second.incarnation() != incarnation) {
+        return;
+    }
+    m_budget.endLoad();
+    if (isLoaded) {
+        m_failures.erase(adapter);
+        found->second.finishLoad(adapter);
+        return;
+    }
+    found->second.remove(adapter);
+    takeFailure(target, adapter);
+}
+
+void Dispatcher::takeFailure(const Core::TargetId &target, const Core::AdapterVersion &adapter)
+{
+    if (++m_failures[adapter] < m_options.mostLoadFailures) {
+        return;
+    }
+    m_failures.erase(adapter);
+    const auto reason = "loading " + adapter.toString() + " failed at target " + target.value;
+    for (auto &request : m_waiting.takeGroup(adapter)) {
+        refuse(std::move(request), GrantOutcome::LoadFailed, reason);
+    }
+}
+
+void Dispatcher::finishUnload(const Core::TargetId &target, const std::string &incarnation,
+                              const Core::AdapterVersion &adapter, Core::TimePoint now)
+{
+    const auto found = m_tables.find(target);
+    if (found == m_tables.end() || found->second.incarnation() != incarnation) {
+        return;
+    }
+    found->second.remove(adapter);
+    auto &reservations = m_reservations[target];
+    const auto reservation = std::find_if(reservations.begin(), reservations.end(), [&](const Reservation &candidate) {
+        return candidate.victim == adapter;
+    });
+    if (reservation != reservations.end()) {
+        found->second.beginLoad(reservation->successor, now);
+        m_actions.emplace_back(LoadAction {.target = target, .adapter = reservation->successor});
+        reservations.erase(reservation);
+    }
+}
+
+std::vector<DispatchAction> Dispatcher::step(Core::TimePoint now)
+{
+    refuseExpired(now);
+    serveAll(now);
+    beginLoads(now);
+    return std::exchange(m_actions, {});
+}
+
+bool Dispatcher::hasLoadCandidate(Core::TimePoint now) const
+{
+    return std::any_of(m_waiting.groups().begin(), m_waiting.groups().end(), [&](const auto &entry) {
+        return viewLoad(entry.second, now).has_value();
+    });
+}
+
+bool Dispatcher::wantsPermit(Core::TimePoint now) const
+{
+    return !m_budget.isUnlimited() && !m_budget.hasPermit(now) && hasLoadCandidate(now);
+}
+
+bool Dispatcher::lendPermit(Core::TimePoint now)
+{
+    return !hasLoadCandidate(now) && m_budget.lend(now);
+}
+
+void Dispatcher::receivePermit()
+{
+    m_budget.receive();
+}
+
+Core::Duration Dispatcher::untilPermit(Core::TimePoint now) const
+{
+    return m_budget.untilPermit(now);
+}
+
+const std::map<Core::TargetId, SlotTable> &Dispatcher::tables() const
+{
+    return m_tables;
+}
+
+const WaitingQueue &Dispatcher::waiting() const
+{
+    return m_waiting;
+}
+
+std::uint64_t Dispatcher::loadCount() const
+{
+    return m_loadCount;
+}
+
+bool Dispatcher::canServe(const Core::TargetId &target, const std::string &baseModel) const
+{
+    const auto found = m_loads.find(target);
+    return found != m_loads.end() && found->second.isServing && found->second.baseModel == baseModel;
+}
+
+bool Dispatcher::isDraining(const Core::TargetId &target, const Core::AdapterVersion &adapter) const
+{
+    const auto found = m_draining.find(target);
+    return found != m_draining.end() && found->second == adapter;
+}
+
+void Dispatcher::refuseExpired(Core::TimePoint now)
+{
+    for (auto &request : m_waiting.takeExpired(now)) {
+        refuse(std::move(request), GrantOutcome::Overloaded, "no place became free in time");
+    }
+}
+
+void Dispatcher::refuse(WaitingRequest request, GrantOutcome outcome, std::string reason)
+{
+    const auto wait = m_pace.estimate(m_backlog + 1);
+    m_actions.emplace_back(RefuseAction {.request = std::move(request),
+                                         .outcome = outcome,
+                                         .reason = std::move(reason),
+                                         .retryAfter = std::clamp(wait, ShortestRetry, LongestRetry)});
+}
+
+std::size_t Dispatcher::copiesOf(const Core::AdapterVersion &adapter) const
+{
+    return static_cast<std::size_t>(std::count_if(m_tables.begin(), m_tables.end(), [&](const auto &entry) {
+        return entry.second.find(adapter) != nullptr;
+    }));
+}
+
+std::size_t Dispatcher::rankOf(const Core::TargetId &target) const
+{
+    return static_cast<std::size_t>(std::distance(m_tables.begin(), m_tables.find(target)));
+}
+
+}
--- /dev/null
+++ b/Libraries/LibOwner/Dispatcher.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include <LibOwner/DispatchAction.h>
+#include <LibOwner/LoadPace.h>
+#include <LibOwner/SlotTable.h>
+#include <LibOwner/TargetLoad.h>
+#include <LibPolicy/LoadBudget.h>
+#include <LibPolicy/PolicyVersion.h>
+#include <LibPolicy/Popularity.h>
+#include <functional>
+
+namespace Owner {
+
+struct DispatcherOptions {
+    const Policy::PolicyVersion *policy = Policy::findPolicyVersion("load-stalls");
+    Policy::LoadBudgetOptions budget;
+    std::size_t mostWaiting = 1000; // Requests waiting for a grant, over all owned targets.
+    unsigned mostLoadFailures = 3; // In a row, before an adapter's requests are refused.
+};
+
+// Decides, for the targets that one host owns, which requests run where, which adapters are loaded and which are
+// evicted for them. It has no clock and does no input or output: what happened is told to it with the time, and
+// step() returns what is to be done.
+class Dispatcher
+{
+public:
+    using EvictionGuard = std::function<bool(const Core::TargetId &, const Core::AdapterVersion &)>;
+
+    Dispatcher(const DispatcherOptions &options, Core::TimePoint now);
+
+    // Asked before an adapter is chosen for eviction; without a guard everything idle may go.
+    void setEvictionGuard(EvictionGuard guard);
+
+    // A target that has been seen for the first time or has restarted; the adapters are those it holds already.
+    void resetTarget(const Core::TargetId &target, const std::string &incarnation, std::uint32_t slotCount,
+                     const std::vector<Core::AdapterVersion> &resident, Core::TimePoint now);
+    // Says what the target serves and whether it takes new work.
+    void setServing(const Core::TargetId &target, const std::string &baseModel, bool isServing);
+    // The target's own report of its load, which lags.
+    void report(const Core::TargetId &target, std::uint32_t batchCapacity, std::uint32_t running);
+    // The host has lost the target.
+    void removeTarget(const Core::TargetId &target);
+    [[nodiscard]] bool isServed(const std::string &baseModel) const;
+
+    // Takes a request; a refusal comes out of the next step().
+    void request(WaitingRequest request, Core::TimePoint now);
+    // Ends a grant, or the wait for one.
+    void release(const Core::GrantId &grant, Core::TimePoint now);
+    void finishLoad(const Core::TargetId &target, const std::string &incarnation, const Core::AdapterVersion &adapter,
+                    bool isLoaded);
+    void finishUnload(const Core::TargetId &target, const std::string &incarnation, const Core::AdapterVersion &adapter,
+                      Core::TimePoint now);
+
+    // Decides everything that can be decided now.
+    [[nodiscard]] std::vector<DispatchAction> step(Core::TimePoint now);
+
+    // True when a load would begin now if there were a permit for it.
+    [[nodiscard]] bool wantsPermit(Core::TimePoint now) const;
+    // Gives a permit to another host. Returns false when there is none to spare or this host needs it itself.
+    [[nodiscard]] bool lendPermit(Core::TimePoint now);
+    void receivePermit();
+    [[nodiscard]] Core::Duration untilPermit(Core::TimePoint now) const;
+
+    [[nodiscard]] const std::map<Core::TargetId, SlotTable> &tables() const;
+    [[nodiscard]] const WaitingQueue &waiting() const;
+    // Loads ordered so far.
+    [[nodiscard]] std::uint64_t loadCount() const;
+
+private:
+    struct Reservation {
+        Core::AdapterVersion victim;
+        Core::AdapterVersion successor;
+    };
+    struct Choice {
+        Core::TargetId target;
+        std::optional<Core::AdapterVersion> victim; // None when a slot is free.
+    };
+
+    [[nodiscard]] bool canServe(const Core::TargetId &target, const std::string &baseModel) const;
+    [[nodiscard]] bool isDraining(const Core::TargetId &target, const Core::AdapterVersion &adapter) const;
+    void refuseExpired(Core::TimePoint now);
+    void serveAll(Core::TimePoint now);
+    [[nodiscard]] const WaitingRequest *nextToServe() const;
+    [[nodiscard]] std::optional<Core::TargetId> readyTarget(const WaitingRequest &request) const;
+    void beginLoads(Core::TimePoint now);
+    [[nodiscard]] bool hasLoadCandidate(Core::TimePoint now) const;
+    [[nodiscard]] std::vector<Policy::LoadView> loadCandidates(Core::TimePoint now) const;
+    [[nodiscard]] std::optional<Policy::LoadView> viewLoad(const std::vector<WaitingRequest> &group,
+                                                           Core::TimePoint now) const;
+    [[nodiscard]] std::optional<Choice> place(const Core::AdapterVersion &adapter, Core::TimePoint now) const;
+    [[nodiscard]] std::optional<Choice> placeFree(const std::string &baseModel,
+                                                  const Core::AdapterVersion &adapter) const;
+    [[nodiscard]] std::optional<Choice> placeByEviction(const std::string &baseModel,
+                                                        const Core::AdapterVersion &adapter, Core::TimePoint now) const;
+    void drainFor(const Policy::LoadView &load, Core::TimePoint now);
+    void beginLoad(const Choice &choice, const Core::AdapterVersion &adapter, Core::TimePoint now);
+    [[nodiscard]] Policy::VictimView viewVictim(const Core::TargetId &target, const Core::AdapterVersion &adapter,
+                                                const Slot &slot, Core::TimePoint now) const;
+    [[nodiscard]] std::size_t copiesOf(const Core::AdapterVersion &adapter) const;
+    [[nodiscard]] std::size_t rankOf(const Core::TargetId &target) const;
+    void takeFailure(const Core::TargetId &target, const Core::AdapterVersion &adapter);
+    void refuse(WaitingRequest request, GrantOutcome outcome, std::string reason);
+
+    DispatcherOptions m_options;
+    EvictionGuard m_mayEvict;
+    Policy::Popularity m_popularity;
+    Policy::LoadBudget m_budget;
+    LoadPace m_pace;
+    std::size_t m_backlog = 0; // Adapters that waited to be loaded when loads were last decided.
+    std::map<Core::TargetId, SlotTable> m_tables;
+    std::map<Core::TargetId, TargetLoad> m_loads;
+    std::map<Core::TargetId, std::vector<Reservation>> m_reservations;
+    std::map<Core::TargetId, Core::AdapterVersion> m_draining;
+    WaitingQueue m_waiting;
+    std::map<Core::AdapterVersion, unsigned> m_failures;
+    std::vector<DispatchAction> m_actions;
+    std::uint64_t m_loadCount = 0;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibOwner/DispatcherChoices.cpp
@@ -0,0 +1,254 @@
+#include <LibOwner/Dispatcher.h>
+
+#include <LibCore/Verify.h>
+#include <algorithm>
+
+namespace Owner {
+
+void Dispatcher::serveAll(Core::TimePoint now)
+{
+    while (const auto *next = nextToServe()) {
+        const auto target = readyTarget(*next);
+        VERIFY(target.has_value());
+        auto request = m_waiting.serve(*next);
+        auto &table = m_tables.at(*target);
+        table.grant(request.adapter, request.grant, now);
+        m_loads.at(*target).noteGranted(static_cast<std::uint32_t>(table.grantCount()));
+        m_actions.emplace_back(GrantAction {.request = std::move(request), .target = *target});
+    }
+}
+
+// The request that is to run next among those whose adapter is ready somewhere with room, or null.
+const WaitingRequest *Dispatcher::nextToServe() const
+{
+    const WaitingRequest *best = nullptr;
+    double bestServed = 0;
+    for (const auto &[adapter, group] : m_waiting.groups()) {
+        if (!readyTarget(group.front()).has_value()) {
+            continue;
+        }
+        for (const auto &request : group) {
+            const double served = m_options.policy->isFair ? m_waiting.served(request.customer) : 0;
+            const bool isBetter = best == nullptr || served < bestServed
+                || (served == bestServed && request.arrivedAt < best->arrivedAt);
+            if (isBetter) {
+                best = &request;
+                bestServed = served;
+            }
+        }
+    }
+    return best;
+}
+
+std::optional<Core::TargetId> Dispatcher::readyTarget(const WaitingRequest &request) const
+{
+    std::optional<Core::TargetId> best;
+    double bestCost = 0;
+    std::size_t rank = 0;
+    for (const auto &[target, table] : m_tables) {
+        const auto *slot = table.find(request.adapter);
+        ++rank;
+        if (slot == nullptr || slot->state != SlotState::Ready || !canServe(target, request.baseModel)
+            || isDraining(target, request.adapter)) {
+            continue;
+        }
+        const auto granted = table.grantCount();
+        const auto &load = m_loads.at(target);
+        const double cost
+            = m_options.policy->placeCost({.target = target, .rank = rank, .use = load.use(granted), .freeSlots = 0});
+        if (load.hasRoom(granted) && (!best.has_value() || cost < bestCost)) {
+            best = target;
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+void Dispatcher::beginLoads(Core::TimePoint now)
+{
+    while (m_budget.hasPermit(now)) {
+        const auto candidates = loadCandidates(now);
+        m_backlog = candidates.size();
+        if (candidates.empty()) {
+            m_draining.clear();
+            return;
+        }
+        const auto &first = candidates.front();
+        const auto choice = place(first.adapter, now);
+        if (!choice.has_value()) {
+            drainFor(first, now);
+            return;
+        }
+        m_pace.noteLoad(now, candidates.size() - 1);
+        beginLoad(*choice, first.adapter, now);
+    }
+}
+
+// Adapters that could be loaded, the most urgent first.
+std::vector<Policy::LoadView> Dispatcher::loadCandidates(Core::TimePoint now) const
+{
+    std::vector<Policy::LoadView> candidates;
+    for (const auto &[adapter, group] : m_waiting.groups()) {
+        if (auto view = viewLoad(group, now); view.has_value()) {
+            candidates.push_back(std::move(*view));
+        }
+    }
+    const auto &policy = *m_options.policy;
+    const auto isAged = [&policy](const Policy::LoadView &load) {
+        return policy.ageBound > Core::Duration::zero() && load.age >= policy.ageBound && !load.isReplica;
+    };
+    std::sort(candidates.begin(), candidates.end(), [&](const auto &left, const auto &right) {
+        if (isAged(left) || isAged(right)) {
+            return isAged(left) && (!isAged(right) || left.age > right.age);
+        }
+        return policy.loadUrgency(left) > policy.loadUrgency(right);
+    });
+    return candidates;
+}
+
+// Without a value the adapter needs no load: it is on its way, or resident where it can be served in turn.
+std::optional<Policy::LoadView> Dispatcher::viewLoad(const std::vector<WaitingRequest> &group,
+                                                     Core::TimePoint now) const
+{
+    const auto &oldest = group.front();
+    std::size_t copies = 0;
+    for (const auto &[target, table] : m_tables) {
+        if (!canServe(target, oldest.baseModel)) {
+            continue;
+        }
+        const auto reserved = m_reservations.find(target);
+        const bool isReserved = reserved != m_reservations.end()
+            && std::any_of(reserved->second.begin(), reserved->second.end(), [&](const Reservation &reservation) {
+                                    return reservation.successor == oldest.adapter;
+                                });
+        const auto *slot = table.find(oldest.adapter);
+        if (isReserved || (slot != nullptr && slot->state != SlotState::Ready)) {
+            return std::nullopt;
+        }
+        copies += slot == nullptr ? 0 : 1;
+    }
+    const auto most = m_options.policy->replicaQueue;
+    if (copies > 0 && (most == 0 || group.size() < most || readyTarget(oldest).has_value())) {
+        return std::nullopt;
+    }
+    return Policy::LoadView {
+        .adapter = oldest.adapter, .waiting = group.size(), .age = now - oldest.arrivedAt, .isReplica = copies > 0};
+}
+
+std::optional<Dispatcher::Choice> Dispatcher::place(const Core::AdapterVersion &adapter, Core::TimePoint now) const
+{
+    const auto &baseModel = m_waiting.groups().at(adapter).front().baseModel;
+    if (auto free = placeFree(baseModel, adapter); free.has_value()) {
+        return free;
+    }
+    return placeByEviction(baseModel, adapter, now);
+}
+
+std::optional<Dispatcher::Choice> Dispatcher::placeFree(const std::string &baseModel,
+                                                        const Core::AdapterVersion &adapter) const
+{
+    std::optional<Choice> best;
+    double bestCost = 0;
+    std::size_t rank = 0;
+    for (const auto &[target, table] : m_tables) {
+        ++rank;
+        if (!canServe(target, baseModel) || !table.hasFreeSlot() || table.find(adapter) != nullptr) {
+            continue;
+        }
+        const double cost = m_options.policy->placeCost({.target = target,
+                                                         .rank = rank,
+                                                         .use = m_loads.at(target).use(table.grantCount()),
+                                                         .freeSlots = table.slotCount() - table.slots().size()});
+        if (!best.has_value() || cost < bestCost) {
+            best = Choice {.target = target, .victim = std::nullopt};
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
+std::optional<Dispatcher::Choice> Dispatcher::placeByEviction(const std::string &baseModel,
+                                                              const Core::AdapterVersion &adapter,
+                                                              Core::TimePoint now) const
+{
+    std::optional<Choice> best;
+    double bestValue = 0;
+    for (const auto &[target, table] : m_tables) {
+        if (!canServe(target, baseModel) || table.find(adapter) != nullptr) {
+            continue;
+        }
+        for (const auto &victim : table.evictable()) {
+            if (m_mayEvict && !m_mayEvict(target, victim)) {
+                continue;
+            }
+            const double value
+                = m_options.policy->victimValue(viewVictim(target, victim, *table.find(victim), now), now);
+            if (!best.has_value() || value < bestValue) {
+                best = Choice {.target = target, .victim = victim};
+                bestValue = value;
+            }
+        }
+    }
+    return best;
+}
+
+Policy::VictimView Dispatcher::viewVictim(const Core::TargetId &target, const Core::AdapterVersion &adapter,
+                                          const Slot &slot, Core::TimePoint now) const
+{
+    return {.adapter = adapter,
+            .target = target,
+            .waiting = isDraining(target, adapter) ? 0 : m_waiting.waitingFor(adapter),
+            .copies = copiesOf(adapter),
+            .rate = m_popularity.rate(adapter, now),
+            .lastUsed = slot.lastUsed,
+            .targetRank = rankOf(target),
+            .targetUse = m_loads.at(target).use(m_tables.at(target).grantCount())};
+}
+
+// Every slot is in use. For a load past its age bound the slot worth least takes no further requests, so that it
+// becomes free when those that run there have ended.
+void Dispatcher::drainFor(const Policy::LoadView &load, Core::TimePoint now)
+{
+    const auto bound = m_options.policy->ageBound;
+    if (bound == Core::Duration::zero() || load.age < bound || load.isReplica || !m_draining.empty()) {
+        return;
+    }
+    const auto &baseModel = m_waiting.groups().at(load.adapter).front().baseModel;
+    std::optional<Choice> best;
+    double bestValue = 0;
+    for (const auto &[target, table] : m_tables) {
+        for (const auto &[adapter, slot] : table.slots()) {
+            if (!canServe(target, baseModel) || slot.state != SlotState::Ready
+                || (m_mayEvict && !m_mayEvict(target, adapter))) {
+                continue;
+            }
+            const double value = m_options.policy->victimValue(viewVictim(target, adapter, slot, now), now);
+            if (!best.has_value() || value < bestValue) {
+                best = Choice {.target = target, .victim = adapter};
+                bestValue = value;
+            }
+        }
+    }
+    if (best.has_value()) {
+        m_draining[best->target] = *best->victim;
+    }
+}
+
+void Dispatcher::beginLoad(const Choice &choice, const Core::AdapterVersion &adapter, Core::TimePoint now)
+{
+    auto &table = m_tables.at(choice.target);
+    m_budget.beginLoad(now);
+    ++m_loadCount;
+    if (!choice.victim.has_value()) {
+        table.beginLoad(adapter, now);
+        m_actions.emplace_back(LoadAction {.target = choice.target, .adapter = adapter});
+        return;
+    }
+    m_popularity.noteEviction(*choice.victim, adapter, now);
+    table.beginUnload(*choice.victim);
+    m_reservations[choice.target].push_back({.victim = *choice.victim, .successor = adapter});
+    m_draining.erase(choice.target);
+    m_actions.emplace_back(UnloadAction {.target = choice.target, .adapter = *choice.victim});
+}
+
+}
--- a/Libraries/LibOwner/OwnedTargets.cpp
+++ b/Libraries/LibOwner/OwnedTargets.cpp
@@ -1,53 +1,65 @@
 #include <LibOwner/OwnedTargets.h>
 
-#include <LibCore/Rendezvous.h>
+#include <LibOwner/PermitMessages.h>
 #include <algorithm>
+#include <utility>
 
 namespace Owner {
 
 namespace {
 
-constexpr std::int64_t OverloadedRetryMilliseconds = 1000;
+// A load order without an answer may still take effect, so it is sent again until the engine says what became of it.
+constexpr Core::Duration UnknownLoadRetry = std::chrono::seconds(1);
 
 }
 
 OwnedTargets::OwnedTargets(Core::Scheduler &scheduler, Peer::PeerRouter &router, Engine::EngineLink &engines,
                            const Membership::OwnershipView &ownership, const Platform::TargetDirectory &directory,
-                           OwnedTargetsOptions options)
+                           const OwnedTargetsOptions &options)
     : m_scheduler(scheduler)
     , m_router(router)
     , m_engines(engines)
     , m_ownership(ownership)
     , m_directory(directory)
     , m_options(options)
+    , m_dispatcher(options.dispatcher, scheduler.now())
 {
 }
 
 void OwnedTargets::start()
 {
     m_router.onCall<GrantRequest, GrantReply>(
-        [this](const Core::HostId & /*from*/, GrantRequest asked, ReplyFunction reply) {
-            request(std::move(asked), std::move(reply));
+        [this](const Core::HostId & /*from*/, const GrantRequest &asked, ReplyFunction reply) {
+            request(asked, std::move(reply));
         });
     m_router.onMessage<GrantRelease>([this](const Core::HostId & /*from*/, const GrantRelease &released) {
         release(released.grant);
     });
+    m_router.onCall<PermitRequest, PermitReply>(
+        [this](const Core::HostId & /*from*/, const PermitRequest & /*asked*/, const auto &reply) {
+            reply({.isGiven = m_dispatcher.lendPermit(m_scheduler.now())});
+        });
     refreshStatus();
 }
 
+void OwnedTargets::setEvictionGuard(Dispatcher::EvictionGuard guard)
+{
+    m_dispatcher.setEvictionGuard(std::move(guard));
+}
+
 const std::map<Core::TargetId, SlotTable> &OwnedTargets::tables() const
 {
-    return m_tables;
+    return m_dispatcher.tables();
 }
 
 std::size_t OwnedTargets::waitingCount() const
 {
-    return m_waiting.size();
+    return m_dispatcher.waiting().size();
 }
 
 std::uint64_t OwnedTargets::loadCount() const
 {
-    return m_loadCount;
+    return m_dispatcher.loadCount();
 }
 
 void OwnedTargets::refreshStatus()
@@ -59,199 +71,189 @@
             }
         });
     }
-    refuseExpired();
+    step();
     m_scheduler.runAfter(m_options.statusPeriod, [this] {
         refreshStatus();
     });
 }
 
+// Takes over which targets this host owns and which of them take new work.
+void OwnedTargets::refreshTargets()
+{
+    std::map<Core::TargetId, const Platform::Target *> owned;
+    for (const auto &ownership : m_ownership.owned()) {
+        owned[ownership.target] = m_directory.find(ownership.target);
+    }
+    for (const auto &[id, table] : m_dispatcher.tables()) {
+        const auto found = owned.find(id);
+        const auto *target = found == owned.end() ? nullptr : found->second;
+        const bool isServing = target != nullptr && target->state == Platform::MachineState::Live;
+        m_dispatcher.setServing(id, target == nullptr ? "" : target->role, isServing);
+    }
+}
+
 void OwnedTargets::takeStatus(const Core::TargetId &target, const Engine::EngineStatus &status)
 {
-    auto &table = m_tables[target];
-    if (table.incarnation() != status.incarnation) {
-        table.resetTo(status.incarnation, status.slotCount);
+    const auto found = m_dispatcher.tables().find(target);
+    if (found == m_dispatcher.tables().end() || found->second.incarnation() != status.incarnation) {
+        std::vector<Core::AdapterVersion> resident;
         for (const auto &slot : status.slots) {
-            table.beginLoad(slot.adapter, m_scheduler.now());
-            table.finishLoad(slot.adapter);
+            resident.push_back(slot.adapter);
         }
-        dispatch();
+        m_dispatcher.resetTarget(target, status.incarnation, status.slotCount, resident, m_scheduler.now());
     }
+    m_dispatcher.report(target, status.batchCapacity, status.runningRequests + status.queuedRequests);
+    step();
 }
 
-void OwnedTargets::request(GrantRequest request, ReplyFunction reply)
+void OwnedTargets::request(const GrantRequest &request, ReplyFunction reply)
 {
-    if (candidates(request).empty()) {
+    refreshTargets();
+    if (!m_dispatcher.isServed(request.baseModel)) {
         reply({.outcome = GrantOutcome::NotOwner, .grant = request.grant, .reason = "no owned target serves this"});
         return;
     }
-    if (m_waiting.size() >= m_options.mostWaiting) {
-        reply({.outcome = GrantOutcome::Overloaded,
-               .grant = request.grant,
-               .reason = "too many requests are waiting",
-               .retryAfterMilliseconds = OverloadedRetryMilliseconds});
-        return;
-    }
-    const auto patience = std::chrono::milliseconds(request.patienceMilliseconds);
-    m_waiting.push_back(
-        {.request = std::move(request), .reply = std::move(reply), .deadline = m_scheduler.now() + patience});
-    dispatch();
+    const auto now = m_scheduler.now();
+    m_replies[request.grant] = std::move(reply);
+    m_dispatcher.request({.grant = request.grant,
+                          .adapter = request.adapter,
+                          .baseModel = request.baseModel,
+                          .customer = request.customer,
+                          .arrivedAt = now,
+                          .deadline = now + std::chrono::milliseconds(request.patienceMilliseconds)},
+                         now);
+    step();
 }
 
 void OwnedTargets::release(const Core::GrantId &grant)
 {
-    std::erase_if(m_waiting, [&](const Waiter &waiter) {
-        return waiter.request.grant == grant;
-    });
-    for (auto &[target, table] : m_tables) {
-        if (table.release(grant, m_scheduler.now())) {
-            break;
-        }
-    }
-    dispatch();
+    m_replies.erase(grant);
+    m_dispatcher.release(grant, m_scheduler.now());
+    step();
 }
 
-void OwnedTargets::dispatch()
+void OwnedTargets::step()
 {
-    std::erase_if(m_waiting, [this](const Waiter &waiter) {
-        return serve(waiter);
-    });
-    for (const auto &waiter : m_waiting) {
-        if (!startLoad(waiter)) {
-            break;
-        }
+    refreshTargets();
+    for (const auto &action : m_dispatcher.step(m_scheduler.now())) {
+        std::visit(
+            [this](const auto &chosen) {
+                act(chosen);
+            },
+            action);
+    }
+    if (m_dispatcher.wantsPermit(m_scheduler.now())) {
+        seekPermit();
     }
 }
 
-bool OwnedTargets::serve(const Waiter &waiter)
+void OwnedTargets::act(const GrantAction &action)
 {
-    for (const auto &target : candidates(waiter.request)) {
-        auto &table = m_tables.at(target);
-        if (const auto *slot = table.find(waiter.request.adapter); slot != nullptr && slot->state == SlotState::Ready) {
-            table.grant(waiter.request.adapter, waiter.request.grant, m_scheduler.now());
-            waiter.reply({.outcome = GrantOutcome::Granted,
-                          .grant = waiter.request.grant,
-                          .target = target,
-                          .targetIncarnation = table.incarnation()});
-            return true;
-        }
-    }
-    return false;
+    answer({.outcome = GrantOutcome::Granted,
+            .grant = action.request.grant,
+            .target = action.target,
+            .targetIncarnation = m_dispatcher.tables().at(action.target).incarnation()});
 }
 
-// Returns false when no target can take a load now, so that later waiters need not be tried.
-bool OwnedTargets::startLoad(const Waiter &waiter)
+void OwnedTargets::act(const RefuseAction &action)
 {
-    const auto targets = candidates(waiter.request);
-    const bool isOnItsWay = std::any_of(targets.begin(), targets.end(), [&](const auto &target) {
-        return m_tables.at(target).find(waiter.request.adapter) != nullptr;
-    });
-    if (isOnItsWay) {
-        return true;
-    }
-    for (const auto &target : targets) {
-        if (m_tables.at(target).hasFreeSlot()) {
-            orderLoad(target, waiter.request.adapter);
-            return true;
-        }
-    }
-    for (const auto &target : targets) {
-        if (const auto idle = m_tables.at(target).evictable(); !idle.empty()) {
-            orderUnload(target, idle.front());
-            return true;
-        }
-    }
-    return false;
+    answer({.outcome = action.outcome,
+            .grant = action.request.grant,
+            .reason = action.reason,
+            .retryAfterMilliseconds = Core::toMilliseconds(action.retryAfter)});
+}
+
+void OwnedTargets::act(const LoadAction &action)
+{
+    orderLoad(action, m_dispatcher.tables().at(action.target).incarnation());
 }
 
-void OwnedTargets::orderLoad(const Core::TargetId &target, const Core::AdapterVersion &adapter)
+void OwnedTargets::orderLoad(const LoadAction &action, const std::string &incarnation)
 {
-    auto &table = m_tables.at(target);
-    table.beginLoad(adapter, m_scheduler.now());
-    ++m_loadCount;
-    const auto fence = m_ownership.ownerOf(target).value_or(Membership::Ownership {}).fence;
-    m_engines.load(addressOf(target), {.adapter = adapter, .fence = fence},
-                   [this, target, incarnation = table.incarnation(), adapter](Engine::OrderOutcome outcome) {
-                       finishLoad(target, incarnation, adapter, outcome);
-                   });
+    const Engine::AdapterOrder order {.adapter = action.adapter, .fence = fenceOf(action.target)};
+    m_engines.load(addressOf(action.target), order, [this, action, incarnation](Engine::OrderOutcome outcome) {
+        if (outcome == Engine::OrderOutcome::Unknown) {
+            m_scheduler.runAfter(UnknownLoadRetry, [this, action, incarnation] {
+                const auto found = m_dispatcher.tables().find(action.target);
+                if (found != m_dispatcher.tables().end() && found->second.incarnation() == incarnation) {
+                    orderLoad(action, incarnation);
+                }
+            });
+            return;
+        }
+        m_dispatcher.finishLoad(action.target, incarnation, action.adapter, outcome == Engine::OrderOutcome::Done);
+        step();
+    });
 }
 
-void OwnedTargets::orderUnload(const Core::TargetId &target, const Core::AdapterVersion &adapter)
+void OwnedTargets::act(const UnloadAction &action)
 {
-    auto &table = m_tables.at(target);
-    table.beginUnload(adapter);
-    const auto fence = m_ownership.ownerOf(target).value_or(Membership::Ownership {}).fence;
-    m_engines.unload(addressOf(target), {.adapter = adapter, .fence = fence},
-                     [this, target, incarnation = table.incarnation(), adapter](Engine::OrderOutcome /*outcome*/) {
-                         auto &current = m_tables.at(target);
-                         if (current.incarnation() == incarnation) {
-                             current.remove(adapter);
-                             dispatch();
-                         }
+    const Engine::AdapterOrder order {.adapter = action.adapter, .fence = fenceOf(action.target)};
+    m_engines.unload(addressOf(action.target), order,
+                     [this, action, incarnation = m_dispatcher.tables().at(action.target).incarnation()](
+                         Engine::OrderOutcome /*outcome*/) {
+                         m_dispatcher.finishUnload(action.target, incarnation, action.adapter, m_scheduler.now());
+                         step();
                      });
 }
 
-void OwnedTargets::finishLoad(const Core::TargetId &target, const std::string &incarnation,
-                              const Core::AdapterVersion &adapter, Engine::OrderOutcome outcome)
+void OwnedTargets::answer(const GrantReply &reply)
 {
-    auto &table = m_tables.at(target);
-    if (table.incarnation() != incarnation) {
-        return;
+    if (const auto node = m_replies.extract(reply.grant); !node.empty()) {
+        node.mapped()(reply);
     }
-    if (outcome == Engine::OrderOutcome::Done) {
-        table.finishLoad(adapter);
-        dispatch();
+}
+
+// Asks one other host after the other for a permit, one question at a time.
+void OwnedTargets::seekPermit()
+{
+    if (std::exchange(m_seeksPermit, true)) {
         return;
     }
-    table.remove(adapter);
-    std::vector<Waiter> failed;
-    std::erase_if(m_waiting, [&](const Waiter &waiter) {
-        const bool isFailed = waiter.request.adapter == adapter;
-        if (isFailed) {
-            failed.push_back(waiter);
-        }
-        return isFailed;
-    });
-    for (const auto &waiter : failed) {
-        waiter.reply({.outcome = GrantOutcome::LoadFailed,
-                      .grant = waiter.request.grant,
-                      .target = target,
-                      .reason = "loading " + adapter.toString() + " failed",
-                      .retryAfterMilliseconds = OverloadedRetryMilliseconds});
+    const auto hosts = otherOwners();
+    if (hosts.empty()) {
+        takePermit(false);
+        return;
     }
-    dispatch();
+    m_lastLender = (m_lastLender + 1) % hosts.size();
+    m_router.call<PermitReply>(hosts[m_lastLender], PermitRequest {.waitingAdapters = 1}, m_options.permitTimeout,
+                               [this](const std::optional<PermitReply> &reply) {
+                                   takePermit(reply.has_value() && reply->isGiven);
+                               });
 }
 
-void OwnedTargets::refuseExpired()
+void OwnedTargets::takePermit(bool isGiven)
 {
-    const auto now = m_scheduler.now();
-    std::erase_if(m_waiting, [now](const Waiter &waiter) {
-        if (waiter.deadline > now) {
-            return false;
-        }
-        waiter.reply({.outcome = GrantOutcome::Overloaded,
-                      .grant = waiter.request.grant,
-                      .reason = "no slot became free in time",
-                      .retryAfterMilliseconds = OverloadedRetryMilliseconds});
-        return true;
+    if (isGiven) {
+        m_dispatcher.receivePermit();
+        m_seeksPermit = false;
+        step();
+        return;
+    }
+    m_scheduler.runAfter(m_options.permitPause, [this] {
+        m_seeksPermit = false;
+        step();
     });
 }
 
-std::vector<Core::TargetId> OwnedTargets::candidates(const GrantRequest &request) const
+// Hosts that own targets, as far as this host knows, without itself.
+std::vector<Core::HostId> OwnedTargets::otherOwners() const
 {
-    std::vector<Core::RendezvousCandidate> owned;
-    for (const auto &ownership : m_ownership.owned()) {
-        const auto *target = m_directory.find(ownership.target);
-        const bool isServing = target != nullptr && target->role == request.baseModel
-            && target->state == Platform::MachineState::Live && m_tables.contains(ownership.target);
-        if (isServing) {
-            owned.push_back({.name = ownership.target.value});
+    std::vector<Core::HostId> hosts;
+    for (const auto &[id, target] : m_directory.all()) {
+        const auto ownership = m_ownership.ownerOf(id);
+        if (ownership.has_value() && ownership->owner != m_router.self()) {
+            hosts.push_back(ownership->owner);
         }
     }
-    std::vector<Core::TargetId> targets;
-    for (auto &name : Core::rankByRendezvous(request.adapter.toString(), owned)) {
-        targets.push_back({std::move(name)});
-    }
-    return targets;
+    std::sort(hosts.begin(), hosts.end());
+    hosts.erase(std::unique(hosts.begin(), hosts.end()), hosts.end());
+    return hosts;
+}
+
+std::uint64_t OwnedTargets::fenceOf(const Core::TargetId &target) const
+{
+    return m_ownership.ownerOf(target).value_or(Membership::Ownership {}).fence;
 }
 
 Engine::EngineAddress OwnedTargets::addressOf(const Core::TargetId &target) const
--- a/Libraries/LibOwner/OwnedTargets.h
+++ b/Libraries/LibOwner/OwnedTargets.h
@@ -3,29 +3,31 @@
 #include <LibCore/Scheduler.h>
 #include <LibEngine/EngineLink.h>
 #include <LibMembership/OwnershipView.h>
-#include <LibOwner/GrantMessages.h>
-#include <LibOwner/SlotTable.h>
+#include <LibOwner/Dispatcher.h>
 #include <LibPeer/PeerRouter.h>
 #include <LibPlatform/TargetDirectory.h>
-#include <deque>
 #include <functional>
 
 namespace Owner {
 
 struct OwnedTargetsOptions {
     Core::Duration statusPeriod = std::chrono::milliseconds(1000);
-    std::size_t mostWaiting = 1000; // Requests waiting for a slot, over all owned targets.
+    Core::Duration permitTimeout = std::chrono::milliseconds(500); // Of asking another host for a permit.
+    Core::Duration permitPause = std::chrono::milliseconds(100); // After a host had none to give.
+    DispatcherOptions dispatcher;
 };
 
-// The owner's duty: for the targets that this host owns, decides which adapters are resident and who may run.
+// The owner's duty: for the targets that this host owns, carries out what the dispatcher decides.
 class OwnedTargets
 {
 public:
     OwnedTargets(Core::Scheduler &scheduler, Peer::PeerRouter &router, Engine::EngineLink &engines,
                  const Membership::OwnershipView &ownership, const Platform::TargetDirectory &directory,
-                 OwnedTargetsOptions options);
+                 const OwnedTargetsOptions &options);
 
     void start();
+    // Asked before an adapter is chosen for eviction.
+    void setEvictionGuard(Dispatcher::EvictionGuard guard);
     // The slots of each owned target that has reported, by target.
     [[nodiscard]] const std::map<Core::TargetId, SlotTable> &tables() const;
     // Requests that wait for an adapter or a slot.
@@ -35,25 +37,23 @@
 
 private:
     using ReplyFunction = std::function<void(const GrantReply &)>;
-    struct Waiter {
-        GrantRequest request;
-        ReplyFunction reply;
-        Core::TimePoint deadline {};
-    };
 
     void refreshStatus();
+    void refreshTargets();
     void takeStatus(const Core::TargetId &target, const Engine::EngineStatus &status);
-    void request(GrantRequest request, ReplyFunction reply);
+    void request(const GrantRequest &request, ReplyFunction reply);
     void release(const Core::GrantId &grant);
-    void dispatch();
-    [[nodiscard]] bool serve(const Waiter &waiter);
-    [[nodiscard]] bool startLoad(const Waiter &waiter);
-    void orderLoad(const Core::TargetId &target, const Core::AdapterVersion &adapter);
-    void orderUnload(const Core::TargetId &target, const Core::AdapterVersion &adapter);
-    void finishLoad(const Core::TargetId &target, const std::string &incarnation, const Core::AdapterVersion &adapter,
-                    Engine::OrderOutcome outcome);
-    void refuseExpired();
-    [[nodiscard]] std::vector<Core::TargetId> candidates(const GrantRequest &request) const;
+    void step();
+    void act(const GrantAction &action);
+    void act(const RefuseAction &action);
+    void act(const LoadAction &action);
+    void act(const UnloadAction &action);
+    void orderLoad(const LoadAction &action, const std::string &incarnation);
+    void answer(const GrantReply &reply);
+    void seekPermit();
+    void takePermit(bool isGiven);
+    [[nodiscard]] std::vector<Core::HostId> otherOwners() const;
+    [[nodiscard]] std::uint64_t fenceOf(const Core::TargetId &target) const;
     [[nodiscard]] Engine::EngineAddress addressOf(const Core::TargetId &target) const;
 
     Core::Scheduler &m_scheduler;
@@ -62,9 +62,10 @@
     const Membership::OwnershipView &m_ownership;
     const Platform::TargetDirectory &m_directory;
     OwnedTargetsOptions m_options;
-    std::map<Core::TargetId, SlotTable> m_tables;
-    std::deque<Waiter> m_waiting;
-    std::uint64_t m_loadCount = 0;
+    Dispatcher m_dispatcher;
+    std::map<Core::GrantId, ReplyFunction> m_replies; // Of the requests that wait.
+    bool m_seeksPermit = false;
+    std::size_t m_lastLender = 0;
 };
 
 }
--- a/Libraries/LibPeer/MessageKind.h
+++ b/Libraries/LibPeer/MessageKind.h
@@ -12,6 +12,7 @@
     // LibOwner, 20 to 39.
     GrantRequest = 20,
     GrantRelease = 21,
+    PermitRequest = 22,
     // LibTicket, 40 to 49.
     TicketHint = 40,
     SnapshotRequest = 41,
