LibSettings, currantbayd: Read the policy's weighting and the weight store's limits

policy.weighting chooses the version; policy.weightStore gives the store's rate, the loads in flight at full speed and the number of hosts among which both are divided. Without weightStore nothing is limited, as before.

--- a/Libraries/LibSettings/DaemonSettings.cpp
+++ b/Libraries/LibSettings/DaemonSettings.cpp
@@ -16,6 +16,23 @@
 constexpr long long LongestRequestMilliseconds = 3600000;
 constexpr long long DefaultDrainMilliseconds = 150000;
 
+constexpr long long MostStoreLoads = 1000000;
+constexpr long long MostStoreHosts = 10000;
+constexpr double SecondsPerThousandSeconds = 1000;
+
+void readPolicy(SettingsReader &root, DaemonSettings &settings)
+{
+    auto policy = root.object("policy");
+    settings.weighting = policy.choice("weighting", "load-stalls", {"load-stalls", "batch-efficiency"});
+    auto store = policy.object("weightStore");
+    settings.storeLoadsPerSecond = static_cast<double>(store.number("loadsPerThousandSeconds", 0, 0, MostStoreLoads))
+        / SecondsPerThousandSeconds;
+    settings.storeLoadsAtFullSpeed = static_cast<unsigned>(store.number("loadsAtFullSpeed", 0, 0, MostStoreLoads));
+    settings.storeHosts = static_cast<unsigned>(store.number("hosts", 1, 1, MostStoreHosts));
+    store.finish();
+    policy.finish();
+}
+
 std::vector<TokenHolder> readTokens(SettingsReader &reader, const char *list, const char *name)
 {
     std::vector<TokenHolder> holders;
@@ -66,6 +83,7 @@
     settings.drainTimeout = std::chrono::milliseconds(
         limits.number("drainMilliseconds", DefaultDrainMilliseconds, 0, LongestRequestMilliseconds));
     limits.finish();
+    readPolicy(root, settings);
     root.finish();
     if (!mistakes.empty()) {
         throw InvalidSettings(std::move(mistakes));
--- a/Libraries/LibSettings/DaemonSettings.h
+++ b/Libraries/LibSettings/DaemonSettings.h
@@ -29,6 +29,10 @@
     unsigned mostConnections = 0;
     Core::Duration requestTimeout {};
     Core::Duration drainTimeout {};
+    std::string weighting; // What the policy under load weighs more: "load-stalls" or "batch-efficiency".
+    double storeLoadsPerSecond = 0; // What the weight store allows all hosts together; zero means no limit.
+    unsigned storeLoadsAtFullSpeed = 0; // Loads in flight, over all hosts, before each slows; zero means no limit.
+    unsigned storeHosts = 1; // Hosts among which both are divided.
 };
 
 // Reads settings in JSON with comments. Throws InvalidSettings naming every mistake.
--- a/Services/currantbayd/Daemon.cpp
+++ b/Services/currantbayd/Daemon.cpp
@@ -1,6 +1,7 @@
 #include <currantbayd/Daemon.h>
 
 #include <LibLog/Log.h>
+#include <algorithm>
 #include <csignal>
 #include <currantbayd/HttpRefusal.h>
 #include <random>
@@ -26,6 +27,17 @@
             .mostConnections = settings.mostConnections};
 }
 
+// Every host has an equal part of what the weight store allows.
+Owner::OwnedTargetsOptions ownerOptions(const Settings::DaemonSettings &settings)
+{
+    Owner::DispatcherOptions options {.policy = Policy::findPolicyVersion(settings.weighting)};
+    options.budget.loadsPerSecond = settings.storeLoadsPerSecond / settings.storeHosts;
+    if (settings.storeLoadsAtFullSpeed > 0) {
+        options.budget.mostInFlight = std::max(1U, settings.storeLoadsAtFullSpeed / settings.storeHosts);
+    }
+    return {.dispatcher = options};
+}
+
 Host::HostOptions hostOptions(const Settings::DaemonSettings &settings, std::uint64_t incarnation)
 {
     return {.record = {.id = {settings.hostId},
@@ -33,7 +45,8 @@
                        .peerAddress = settings.peerAddress,
                        .callerAddress = settings.callerAddress,
                        .incarnation = incarnation},
-            .peerKey = settings.peerKey};
+            .peerKey = settings.peerKey,
+            .owner = ownerOptions(settings)};
 }
 
 }
