--- a/Libraries/LibMembership/HostRecord.cpp
+++ b/Libraries/LibMembership/HostRecord.cpp
@@ -12,7 +12,9 @@
                            {"callerAddress", record.callerAddress},
                            {"incarnation", record.incarnation},
                            {"ticketSequence", record.ticketSequence},
-                           {"leaving", record.isLeaving}}
+                           {"leaving", record.isLeaving},
+                           {"renewal", record.renewal},
+                           {"termMilliseconds", record.term.count()}}
         .dump();
 }
 
@@ -25,7 +27,9 @@
             .callerAddress = json.at("callerAddress").get<std::string>(),
             .incarnation = json.at("incarnation").get<std::uint64_t>(),
             .ticketSequence = json.at("ticketSequence").get<std::uint64_t>(),
-            .isLeaving = json.at("leaving").get<bool>()};
+            .isLeaving = json.at("leaving").get<bool>(),
+            .renewal = json.at("renewal").get<std::uint64_t>(),
+            .term = std::chrono::milliseconds(json.at("termMilliseconds").get<std::int64_t>())};
 }
 
 }
--- a/Libraries/LibMembership/HostRecord.h
+++ b/Libraries/LibMembership/HostRecord.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Identifier.h>
+#include <LibCore/Time.h>
 #include <cstdint>
 #include <string>
 
@@ -15,6 +16,8 @@
     std::uint64_t incarnation = 0; // Drawn anew at every start.
     std::uint64_t ticketSequence = 0; // The last ticket in force at that host.
     bool isLeaving = false;
+    std::uint64_t renewal = 0; // Counts the renewals of this incarnation.
+    std::chrono::milliseconds term {5000}; // Others wait this long, and a margin, before they take over.
 
     bool operator==(const HostRecord &) const = default;
 };
