Tests: Let no timer of a dead process run

A message that reached a killed host's scheduler after its end was still served, so that a dead host answered pings: a takeover without the table never began. Seen as "a2 holds e1" never coming in takeover-without-platform; with the check it comes.

--- a/Tests/Scenario/ProcessScheduler.cpp
+++ b/Tests/Scenario/ProcessScheduler.cpp
@@ -65,7 +65,7 @@
         m_due.push_back(id);
         return;
     }
-    const auto found = m_tasks.find(id);
+    const auto found = m_state == ProcessState::Dead ? m_tasks.end() : m_tasks.find(id);
     if (found == m_tasks.end()) {
         return;
     }
