LibMembership, LibOwner: Own targets by rows, fences and evidence

HashedOwnership gave targets away by each host's own view of the members, with fence 1 for ever. Now: - a row per target, changed only by a transaction that names its former version and, for a takeover, the lapsed owner's lease row, so that neither a lagging read nor a lost answer makes two owners; lost answers are read back; - an owner acts on a target that checks fences only while the target has lately confirmed its fence; that also carries takeovers while the platform is out of reach, decided by direct pings among the zone's hosts and written later; - on a target that ignores fences only adapters in a recorded allowance are evicted, and a new owner evicts nothing and places nothing on a former holder's allowance until that holder has answered, released its lease or is unlisted; - after a takeover fronts announce the grants they hold, and nothing is evicted before that or the target's own report after the former owner's term; old grants are asked after at their front and never freed by time alone; - doubled and late grant requests are recognised, and an unload without an answer is repeated, not presumed.

Ruled out: a lease per target, a conditional lease renewal (the table doesn't tell a write's version), incarnations in lease rows as evidence (a lagging read may show the older one).

--- a/Libraries/LibFront/Completion.cpp
+++ b/Libraries/LibFront/Completion.cpp
@@ -154,6 +154,7 @@
                                      .baseModel = m_resolved.baseModel,
                                      .customer = m_request.customer,
                                      .patienceMilliseconds = Core::toMilliseconds(left)};
+    m_ports.heldGrants.ask(m_grant, m_resolved.adapter, owner);
     m_ports.router.call<Owner::GrantReply>(
         owner, asked, left, [self = shared_from_this(), owner, span = std::move(span)](const auto &reply) {
             self->m_ports.tracer.end(span);
@@ -177,6 +178,7 @@
         return;
     }
     if (reply->outcome == Owner::GrantOutcome::NotOwner) {
+        m_ports.heldGrants.release(m_grant);
         askNextOwner();
         return;
     }
@@ -185,6 +187,7 @@
         return;
     }
     m_granted = *reply;
+    m_ports.heldGrants.hold(m_grant, m_granted.target);
     startStream();
 }
 
@@ -302,6 +305,7 @@
 void Completion::releaseGrant()
 {
     if (m_owner.has_value()) {
+        m_ports.heldGrants.release(m_grant);
         m_ports.router.send(*m_owner, Owner::GrantRelease {.grant = m_grant});
         m_owner.reset();
     }
--- a/Libraries/LibFront/FrontPorts.h
+++ b/Libraries/LibFront/FrontPorts.h
@@ -5,6 +5,7 @@
 #include <LibEngine/EngineLink.h>
 #include <LibMembership/OwnershipView.h>
 #include <LibMetrics/Registry.h>
+#include <LibOwner/HeldGrants.h>
 #include <LibPeer/PeerRouter.h>
 #include <LibPlatform/TargetDirectory.h>
 #include <LibTicket/TicketFeed.h>
@@ -19,6 +20,7 @@
     Peer::PeerRouter &router;
     Engine::EngineLink &engines;
     const Membership::OwnershipView &ownership;
+    Owner::HeldGrants &heldGrants;
     const Platform::TargetDirectory &directory;
     const Ticket::TicketFeed &tickets;
     Trace::Tracer &tracer;
--- a/Libraries/LibHost/Host.cpp
+++ b/Libraries/LibHost/Host.cpp
@@ -12,10 +12,14 @@
                {.self = options.record.id, .incarnation = options.record.incarnation, .key = options.peerKey})
     , m_directory(ports.scheduler, ports.hostList, options.listRefreshPeriod)
     , m_leases(ports.scheduler, ports.table, options.record, options.leases)
-    , m_ownership(m_leases, m_directory)
+    , m_ownership(ports.scheduler, ports.table, m_router, ports.engines, m_leases, m_directory, options.ownership)
     , m_tickets(ports.scheduler, ports.table, ports.ids, options.tickets)
     , m_desk(ports.table)
-    , m_owner(ports.scheduler, m_router, ports.engines, m_ownership, m_directory, options.owner)
+    , m_orders(ports.scheduler, ports.engines, m_ownership)
+    , m_heldGrants(m_router, m_ownership)
+    , m_issuedGrants(ports.scheduler, m_router, m_leases, m_directory, {})
+    , m_takeovers(ports.scheduler, m_router, m_ownership, m_leases, m_directory, m_issuedGrants, {})
+    , m_owner(ports.scheduler, m_router, m_orders, m_ownership, m_directory, m_issuedGrants, m_takeovers, options.owner)
 {
 }
 
@@ -23,7 +27,9 @@
 {
     m_directory.start();
     m_leases.start();
+    m_ownership.start();
     m_tickets.start();
+    m_heldGrants.start();
     m_owner.start();
 }
 
@@ -39,6 +45,7 @@
                                    .router = m_router,
                                    .engines = m_ports.engines,
                                    .ownership = m_ownership,
+                                   .heldGrants = m_heldGrants,
                                    .directory = m_directory,
                                    .tickets = m_tickets,
                                    .tracer = m_ports.tracer,
@@ -76,6 +83,10 @@
     m_leases.update([](Membership::HostRecord &record) {
         record.isLeaving = true;
     });
+    m_ownership.leave([this] {
+        m_isHandedOver = true;
+        checkLeft();
+    });
     checkLeft();
 }
 
@@ -121,8 +132,8 @@
 
 void Host::checkLeft()
 {
-    if (m_left && m_running.empty()) {
-        m_ports.scheduler.runAfter({}, std::exchange(m_left, nullptr));
+    if (m_left && m_running.empty() && m_isHandedOver) {
+        m_leases.release(std::exchange(m_left, nullptr));
     }
 }
 
--- a/Libraries/LibHost/Host.h
+++ b/Libraries/LibHost/Host.h
@@ -2,8 +2,10 @@
 
 #include <LibCore/IdSource.h>
 #include <LibFront/Completion.h>
-#include <LibMembership/HashedOwnership.h>
 #include <LibMembership/HostLeases.h>
+#include <LibMembership/TargetOwnership.h>
+#include <LibOwner/HeldGrants.h>
+#include <LibOwner/OrderGate.h>
 #include <LibOwner/OwnedTargets.h>
 #include <LibPeer/PeerRouter.h>
 #include <LibPlatform/TargetDirectory.h>
@@ -30,6 +32,7 @@
     std::string peerKey;
     Core::Duration listRefreshPeriod = std::chrono::milliseconds(1000);
     Membership::HostLeasesOptions leases;
+    Membership::TargetOwnershipOptions ownership;
     Ticket::TicketFeedOptions tickets;
     Owner::OwnedTargetsOptions owner;
 };
@@ -67,12 +70,17 @@
     Peer::PeerRouter m_router;
     Platform::TargetDirectory m_directory;
     Membership::HostLeases m_leases;
-    Membership::HashedOwnership m_ownership;
+    Membership::TargetOwnership m_ownership;
     Ticket::TicketFeed m_tickets;
     Ticket::TicketDesk m_desk;
+    Owner::OrderGate m_orders;
+    Owner::HeldGrants m_heldGrants;
+    Owner::IssuedGrants m_issuedGrants;
+    Owner::TakeoverGuard m_takeovers;
     Owner::OwnedTargets m_owner;
     std::uint64_t m_lastRun = 0;
     std::map<std::uint64_t, std::shared_ptr<Front::Completion>> m_running;
+    bool m_isHandedOver = false; // Nothing of this host's is left to hand over.
     std::function<void()> m_left;
 };
 
--- a/Libraries/LibLog/EventCatalogue.h
+++ b/Libraries/LibLog/EventCatalogue.h
@@ -23,6 +23,9 @@
     WrongAnswerDropped = 301,
     LoadFailed = 400,
     TargetRestarted = 401,
+    OwnershipClaimed = 500,
+    OwnershipLost = 501,
+    TakeoverWithoutTable = 502,
 };
 
 // One line of the catalogue. docs/EVENTS.md says what an operator does about each.
@@ -46,6 +49,9 @@
     EventDescription {Event::WrongAnswerDropped, Severity::Error, "wrong-answer-dropped"},
     EventDescription {Event::LoadFailed, Severity::Warning, "load-failed"},
     EventDescription {Event::TargetRestarted, Severity::Warning, "target-restarted"},
+    EventDescription {Event::OwnershipClaimed, Severity::Information, "ownership-claimed"},
+    EventDescription {Event::OwnershipLost, Severity::Information, "ownership-lost"},
+    EventDescription {Event::TakeoverWithoutTable, Severity::Warning, "takeover-without-table"},
 };
 
 }
--- /dev/null
+++ b/Libraries/LibMembership/OwnershipRow.cpp
@@ -0,0 +1,68 @@
+#include <LibMembership/OwnershipRow.h>
+
+#include <LibCore/Rendezvous.h>
+#include <nlohmann/json.hpp>
+
+namespace Membership {
+
+namespace {
+
+// The low bits of a fence tell hosts apart; the rest counts ownerships. Fences stay exact as JSON numbers.
+constexpr unsigned HolderBits = 20;
+
+nlohmann::json toJson(const std::vector<Core::AdapterVersion> &adapters)
+{
+    auto json = nlohmann::json::array();
+    for (const auto &adapter : adapters) {
+        json.push_back({adapter.adapter, adapter.version});
+    }
+    return json;
+}
+
+std::vector<Core::AdapterVersion> adaptersFromJson(const nlohmann::json &json)
+{
+    std::vector<Core::AdapterVersion> adapters;
+    for (const auto &entry : json) {
+        adapters.push_back({entry.at(0).get<std::string>(), entry.at(1).get<std::string>()});
+    }
+    return adapters;
+}
+
+}
+
+std::string toText(const OwnershipRow &row)
+{
+    auto formers = nlohmann::json::array();
+    for (const auto &former : row.formers) {
+        formers.push_back({{"host", former.host.value},
+                           {"incarnation", former.incarnation},
+                           {"allowance", toJson(former.allowance)}});
+    }
+    return nlohmann::json {{"owner", row.owner.value}, {"incarnation", row.incarnation},     {"session", row.session},
+                           {"fence", row.fence},       {"allowance", toJson(row.allowance)}, {"formers", formers}}
+        .dump();
+}
+
+OwnershipRow ownershipRowFromText(const std::string &text)
+{
+    const auto json = nlohmann::json::parse(text);
+    OwnershipRow row {.owner = {json.at("owner").get<std::string>()},
+                      .incarnation = json.at("incarnation").get<std::uint64_t>(),
+                      .session = json.at("session").get<std::uint64_t>(),
+                      .fence = json.at("fence").get<std::uint64_t>(),
+                      .allowance = adaptersFromJson(json.at("allowance"))};
+    for (const auto &former : json.at("formers")) {
+        row.formers.push_back({.host = {former.at("host").get<std::string>()},
+                               .incarnation = former.at("incarnation").get<std::uint64_t>(),
+                               .allowance = adaptersFromJson(former.at("allowance"))});
+    }
+    return row;
+}
+
+std::uint64_t nextFence(std::uint64_t former, const Core::HostId &host, std::uint64_t incarnation)
+{
+    const auto holder = Core::stableHash(host.value, incarnation) & ((1ULL << HolderBits) - 1);
+    return (((former >> HolderBits) + 1) << HolderBits) | holder;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibOwner/HeldGrants.cpp
@@ -0,0 +1,70 @@
+#include <LibOwner/HeldGrants.h>
+
+#include <LibOwner/GrantMessages.h>
+#include <algorithm>
+
+namespace Owner {
+
+HeldGrants::HeldGrants(Peer::PeerRouter &router, Membership::OwnershipView &ownership)
+    : m_router(router)
+    , m_ownership(ownership)
+{
+}
+
+void HeldGrants::start()
+{
+    m_router.onCall<GrantQuery, GrantAnnouncement>([this](const Core::HostId &from, const GrantQuery &query,
+                                                          const std::function<void(const GrantAnnouncement &)> &reply) {
+        reply(answer(from, query));
+    });
+}
+
+void HeldGrants::ask(const Core::GrantId &grant, const Core::AdapterVersion &adapter, const Core::HostId &owner)
+{
+    m_grants[grant] = {.adapter = adapter, .owner = owner, .target = {}};
+}
+
+void HeldGrants::hold(const Core::GrantId &grant, const Core::TargetId &target)
+{
+    if (const auto found = m_grants.find(grant); found != m_grants.end()) {
+        found->second.target = target;
+    }
+}
+
+void HeldGrants::release(const Core::GrantId &grant)
+{
+    const auto found = m_grants.find(grant);
+    if (found == m_grants.end()) {
+        return;
+    }
+    const auto released = std::move(found->second);
+    m_grants.erase(found);
+    if (const auto ownership = m_ownership.ownerOf(released.target);
+        ownership.has_value() && ownership->owner != released.owner) {
+        m_router.send(ownership->owner, GrantRelease {.grant = grant});
+    }
+}
+
+GrantAnnouncement HeldGrants::answer(const Core::HostId &from, const GrantQuery &query)
+{
+    GrantAnnouncement announcement;
+    for (const auto &gained : query.gained) {
+        m_ownership.learn({.target = gained.target, .owner = from, .fence = gained.fence});
+        if (m_ownership.hasStopped(gained.target)) {
+            announcement.stopped.push_back(gained.target);
+        }
+    }
+    for (const auto &[grant, held] : m_grants) {
+        const auto &asked = held;
+        const bool isOnGained = std::any_of(query.gained.begin(), query.gained.end(), [&](const GainedTarget &gained) {
+            return asked.target.isEmpty() ? gained.former == asked.owner : gained.target == asked.target;
+        });
+        const bool isNamed = std::find(query.grants.begin(), query.grants.end(), grant) != query.grants.end();
+        if (isOnGained || isNamed) {
+            announcement.grants.push_back({.grant = grant, .target = held.target, .adapter = held.adapter});
+        }
+    }
+    return announcement;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibOwner/IssuedGrants.cpp
@@ -0,0 +1,150 @@
+#include <LibOwner/IssuedGrants.h>
+
+#include <algorithm>
+
+namespace Owner {
+
+namespace {
+
+constexpr auto QueryTimeout = std::chrono::milliseconds(1000);
+
+}
+
+IssuedGrants::IssuedGrants(Core::Scheduler &scheduler, Peer::PeerRouter &router, const Membership::HostLeases &leases,
+                           const Platform::TargetDirectory &directory, IssuedGrantsOptions options)
+    : m_scheduler(scheduler)
+    , m_router(router)
+    , m_leases(leases)
+    , m_directory(directory)
+    , m_options(options)
+{
+}
+
+void IssuedGrants::start(ReleaseFunction release)
+{
+    m_release = std::move(release);
+    queryFronts();
+}
+
+bool IssuedGrants::admit(const Core::GrantId &grant, const Core::HostId &front)
+{
+    if (m_released.contains(grant)) {
+        return false;
+    }
+    return m_issued.try_emplace(grant, Issued {.front = front, .since = m_scheduler.now()}).second;
+}
+
+void IssuedGrants::grant(const Core::GrantId &grant, const Core::TargetId &target, const Core::AdapterVersion &adapter)
+{
+    auto &issued = m_issued[grant];
+    issued.target = target;
+    issued.adapter = adapter;
+}
+
+void IssuedGrants::adopt(const AnnouncedGrant &announced, const Core::TargetId &target, const Core::HostId &front)
+{
+    if (m_released.contains(announced.grant)) {
+        return;
+    }
+    m_issued.try_emplace(announced.grant,
+                         Issued {.front = front,
+                                 .target = target,
+                                 .adapter = announced.adapter,
+                                 .since = m_scheduler.now(),
+                                 .isAdopted = true});
+}
+
+void IssuedGrants::release(const Core::GrantId &grant)
+{
+    m_issued.erase(grant);
+    if (!m_released.insert(grant).second) {
+        return;
+    }
+    m_releasedInOrder.push_back(grant);
+    if (m_releasedInOrder.size() > m_options.mostReleased) {
+        m_released.erase(m_releasedInOrder.front());
+        m_releasedInOrder.pop_front();
+    }
+}
+
+void IssuedGrants::dropTarget(const Core::TargetId &target)
+{
+    std::erase_if(m_issued, [&](const auto &entry) {
+        return entry.second.target == target;
+    });
+    m_busy.erase(target);
+}
+
+void IssuedGrants::takeReport(const Core::TargetId &target, std::set<Core::AdapterVersion> busy)
+{
+    m_busy[target] = std::move(busy);
+}
+
+bool IssuedGrants::isAdopted(const Core::TargetId &target, const Core::AdapterVersion &adapter) const
+{
+    return std::any_of(m_issued.begin(), m_issued.end(), [&](const auto &entry) {
+        return entry.second.isAdopted && entry.second.target == target && entry.second.adapter == adapter;
+    });
+}
+
+std::size_t IssuedGrants::count() const
+{
+    return m_issued.size();
+}
+
+void IssuedGrants::queryFronts()
+{
+    std::map<Core::HostId, std::vector<Core::GrantId>> aged;
+    std::vector<Core::GrantId> ended;
+    for (const auto &[grant, issued] : m_issued) {
+        if (m_scheduler.now() - issued.since < m_options.queryAge) {
+            continue;
+        }
+        if (isEndedWithFront(issued)) {
+            ended.push_back(grant);
+        } else {
+            aged[issued.front].push_back(grant);
+        }
+    }
+    for (const auto &grant : ended) {
+        m_release(grant);
+    }
+    for (auto &[front, grants] : aged) {
+        queryFront(front, std::move(grants));
+    }
+    m_scheduler.runAfter(m_options.queryPeriod, [this] {
+        queryFronts();
+    });
+}
+
+void IssuedGrants::queryFront(const Core::HostId &front, std::vector<Core::GrantId> grants)
+{
+    const GrantQuery query {.grants = grants};
+    m_router.call<GrantAnnouncement>(
+        front, query, QueryTimeout,
+        [this, grants = std::move(grants)](const std::optional<GrantAnnouncement> &announcement) {
+            if (!announcement.has_value()) {
+                return;
+            }
+            for (const auto &grant : grants) {
+                const auto &held = announcement->grants;
+                const bool isHeld = std::any_of(held.begin(), held.end(), [&](const AnnouncedGrant &announced) {
+                    return announced.grant == grant;
+                });
+                if (!isHeld) {
+                    m_release(grant);
+                }
+            }
+        });
+}
+
+// A front that has gone without a word may have left a request running; only the target can tell.
+bool IssuedGrants::isEndedWithFront(const Issued &issued) const
+{
+    const bool isGone = m_directory.isHostGone(issued.front.value) || m_leases.isReleased(issued.front)
+        || m_leases.isLapsed(issued.front);
+    const auto busy = m_busy.find(issued.target);
+    return isGone && busy != m_busy.end() && !busy->second.contains(issued.adapter);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibOwner/OrderGate.cpp
@@ -0,0 +1,58 @@
+#include <LibOwner/OrderGate.h>
+
+namespace Owner {
+
+OrderGate::OrderGate(Core::Scheduler &scheduler, Engine::EngineLink &engines, Membership::OwnershipView &ownership)
+    : m_scheduler(scheduler)
+    , m_engines(engines)
+    , m_ownership(ownership)
+{
+}
+
+void OrderGate::load(const Engine::EngineAddress &engine, const Engine::AdapterOrder &order, OrderFunction done)
+{
+    if (!m_ownership.mayLoad(engine.target)) {
+        m_scheduler.runAfter({}, [done = std::move(done)] {
+            done(Engine::OrderOutcome::Busy);
+        });
+        return;
+    }
+    m_engines.load(engine, order, std::move(done));
+}
+
+void OrderGate::unload(const Engine::EngineAddress &engine, const Engine::AdapterOrder &order, OrderFunction done)
+{
+    if (!m_ownership.isUnloadCovered(engine.target, order.adapter)) {
+        m_scheduler.runAfter({}, [done = std::move(done)] {
+            done(Engine::OrderOutcome::Busy);
+        });
+        return;
+    }
+    m_ownership.beginUnload(engine.target, order.adapter);
+    m_engines.unload(
+        engine, order,
+        [this, target = engine.target, adapter = order.adapter, done = std::move(done)](Engine::OrderOutcome outcome) {
+            if (outcome != Engine::OrderOutcome::Unknown) {
+                m_ownership.endUnload(target, adapter);
+            }
+            done(outcome);
+        });
+}
+
+void OrderGate::status(const Engine::EngineAddress &engine, StatusFunction done)
+{
+    m_engines.status(engine, std::move(done));
+}
+
+Engine::StreamId OrderGate::generate(const Engine::EngineAddress &engine, const Engine::GenerateRequest &request,
+                                     StreamFunction events)
+{
+    return m_engines.generate(engine, request, std::move(events));
+}
+
+void OrderGate::cancel(Engine::StreamId stream)
+{
+    m_engines.cancel(stream);
+}
+
+}
--- a/Libraries/LibOwner/OwnedTargets.cpp
+++ b/Libraries/LibOwner/OwnedTargets.cpp
@@ -12,13 +12,15 @@
 }
 
 OwnedTargets::OwnedTargets(Core::Scheduler &scheduler, Peer::PeerRouter &router, Engine::EngineLink &engines,
-                           const Membership::OwnershipView &ownership, const Platform::TargetDirectory &directory,
-                           OwnedTargetsOptions options)
+                           Membership::OwnershipView &ownership, const Platform::TargetDirectory &directory,
+                           IssuedGrants &grants, TakeoverGuard &guard, OwnedTargetsOptions options)
     : m_scheduler(scheduler)
     , m_router(router)
     , m_engines(engines)
     , m_ownership(ownership)
     , m_directory(directory)
+    , m_grants(grants)
+    , m_guard(guard)
     , m_options(options)
 {
 }
@@ -26,15 +28,39 @@
 void OwnedTargets::start()
 {
     m_router.onCall<GrantRequest, GrantReply>(
-        [this](const Core::HostId & /*from*/, GrantRequest asked, ReplyFunction reply) {
+        [this](const Core::HostId &from, GrantRequest asked, ReplyFunction reply) {
+            if (!m_grants.admit(asked.grant, from)) {
+                return;
+            }
             request(std::move(asked), std::move(reply));
         });
     m_router.onMessage<GrantRelease>([this](const Core::HostId & /*from*/, const GrantRelease &released) {
         release(released.grant);
     });
+    watchOwnership();
     refreshStatus();
 }
 
+void OwnedTargets::watchOwnership()
+{
+    m_grants.start([this](const Core::GrantId &grant) {
+        release(grant);
+    });
+    m_guard.start();
+    m_ownership.onGained([this](const Membership::OwnershipGain &gain) {
+        m_guard.begin(gain);
+        askStatus(gain.target);
+    });
+    m_ownership.onLost([this](const Core::TargetId &target) {
+        m_guard.end(target);
+        m_grants.dropTarget(target);
+        m_tables.erase(target);
+    });
+    m_ownership.onAllowanceChanged([this] {
+        dispatch();
+    });
+}
+
 const std::map<Core::TargetId, SlotTable> &OwnedTargets::tables() const
 {
     return m_tables;
@@ -53,11 +79,7 @@
 void OwnedTargets::refreshStatus()
 {
     for (const auto &ownership : m_ownership.owned()) {
-        m_engines.status(addressOf(ownership.target), [this, target = ownership.target](const auto &status) {
-            if (status.has_value()) {
-                takeStatus(target, *status);
-            }
-        });
+        askStatus(ownership.target);
     }
     refuseExpired();
     m_scheduler.runAfter(m_options.statusPeriod, [this] {
@@ -65,7 +87,26 @@
     });
 }
 
-void OwnedTargets::takeStatus(const Core::TargetId &target, const Engine::EngineStatus &status)
+void OwnedTargets::askStatus(const Core::TargetId &target)
+{
+    const auto fence = m_ownership.ownerOf(target).value_or(Membership::Ownership {}).fence;
+    m_engines.status(addressOf(target), [this, target, fence, askedAt = m_scheduler.now()](const auto &status) {
+        const auto owned = m_ownership.ownerOf(target).value_or(Membership::Ownership {});
+        if (!status.has_value() || owned.owner != m_router.self() || owned.fence != fence) {
+            return;
+        }
+        std::set<Core::AdapterVersion> busy;
+        for (const auto &slot : status->slots) {
+            if (slot.runningRequests > 0) {
+                busy.insert(slot.adapter);
+            }
+        }
+        m_guard.takeReport(target, askedAt, busy);
+        takeStatus(target, *status, askedAt);
+    });
+}
+
+void OwnedTargets::takeStatus(const Core::TargetId &target, const Engine::EngineStatus &status, Core::TimePoint askedAt)
 {
     auto &table = m_tables[target];
     if (table.incarnation() != status.incarnation) {
@@ -74,17 +115,28 @@
             table.beginLoad(slot.adapter, m_scheduler.now());
             table.finishLoad(slot.adapter);
         }
-        dispatch();
     }
+    // A former owner's order may have taken an adapter away.
+    for (const auto &adapter : table.evictable()) {
+        const bool isReported = std::any_of(status.slots.begin(), status.slots.end(), [&](const auto &slot) {
+            return slot.adapter == adapter;
+        });
+        if (!isReported && table.find(adapter)->lastUsed < askedAt) {
+            table.remove(adapter);
+        }
+    }
+    dispatch();
 }
 
 void OwnedTargets::request(GrantRequest request, ReplyFunction reply)
 {
     if (candidates(request).empty()) {
+        m_grants.release(request.grant);
         reply({.outcome = GrantOutcome::NotOwner, .grant = request.grant, .reason = "no owned target serves this"});
         return;
     }
     if (m_waiting.size() >= m_options.mostWaiting) {
+        m_grants.release(request.grant);
         reply({.outcome = GrantOutcome::Overloaded,
                .grant = request.grant,
                .reason = "too many requests are waiting",
@@ -99,6 +151,7 @@
 
 void OwnedTargets::release(const Core::GrantId &grant)
 {
+    m_grants.release(grant);
     std::erase_if(m_waiting, [&](const Waiter &waiter) {
         return waiter.request.grant == grant;
     });
@@ -126,7 +179,9 @@
 {
     for (const auto &target : candidates(waiter.request)) {
         auto &table = m_tables.at(target);
-        if (const auto *slot = table.find(waiter.request.adapter); slot != nullptr && slot->state == SlotState::Ready) {
+        const auto *slot = table.find(waiter.request.adapter);
+        if (slot != nullptr && slot->state == SlotState::Ready && m_guard.mayPlace(target, waiter.request.adapter)) {
+            m_grants.grant(waiter.request.grant, target, waiter.request.adapter);
             table.grant(waiter.request.adapter, waiter.request.grant, m_scheduler.now());
             waiter.reply({.outcome = GrantOutcome::Granted,
                           .grant = waiter.request.grant,
@@ -141,7 +196,10 @@
 // Returns false when no target can take a load now, so that later waiters need not be tried.
 bool OwnedTargets::startLoad(const Waiter &waiter)
 {
-    const auto targets = candidates(waiter.request);
+    auto targets = candidates(waiter.request);
+    std::erase_if(targets, [&](const Core::TargetId &target) {
+        return !m_guard.mayPlace(target, waiter.request.adapter);
+    });
     const bool isOnItsWay = std::any_of(targets.begin(), targets.end(), [&](const auto &target) {
         return m_tables.at(target).find(waiter.request.adapter) != nullptr;
     });
@@ -155,14 +213,24 @@
         }
     }
     for (const auto &target : targets) {
-        if (const auto idle = m_tables.at(target).evictable(); !idle.empty()) {
-            orderUnload(target, idle.front());
+        if (const auto idle = victim(target); idle.has_value()) {
+            orderUnload(target, *idle);
             return true;
         }
     }
     return false;
 }
 
+std::optional<Core::AdapterVersion> OwnedTargets::victim(const Core::TargetId &target)
+{
+    for (const auto &adapter : m_tables.at(target).evictable()) {
+        if (m_guard.mayUnload(target, adapter)) {
+            return adapter;
+        }
+    }
+    return std::nullopt;
+}
+
 void OwnedTargets::orderLoad(const Core::TargetId &target, const Core::AdapterVersion &adapter)
 {
     auto &table = m_tables.at(target);
@@ -179,24 +247,61 @@
 {
     auto &table = m_tables.at(target);
     table.beginUnload(adapter);
+    sendUnload(target, table.incarnation(), adapter);
+}
+
+void OwnedTargets::sendUnload(const Core::TargetId &target, const std::string &incarnation,
+                              const Core::AdapterVersion &adapter)
+{
     const auto fence = m_ownership.ownerOf(target).value_or(Membership::Ownership {}).fence;
     m_engines.unload(addressOf(target), {.adapter = adapter, .fence = fence},
-                     [this, target, incarnation = table.incarnation(), adapter](Engine::OrderOutcome /*outcome*/) {
-                         auto &current = m_tables.at(target);
-                         if (current.incarnation() == incarnation) {
-                             current.remove(adapter);
-                             dispatch();
-                         }
+                     [this, target, incarnation, adapter](Engine::OrderOutcome outcome) {
+                         finishUnload(target, incarnation, adapter, outcome);
                      });
 }
 
+void OwnedTargets::finishUnload(const Core::TargetId &target, const std::string &incarnation,
+                                const Core::AdapterVersion &adapter, Engine::OrderOutcome outcome)
+{
+    const auto table = m_tables.find(target);
+    if (table == m_tables.end() || table->second.incarnation() != incarnation) {
+        return;
+    }
+    if (outcome == Engine::OrderOutcome::Done) {
+        table->second.remove(adapter);
+    } else if (outcome != Engine::OrderOutcome::Unknown && !m_uncertainUnloads.contains({target, adapter})) {
+        table->second.cancelUnload(adapter);
+    } else {
+        // The order may still take effect, so nothing is placed on the adapter until one has been answered.
+        m_uncertainUnloads.insert({target, adapter});
+        m_scheduler.runAfter(m_options.statusPeriod, [this, target, incarnation, adapter] {
+            retryUnload(target, incarnation, adapter);
+        });
+        return;
+    }
+    m_uncertainUnloads.erase({target, adapter});
+    dispatch();
+}
+
+void OwnedTargets::retryUnload(const Core::TargetId &target, const std::string &incarnation,
+                               const Core::AdapterVersion &adapter)
+{
+    const auto table = m_tables.find(target);
+    if (table == m_tables.end() || table->second.incarnation() != incarnation) {
+        m_uncertainUnloads.erase({target, adapter});
+        return;
+    }
+    sendUnload(target, incarnation, adapter);
+}
+
 void OwnedTargets::finishLoad(const Core::TargetId &target, const std::string &incarnation,
                               const Core::AdapterVersion &adapter, Engine::OrderOutcome outcome)
 {
-    auto &table = m_tables.at(target);
-    if (table.incarnation() != incarnation) {
+    const auto found = m_tables.find(target);
+    if (found == m_tables.end() || found->second.incarnation() != incarnation) {
         return;
     }
+    auto &table = found->second;
     if (outcome == Engine::OrderOutcome::Done) {
         table.finishLoad(adapter);
         dispatch();
--- a/Libraries/LibOwner/OwnedTargets.h
+++ b/Libraries/LibOwner/OwnedTargets.h
@@ -5,6 +5,7 @@
 #include <LibMembership/OwnershipView.h>
 #include <LibOwner/GrantMessages.h>
 #include <LibOwner/SlotTable.h>
+#include <LibOwner/TakeoverGuard.h>
 #include <LibPeer/PeerRouter.h>
 #include <LibPlatform/TargetDirectory.h>
 #include <deque>
@@ -22,8 +23,8 @@
 {
 public:
     OwnedTargets(Core::Scheduler &scheduler, Peer::PeerRouter &router, Engine::EngineLink &engines,
-                 const Membership::OwnershipView &ownership, const Platform::TargetDirectory &directory,
-                 OwnedTargetsOptions options);
+                 Membership::OwnershipView &ownership, const Platform::TargetDirectory &directory, IssuedGrants &grants,
+                 TakeoverGuard &guard, OwnedTargetsOptions options);
 
     void start();
     // The slots of each owned target that has reported, by target.
@@ -42,12 +43,19 @@
     };
 
     void refreshStatus();
-    void takeStatus(const Core::TargetId &target, const Engine::EngineStatus &status);
+    void watchOwnership();
+    void askStatus(const Core::TargetId &target);
+    void takeStatus(const Core::TargetId &target, const Engine::EngineStatus &status, Core::TimePoint askedAt);
     void request(GrantRequest request, ReplyFunction reply);
     void release(const Core::GrantId &grant);
     void dispatch();
     [[nodiscard]] bool serve(const Waiter &waiter);
     [[nodiscard]] bool startLoad(const Waiter &waiter);
+    [[nodiscard]] std::optional<Core::AdapterVersion> victim(const Core::TargetId &target);
+    void finishUnload(const Core::TargetId &target, const std::string &incarnation, const Core::AdapterVersion &adapter,
+                      Engine::OrderOutcome outcome);
+    void sendUnload(const Core::TargetId &target, const std::string &incarnation, const Core::AdapterVersion &adapter);
+    void retryUnload(const Core::TargetId &target, const std::string &incarnation, const Core::AdapterVersion &adapter);
     void orderLoad(const Core::TargetId &target, const Core::AdapterVersion &adapter);
     void orderUnload(const Core::TargetId &target, const Core::AdapterVersion &adapter);
     void finishLoad(const Core::TargetId &target, const std::string &incarnation, const Core::AdapterVersion &adapter,
@@ -59,11 +67,14 @@
     Core::Scheduler &m_scheduler;
     Peer::PeerRouter &m_router;
     Engine::EngineLink &m_engines;
-    const Membership::OwnershipView &m_ownership;
+    Membership::OwnershipView &m_ownership;
     const Platform::TargetDirectory &m_directory;
+    IssuedGrants &m_grants;
+    TakeoverGuard &m_guard;
     OwnedTargetsOptions m_options;
     std::map<Core::TargetId, SlotTable> m_tables;
     std::deque<Waiter> m_waiting;
+    std::set<std::pair<Core::TargetId, Core::AdapterVersion>> m_uncertainUnloads; // Unanswered, and sent again.
     std::uint64_t m_loadCount = 0;
 };
 
--- a/Libraries/LibOwner/SlotTable.cpp
+++ b/Libraries/LibOwner/SlotTable.cpp
@@ -74,6 +74,13 @@
     slot.state = SlotState::Unloading;
 }
 
+void SlotTable::cancelUnload(const Core::AdapterVersion &adapter)
+{
+    auto &slot = m_slots.at(adapter);
+    VERIFY(slot.state == SlotState::Unloading);
+    slot.state = SlotState::Ready;
+}
+
 void SlotTable::remove(const Core::AdapterVersion &adapter)
 {
     m_slots.erase(adapter);
--- a/Libraries/LibOwner/SlotTable.h
+++ b/Libraries/LibOwner/SlotTable.h
@@ -41,6 +41,8 @@
     void finishLoad(const Core::AdapterVersion &adapter);
     // Marks an adapter as about to go. It must be evictable.
     void beginUnload(const Core::AdapterVersion &adapter);
+    // Makes an adapter ready again whose unload was surely not carried out.
+    void cancelUnload(const Core::AdapterVersion &adapter);
     // Frees the slot of an adapter whose load failed or that has been unloaded.
     void remove(const Core::AdapterVersion &adapter);
 
--- a/Libraries/LibPeer/MessageKind.h
+++ b/Libraries/LibPeer/MessageKind.h
@@ -9,9 +9,11 @@
     Reply = 1,
     // LibMembership, 10 to 19.
     Ping = 10,
+    Handover = 11,
     // LibOwner, 20 to 39.
     GrantRequest = 20,
     GrantRelease = 21,
+    GrantQuery = 22,
     // LibTicket, 40 to 49.
     TicketHint = 40,
     SnapshotRequest = 41,
--- a/Libraries/LibPlatform/TargetDirectory.cpp
+++ b/Libraries/LibPlatform/TargetDirectory.cpp
@@ -42,11 +42,21 @@
     return m_targets;
 }
 
+bool TargetDirectory::isHostGone(const std::string &name) const
+{
+    const auto found = m_entryHosts.find(name);
+    return found != m_entryHosts.end() && !found->second;
+}
+
 void TargetDirectory::apply(const std::vector<ListedMachine> &machines)
 {
     std::map<Core::TargetId, Target> targets;
+    for (auto &[name, isListed] : m_entryHosts) {
+        isListed = false;
+    }
     for (const auto &machine : machines) {
         if (machine.kind == MachineKind::EntryHost) {
+            m_entryHosts[machine.name] = true;
             continue;
         }
         const Core::TargetId id {machine.name};
--- a/Libraries/LibPlatform/TargetDirectory.h
+++ b/Libraries/LibPlatform/TargetDirectory.h
@@ -35,6 +35,8 @@
                                                         std::string_view role) const;
     // Every listed target, by name.
     [[nodiscard]] const std::map<Core::TargetId, Target> &all() const;
+    // True when an entry host was listed once and isn't any more.
+    [[nodiscard]] bool isHostGone(const std::string &name) const;
     // Takes a new list in place of the former one.
     void apply(const std::vector<ListedMachine> &machines);
 
@@ -46,6 +48,7 @@
     Core::Duration m_refreshPeriod;
     bool m_isFilled = false;
     std::map<Core::TargetId, Target> m_targets;
+    std::map<std::string, bool> m_entryHosts; // Whether each that was ever listed still is.
 };
 
 }
