--- a/Libraries/LibOwner/Dispatcher.cpp
+++ b/Libraries/LibOwner/Dispatcher.cpp
@@ -18,9 +18,9 @@
 {
 }
 
-void Dispatcher::setEvictionGuard(EvictionGuard guard)
+void Dispatcher::setGuards(DispatcherGuards guards)
 {
-    m_mayEvict = std::move(guard);
+    m_guards = std::move(guards);
 }
 
 void Dispatcher::resetTarget(const Core::TargetId &target, const std::string &incarnation, std::uint32_t slotCount,
@@ -48,6 +48,18 @@
     m_loads[target].report(batchCapacity, running, granted);
 }
 
+void Dispatcher::forgetMissing(const Core::TargetId &target, std::span<const Core::AdapterVersion> reported,
+                               Core::TimePoint askedAt)
+{
+    auto &table = m_tables.at(target);
+    for (const auto &adapter : table.evictable()) {
+        const bool isReported = std::find(reported.begin(), reported.end(), adapter) != reported.end();
+        if (!isReported && table.find(adapter)->lastUsed < askedAt) {
+            table.remove(adapter);
+        }
+    }
+}
+
 void Dispatcher::removeTarget(const Core::TargetId &target)
 {
     if (const auto found = m_tables.find(target); found != m_tables.end()) {
@@ -133,17 +145,25 @@
 }
 
 void Dispatcher::finishUnload(const Core::TargetId &target, const std::string &incarnation,
-                              const Core::AdapterVersion &adapter, Core::TimePoint now)
+                              const Core::AdapterVersion &adapter, bool isUnloaded, Core::TimePoint now)
 {
     const auto found = m_tables.find(target);
     if (found == m_tables.end() || found->second.incarnation() != incarnation) {
         return;
     }
-    found->second.remove(adapter);
     auto &reservations = m_reservations[target];
     const auto reservation = std::find_if(reservations.begin(), reservations.end(), [&](const Reservation &candidate) {
         return candidate.victim == adapter;
     });
+    if (!isUnloaded) {
+        found->second.cancelUnload(adapter);
+        if (reservation != reservations.end()) {
+            m_budget.endLoad();
+            reservations.erase(reservation);
+        }
+        return;
+    }
+    found->second.remove(adapter);
     if (reservation != reservations.end()) {
         found->second.beginLoad(reservation->successor, now);
         m_actions.emplace_back(LoadAction {.target = target, .adapter = reservation->successor});
@@ -207,6 +227,11 @@
     return found != m_loads.end() && found->second.isServing && found->second.baseModel == baseModel;
 }
 
+bool Dispatcher::mayPlace(const Core::TargetId &target, const Core::AdapterVersion &adapter) const
+{
+    return !m_guards.mayPlace || m_guards.mayPlace(target, adapter);
+}
+
 bool Dispatcher::isDraining(const Core::TargetId &target, const Core::AdapterVersion &adapter) const
 {
     const auto found = m_draining.find(target);
--- a/Libraries/LibOwner/Dispatcher.h
+++ b/Libraries/LibOwner/Dispatcher.h
@@ -18,18 +18,25 @@
     unsigned mostLoadFailures = 3; // In a row, before an adapter's requests are refused.
 };
 
+// What else must agree before an adapter is loaded or granted on a target, and before it is chosen for eviction. The
+// latter is asked in the order in which the adapters would go.
+struct DispatcherGuards {
+    using Guard = std::function<bool(const Core::TargetId &, const Core::AdapterVersion &)>;
+
+    Guard mayPlace;
+    Guard mayEvict;
+};
+
 // Decides, for the targets that one host owns, which requests run where, which adapters are loaded and which are
 // evicted for them. It has no clock and does no input or output: what happened is told to it with the time, and
 // step() returns what is to be done.
 class Dispatcher
 {
 public:
-    using EvictionGuard = std::function<bool(const Core::TargetId &, const Core::AdapterVersion &)>;
-
     Dispatcher(const DispatcherOptions &options, Core::TimePoint now);
 
-    // Asked before an adapter is chosen for eviction; without a guard everything idle may go.
-    void setEvictionGuard(EvictionGuard guard);
+    // Without guards everything may be placed, and everything idle may go.
+    void setGuards(DispatcherGuards guards);
 
     // A target that has been seen for the first time or has restarted; the adapters are those it holds already.
     void resetTarget(const Core::TargetId &target, const std::string &incarnation, std::uint32_t slotCount,
@@ -38,6 +45,9 @@
     void setServing(const Core::TargetId &target, const std::string &baseModel, bool isServing);
     // The target's own report of its load, which lags.
     void report(const Core::TargetId &target, std::uint32_t batchCapacity, std::uint32_t running);
+    // Forgets idle adapters that the target no longer reports, unless they were used since the report was asked for.
+    void forgetMissing(const Core::TargetId &target, std::span<const Core::AdapterVersion> reported,
+                       Core::TimePoint askedAt);
     // The host has lost the target.
     void removeTarget(const Core::TargetId &target);
     [[nodiscard]] bool isServed(const std::string &baseModel) const;
@@ -49,7 +59,7 @@
     void finishLoad(const Core::TargetId &target, const std::string &incarnation, const Core::AdapterVersion &adapter,
                     bool isLoaded);
     void finishUnload(const Core::TargetId &target, const std::string &incarnation, const Core::AdapterVersion &adapter,
-                      Core::TimePoint now);
+                      bool isUnloaded, Core::TimePoint now);
 
     // Decides everything that can be decided now.
     [[nodiscard]] std::vector<DispatchAction> step(Core::TimePoint now);
@@ -90,6 +100,8 @@
     [[nodiscard]] std::optional<Choice> place(const Core::AdapterVersion &adapter, Core::TimePoint now) const;
     [[nodiscard]] std::optional<Choice> placeFree(const std::string &baseModel,
                                                   const Core::AdapterVersion &adapter) const;
+    [[nodiscard]] bool mayPlace(const Core::TargetId &target, const Core::AdapterVersion &adapter) const;
+    [[nodiscard]] std::optional<Choice> firstEvictable(std::vector<std::pair<double, Choice>> victims) const;
     [[nodiscard]] std::optional<Choice> placeByEviction(const std::string &baseModel,
                                                         const Core::AdapterVersion &adapter, Core::TimePoint now) const;
     void drainFor(const Policy::LoadView &load, Core::TimePoint now);
@@ -102,7 +114,7 @@
     void refuse(WaitingRequest request, GrantOutcome outcome, std::string reason);
 
     DispatcherOptions m_options;
-    EvictionGuard m_mayEvict;
+    DispatcherGuards m_guards;
     Policy::Popularity m_popularity;
     Policy::LoadBudget m_budget;
     LoadPace m_pace;
--- a/Libraries/LibOwner/DispatcherChoices.cpp
+++ b/Libraries/LibOwner/DispatcherChoices.cpp
@@ -49,7 +49,7 @@
         const auto *slot = table.find(request.adapter);
         ++rank;
         if (slot == nullptr || slot->state != SlotState::Ready || !canServe(target, request.baseModel)
-            || isDraining(target, request.adapter)) {
+            || isDraining(target, request.adapter) || !mayPlace(target, request.adapter)) {
             continue;
         }
         const auto granted = table.grantCount();
@@ -113,7 +113,7 @@
     const auto &oldest = group.front();
     std::size_t copies = 0;
     for (const auto &[target, table] : m_tables) {
-        if (!canServe(target, oldest.baseModel)) {
+        if (!canServe(target, oldest.baseModel) || !mayPlace(target, oldest.adapter)) {
             continue;
         }
         const auto reserved = m_reservations.find(target);
@@ -152,7 +152,8 @@
     std::size_t rank = 0;
     for (const auto &[target, table] : m_tables) {
         ++rank;
-        if (!canServe(target, baseModel) || !table.hasFreeSlot() || table.find(adapter) != nullptr) {
+        if (!canServe(target, baseModel) || !table.hasFreeSlot() || table.find(adapter) != nullptr
+            || !mayPlace(target, adapter)) {
             continue;
         }
         const double cost = m_options.policy->placeCost({.target = target,
@@ -171,25 +172,30 @@
                                                               const Core::AdapterVersion &adapter,
                                                               Core::TimePoint now) const
 {
-    std::optional<Choice> best;
-    double bestValue = 0;
+    std::vector<std::pair<double, Choice>> victims;
     for (const auto &[target, table] : m_tables) {
-        if (!canServe(target, baseModel) || table.find(adapter) != nullptr) {
+        if (!canServe(target, baseModel) || table.find(adapter) != nullptr || !mayPlace(target, adapter)) {
             continue;
         }
         for (const auto &victim : table.evictable()) {
-            if (m_mayEvict && !m_mayEvict(target, victim)) {
-                continue;
-            }
-            const double value
-                = m_options.policy->victimValue(viewVictim(target, victim, *table.find(victim), now), now);
-            if (!best.has_value() || value < bestValue) {
-                best = Choice {.target = target, .victim = victim};
-                bestValue = value;
-            }
+            const auto view = viewVictim(target, victim, *table.find(victim), now);
+            victims.emplace_back(m_options.policy->victimValue(view, now), Choice {.target = target, .victim = victim});
         }
     }
-    return best;
+    return firstEvictable(std::move(victims));
+}
+
+std::optional<Dispatcher::Choice> Dispatcher::firstEvictable(std::vector<std::pair<double, Choice>> victims) const
+{
+    std::stable_sort(victims.begin(), victims.end(), [](const auto &left, const auto &right) {
+        return left.first < right.first;
+    });
+    for (auto &[value, choice] : victims) {
+        if (!m_guards.mayEvict || m_guards.mayEvict(choice.target, *choice.victim)) {
+            return std::move(choice);
+        }
+    }
+    return std::nullopt;
 }
 
 Policy::VictimView Dispatcher::viewVictim(const Core::TargetId &target, const Core::AdapterVersion &adapter,
@@ -214,23 +220,21 @@
         return;
     }
     const auto &baseModel = m_waiting.groups().at(load.adapter).front().baseModel;
-    std::optional<Choice> best;
-    double bestValue = 0;
+    std::vector<std::pair<double, Choice>> victims;
     for (const auto &[target, table] : m_tables) {
+        if (!canServe(target, baseModel) || !mayPlace(target, load.adapter)) {
+            continue;
+        }
         for (const auto &[adapter, slot] : table.slots()) {
-            if (!canServe(target, baseModel) || slot.state != SlotState::Ready
-                || (m_mayEvict && !m_mayEvict(target, adapter))) {
-                continue;
-            }
-            const double value = m_options.policy->victimValue(viewVictim(target, adapter, slot, now), now);
-            if (!best.has_value() || value < bestValue) {
-                best = Choice {.target = target, .victim = adapter};
-                bestValue = value;
+            if (slot.state == SlotState::Ready) {
+                const auto view = viewVictim(target, adapter, slot, now);
+                victims.emplace_back(m_options.policy->victimValue(view, now),
+                                     Choice {.target = target, .victim = adapter});
             }
         }
     }
-    if (best.has_value()) {
-        m_draining[best->target] = *best->victim;
+    if (const auto drained = firstEvictable(std::move(victims)); drained.has_value()) {
+        m_draining[drained->target] = *drained->victim;
     }
 }
 
--- a/Libraries/LibOwner/OwnedTargets.cpp
+++ b/Libraries/LibOwner/OwnedTargets.cpp
@@ -14,13 +14,15 @@
 }
 
 OwnedTargets::OwnedTargets(Core::Scheduler &scheduler, Peer::PeerRouter &router, Engine::EngineLink &engines,
-                           const Membership::OwnershipView &ownership, const Platform::TargetDirectory &directory,
-                           const OwnedTargetsOptions &options)
+                           Membership::OwnershipView &ownership, const Platform::TargetDirectory &directory,
+                           IssuedGrants &grants, TakeoverGuard &guard, const OwnedTargetsOptions &options)
     : m_scheduler(scheduler)
     , m_router(router)
     , m_engines(engines)
     , m_ownership(ownership)
     , m_directory(directory)
+    , m_grants(grants)
+    , m_guard(guard)
     , m_options(options)
     , m_dispatcher(options.dispatcher, scheduler.now())
 {
@@ -29,8 +31,10 @@
 void OwnedTargets::start()
 {
     m_router.onCall<GrantRequest, GrantReply>(
-        [this](const Core::HostId & /*from*/, const GrantRequest &asked, ReplyFunction reply) {
-            request(asked, std::move(reply));
+        [this](const Core::HostId &from, const GrantRequest &asked, ReplyFunction reply) {
+            if (m_grants.admit(asked.grant, from)) {
+                request(asked, std::move(reply));
+            }
         });
     m_router.onMessage<GrantRelease>([this](const Core::HostId & /*from*/, const GrantRelease &released) {
         release(released.grant);
@@ -39,12 +43,36 @@
         [this](const Core::HostId & /*from*/, const PermitRequest & /*asked*/, const auto &reply) {
             reply({.isGiven = m_dispatcher.lendPermit(m_scheduler.now())});
         });
+    m_dispatcher.setGuards({.mayPlace =
+                                [this](const Core::TargetId &target, const Core::AdapterVersion &adapter) {
+                                    return m_guard.mayPlace(target, adapter);
+                                },
+                            .mayEvict =
+                                [this](const Core::TargetId &target, const Core::AdapterVersion &adapter) {
+                                    return m_guard.mayUnload(target, adapter);
+                                }});
+    watchOwnership();
     refreshStatus();
 }
 
-void OwnedTargets::setEvictionGuard(Dispatcher::EvictionGuard guard)
+void OwnedTargets::watchOwnership()
 {
-    m_dispatcher.setEvictionGuard(std::move(guard));
+    m_grants.start([this](const Core::GrantId &grant) {
+        release(grant);
+    });
+    m_guard.start();
+    m_ownership.onGained([this](const Membership::OwnershipGain &gain) {
+        m_guard.begin(gain);
+        askStatus(gain.target);
+    });
+    m_ownership.onLost([this](const Core::TargetId &target) {
+        m_guard.end(target);
+        m_grants.dropTarget(target);
+        m_dispatcher.removeTarget(target);
+    });
+    m_ownership.onAllowanceChanged([this] {
+        step();
+    });
 }
 
 const std::map<Core::TargetId, SlotTable> &OwnedTargets::tables() const
@@ -65,11 +93,7 @@
 void OwnedTargets::refreshStatus()
 {
     for (const auto &ownership : m_ownership.owned()) {
-        m_engines.status(addressOf(ownership.target), [this, target = ownership.target](const auto &status) {
-            if (status.has_value()) {
-                takeStatus(target, *status);
-            }
-        });
+        askStatus(ownership.target);
     }
     step();
     m_scheduler.runAfter(m_options.statusPeriod, [this] {
@@ -77,6 +101,25 @@
     });
 }
 
+void OwnedTargets::askStatus(const Core::TargetId &target)
+{
+    const auto fence = fenceOf(target);
+    m_engines.status(addressOf(target), [this, target, fence, askedAt = m_scheduler.now()](const auto &status) {
+        const auto owned = m_ownership.ownerOf(target).value_or(Membership::Ownership {});
+        if (!status.has_value() || owned.owner != m_router.self() || owned.fence != fence) {
+            return;
+        }
+        std::set<Core::AdapterVersion> busy;
+        for (const auto &slot : status->slots) {
+            if (slot.runningRequests > 0) {
+                busy.insert(slot.adapter);
+            }
+        }
+        m_guard.takeReport(target, askedAt, busy);
+        takeStatus(target, *status, askedAt);
+    });
+}
+
 // Takes over which targets this host owns and which of them take new work.
 void OwnedTargets::refreshTargets()
 {
@@ -92,16 +135,16 @@
     }
 }
 
-void OwnedTargets::takeStatus(const Core::TargetId &target, const Engine::EngineStatus &status)
+void OwnedTargets::takeStatus(const Core::TargetId &target, const Engine::EngineStatus &status, Core::TimePoint askedAt)
 {
-    const auto found = m_dispatcher.tables().find(target);
-    if (found == m_dispatcher.tables().end() || found->second.incarnation() != status.incarnation) {
-        std::vector<Core::AdapterVersion> resident;
-        for (const auto &slot : status.slots) {
-            resident.push_back(slot.adapter);
-        }
+    std::vector<Core::AdapterVersion> resident;
+    for (const auto &slot : status.slots) {
+        resident.push_back(slot.adapter);
+    }
+    if (!isCurrent(target, status.incarnation)) {
         m_dispatcher.resetTarget(target, status.incarnation, status.slotCount, resident, m_scheduler.now());
     }
+    m_dispatcher.forgetMissing(target, resident, askedAt);
     m_dispatcher.report(target, status.batchCapacity, status.runningRequests + status.queuedRequests);
     step();
 }
@@ -110,6 +153,7 @@
 {
     refreshTargets();
     if (!m_dispatcher.isServed(request.baseModel)) {
+        m_grants.release(request.grant);
         reply({.outcome = GrantOutcome::NotOwner, .grant = request.grant, .reason = "no owned target serves this"});
         return;
     }
@@ -127,6 +171,7 @@
 
 void OwnedTargets::release(const Core::GrantId &grant)
 {
+    m_grants.release(grant);
     m_replies.erase(grant);
     m_dispatcher.release(grant, m_scheduler.now());
     step();
@@ -149,6 +194,7 @@
 
 void OwnedTargets::act(const GrantAction &action)
 {
+    m_grants.grant(action.request.grant, action.target, action.request.adapter);
     answer({.outcome = GrantOutcome::Granted,
             .grant = action.request.grant,
             .target = action.target,
@@ -157,6 +203,7 @@
 
 void OwnedTargets::act(const RefuseAction &action)
 {
+    m_grants.release(action.request.grant);
     answer({.outcome = action.outcome,
             .grant = action.request.grant,
             .reason = action.reason,
@@ -174,8 +221,7 @@
     m_engines.load(addressOf(action.target), order, [this, action, incarnation](Engine::OrderOutcome outcome) {
         if (outcome == Engine::OrderOutcome::Unknown) {
             m_scheduler.runAfter(UnknownLoadRetry, [this, action, incarnation] {
-                const auto found = m_dispatcher.tables().find(action.target);
-                if (found != m_dispatcher.tables().end() && found->second.incarnation() == incarnation) {
+                if (isCurrent(action.target, incarnation)) {
                     orderLoad(action, incarnation);
                 }
             });
@@ -187,14 +233,49 @@
 }
 
 void OwnedTargets::act(const UnloadAction &action)
+{
+    sendUnload(action, m_dispatcher.tables().at(action.target).incarnation());
+}
+
+void OwnedTargets::sendUnload(const UnloadAction &action, const std::string &incarnation)
 {
     const Engine::AdapterOrder order {.adapter = action.adapter, .fence = fenceOf(action.target)};
-    m_engines.unload(addressOf(action.target), order,
-                     [this, action, incarnation = m_dispatcher.tables().at(action.target).incarnation()](
-                         Engine::OrderOutcome /*outcome*/) {
-                         m_dispatcher.finishUnload(action.target, incarnation, action.adapter, m_scheduler.now());
-                         step();
-                     });
+    m_engines.unload(addressOf(action.target), order, [this, action, incarnation](Engine::OrderOutcome outcome) {
+        finishUnload(action, incarnation, outcome);
+    });
+}
+
+void OwnedTargets::finishUnload(const UnloadAction &action, const std::string &incarnation,
+                                Engine::OrderOutcome outcome)
+{
+    const std::pair key(action.target, action.adapter);
+    if (!isCurrent(action.target, incarnation)) {
+        m_uncertainUnloads.erase(key);
+        return;
+    }
+    const bool isDone = outcome == Engine::OrderOutcome::Done;
+    const bool isUncertain = outcome == Engine::OrderOutcome::Unknown || m_uncertainUnloads.contains(key);
+    if (!isDone && isUncertain) {
+        // The order may still take effect, so nothing is placed on the adapter until one has been answered.
+        m_uncertainUnloads.insert(key);
+        m_scheduler.runAfter(m_options.statusPeriod, [this, action, incarnation, key] {
+            if (isCurrent(action.target, incarnation)) {
+                sendUnload(action, incarnation);
+            } else {
+                m_uncertainUnloads.erase(key);
+            }
+        });
+        return;
+    }
+    m_uncertainUnloads.erase(key);
+    m_dispatcher.finishUnload(action.target, incarnation, action.adapter, isDone, m_scheduler.now());
+    step();
+}
+
+bool OwnedTargets::isCurrent(const Core::TargetId &target, const std::string &incarnation) const
+{
+    const auto found = m_dispatcher.tables().find(target);
+    return found != m_dispatcher.tables().end() && found->second.incarnation() == incarnation;
 }
 
 void OwnedTargets::answer(const GrantReply &reply)
--- a/Libraries/LibOwner/OwnedTargets.h
+++ b/Libraries/LibOwner/OwnedTargets.h
@@ -4,9 +4,12 @@
 #include <LibEngine/EngineLink.h>
 #include <LibMembership/OwnershipView.h>
 #include <LibOwner/Dispatcher.h>
+#include <LibOwner/IssuedGrants.h>
+#include <LibOwner/TakeoverGuard.h>
 #include <LibPeer/PeerRouter.h>
 #include <LibPlatform/TargetDirectory.h>
 #include <functional>
+#include <set>
 
 namespace Owner {
 
@@ -22,12 +25,10 @@
 {
 public:
     OwnedTargets(Core::Scheduler &scheduler, Peer::PeerRouter &router, Engine::EngineLink &engines,
-                 const Membership::OwnershipView &ownership, const Platform::TargetDirectory &directory,
-                 const OwnedTargetsOptions &options);
+                 Membership::OwnershipView &ownership, const Platform::TargetDirectory &directory, IssuedGrants &grants,
+                 TakeoverGuard &guard, const OwnedTargetsOptions &options);
 
     void start();
-    // Asked before an adapter is chosen for eviction.
-    void setEvictionGuard(Dispatcher::EvictionGuard guard);
     // The slots of each owned target that has reported, by target.
     [[nodiscard]] const std::map<Core::TargetId, SlotTable> &tables() const;
     // Requests that wait for an adapter or a slot.
@@ -39,8 +40,10 @@
     using ReplyFunction = std::function<void(const GrantReply &)>;
 
     void refreshStatus();
+    void watchOwnership();
+    void askStatus(const Core::TargetId &target);
     void refreshTargets();
-    void takeStatus(const Core::TargetId &target, const Engine::EngineStatus &status);
+    void takeStatus(const Core::TargetId &target, const Engine::EngineStatus &status, Core::TimePoint askedAt);
     void request(const GrantRequest &request, ReplyFunction reply);
     void release(const Core::GrantId &grant);
     void step();
@@ -49,6 +52,9 @@
     void act(const LoadAction &action);
     void act(const UnloadAction &action);
     void orderLoad(const LoadAction &action, const std::string &incarnation);
+    void sendUnload(const UnloadAction &action, const std::string &incarnation);
+    void finishUnload(const UnloadAction &action, const std::string &incarnation, Engine::OrderOutcome outcome);
+    [[nodiscard]] bool isCurrent(const Core::TargetId &target, const std::string &incarnation) const;
     void answer(const GrantReply &reply);
     void seekPermit();
     void takePermit(bool isGiven);
@@ -59,11 +65,14 @@
     Core::Scheduler &m_scheduler;
     Peer::PeerRouter &m_router;
     Engine::EngineLink &m_engines;
-    const Membership::OwnershipView &m_ownership;
+    Membership::OwnershipView &m_ownership;
     const Platform::TargetDirectory &m_directory;
+    IssuedGrants &m_grants;
+    TakeoverGuard &m_guard;
     OwnedTargetsOptions m_options;
     Dispatcher m_dispatcher;
     std::map<Core::GrantId, ReplyFunction> m_replies; // Of the requests that wait.
+    std::set<std::pair<Core::TargetId, Core::AdapterVersion>> m_uncertainUnloads; // Unanswered, and sent again.
     bool m_seeksPermit = false;
     std::size_t m_lastLender = 0;
 };
--- a/Libraries/LibOwner/Tests/DispatcherTest.cpp
+++ b/Libraries/LibOwner/Tests/DispatcherTest.cpp
@@ -135,7 +135,7 @@
             RC_ASSERT(place != std::pair(action.target.value, action.adapter.adapter));
         }
         RC_ASSERT(m_resident[action.target.value].erase(action.adapter.adapter) == 1);
-        m_dispatcher.finishUnload(action.target, "1", action.adapter, m_now);
+        m_dispatcher.finishUnload(action.target, "1", action.adapter, true, m_now);
     }
 
     Core::TimePoint m_now {};
@@ -212,7 +212,7 @@
                 auto actions = dispatcher.step(now);
                 for (std::size_t i = 0; i < actions.size(); ++i) {
                     if (const auto *unload = std::get_if<Owner::UnloadAction>(&actions[i])) {
-                        dispatcher.finishUnload(unload->target, "1", unload->adapter, now);
+                        dispatcher.finishUnload(unload->target, "1", unload->adapter, true, now);
                     } else if (const auto *load = std::get_if<Owner::LoadAction>(&actions[i])) {
                         dispatcher.finishLoad(load->target, "1", load->adapter, true);
                     } else if (const auto *grant = std::get_if<Owner::GrantAction>(&actions[i])) {
--- a/Utilities/measure/policy/Simulation.cpp
+++ b/Utilities/measure/policy/Simulation.cpp
@@ -264,7 +264,7 @@
     markStalls(host, action.adapter);
     const auto incarnation = m_targets.at(action.target).incarnationText();
     m_clock.runAfter(UnloadTime, [this, host, action, incarnation] {
-        m_hosts[host].dispatcher->finishUnload(action.target, incarnation, action.adapter, m_clock.now());
+        m_hosts[host].dispatcher->finishUnload(action.target, incarnation, action.adapter, true, m_clock.now());
         step(host);
     });
 }
