Tests: Cover overload, failed loads, a cold start and the policy's measurement

Before the engine's batch was set by the command, overload-is-not-run failed: the third request joined the batch at once.

--- a/Tests/Scenario/WorldCommands.cpp
+++ b/Tests/Scenario/WorldCommands.cpp
@@ -10,12 +10,13 @@
     script.world().addHost(words[0], option(words, "zone", "a"));
 }
 
-// engine NAME zone ZONE [slots N] [load DURATION] [token DURATION] [fence checks|ignores]
+// engine NAME zone ZONE [slots N] [batch N] [load DURATION] [token DURATION] [fence checks|ignores]
 void addEngine(Script &script, Words words)
 {
     script.world().addEngine({.name = words[0],
                               .zone = option(words, "zone", "a"),
                               .slots = static_cast<std::uint32_t>(std::stoul(option(words, "slots", "2"))),
+                              .batch = static_cast<std::uint32_t>(std::stoul(option(words, "batch", "8"))),
                               .fenceChecking = option(words, "fence", "checks") == "checks"
                                   ? Platform::FenceChecking::Checks
                                   : Platform::FenceChecking::Ignores,
