--- a/Tests/Scenario/WorldCommands.cpp
+++ b/Tests/Scenario/WorldCommands.cpp
@@ -1,5 +1,8 @@
 #include <Tests/Scenario/Script.h>
 
+#include <array>
+#include <iostream>
+
 namespace Scenario {
 
 namespace {
@@ -36,6 +39,35 @@
     expect(isReady == (words[1] == "yes"), isReady ? "the host is ready" : "the host isn't ready");
 }
 
+// show: prints what each owner decides and what each engine reports, for finding causes.
+void show(Script &script, Words /*words*/)
+{
+    constexpr std::array StateNames {"loading", "ready", "unloading"};
+    for (const auto &[name, fake] : script.world().hosts()) {
+        std::cout << "        " << name << ": " << fake.host->owner().waitingCount() << " waiting\n";
+        for (const auto &ownership : fake.host->ownership().owned()) {
+            std::cout << "          holds " << ownership.target << " by fence " << ownership.fence << ":";
+            const auto &tables = fake.host->owner().tables();
+            if (const auto table = tables.find(ownership.target); table != tables.end()) {
+                std::cout << ' ' << table->second.incarnation();
+                for (const auto &[adapter, slot] : table->second.slots()) {
+                    std::cout << ' ' << adapter.toString() << ' ' << StateNames.at(static_cast<std::size_t>(slot.state))
+                              << " (" << slot.grants.size() << " grants)";
+                }
+            }
+            std::cout << '\n';
+        }
+    }
+    for (const auto &[name, engine] : script.world().engines().all()) {
+        const auto status = engine.model->status();
+        std::cout << "        " << name << ": " << status.incarnation;
+        for (const auto &slot : status.slots) {
+            std::cout << ' ' << slot.adapter.toString() << " (" << slot.runningRequests << " running)";
+        }
+        std::cout << '\n';
+    }
+}
+
 // expect loads ENGINE COUNT
 void expectLoads(Script &script, Words words)
 {
@@ -50,6 +82,7 @@
     script.add("host", addHost);
     script.add("engine", addEngine);
     script.add("run", run);
+    script.add("show", show);
     script.add("expect ready", expectReady);
     script.add("expect loads", expectLoads);
 }
