LibNet: Resume suspended connections before the server stops

A process that was stopped while a caller still waited for its answer aborted: libmicrohttpd refuses to stop with suspended connections. Seen with the service stand-in after an answer that was to be lost ("Aborted" from the shell, twice in Tests/at-most-once); an entry host whose drain time ends with an open exchange takes the same path. A list of the suspended exchanges was chosen over answering each with a refusal, which would put bytes on the wire that a lost answer must not have.

--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -85,8 +85,7 @@
             return MHD_YES;
         }
         if (!exchange->m_isAnswered) {
-            exchange->m_isSuspended = true;
-            MHD_suspend_connection(exchange->m_connection);
+            exchange->suspend();
             return MHD_YES;
         }
         return queue(exchange);
@@ -123,8 +122,7 @@
             if (exchange.m_end == Exchange::BodyEnd::Cut) {
                 return MHD_CONTENT_READER_END_WITH_ERROR;
             }
-            exchange.m_isSuspended = true;
-            MHD_suspend_connection(exchange.m_connection);
+            exchange.suspend();
             return 0;
         }
         const auto count = std::min(available, most);
@@ -221,12 +219,20 @@
     m_closed = std::move(closed);
 }
 
+void Exchange::suspend()
+{
+    m_isSuspended = true;
+    m_server->m_suspended.insert(this);
+    MHD_suspend_connection(m_connection);
+}
+
 void Exchange::wake()
 {
     if (m_connection == nullptr || !m_isSuspended) {
         return;
     }
     m_isSuspended = false;
+    m_server->m_suspended.erase(this);
     MHD_resume_connection(m_connection);
     m_server->scheduleRun();
 }
@@ -262,6 +268,10 @@
     *m_isAlive = false;
     m_loop.cancel(m_timer);
     m_loop.unwatch(m_epollFd);
+    // libmicrohttpd aborts the process when it is stopped with suspended connections.
+    for (const auto *exchange : m_suspended) {
+        MHD_resume_connection(exchange->m_connection);
+    }
     MHD_stop_daemon(m_daemon);
     if (m_listenFd >= 0) {
         close(m_listenFd);
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -58,6 +59,7 @@
     friend struct ServerCallbacks;
     enum class BodyEnd { Open, Whole, Cut };
 
+    void suspend();
     void wake();
 
     class HttpServer *m_server = nullptr;
@@ -117,6 +119,7 @@
     int m_listenFd = -1;
     bool m_isRunScheduled = false;
     std::size_t m_openExchanges = 0;
+    std::set<Exchange *> m_suspended; // They wait for their answer, or for its next piece.
     Core::TimerId m_timer = Core::TimerId::None;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
