Tests: Let a dead process of a scenario run nothing

ProcessScheduler::kill forgot the timers that stood, yet tasks delivered afterwards ran: a killed host still took messages and answered a ClaimQuery, so a scenario that needed it dead was served by it. Seen as "expect call c2 unknown: the call is replayed". A dead process now takes no task; a restart makes a new scheduler, as before.

--- a/Tests/Scenario/ProcessScheduler.cpp
+++ b/Tests/Scenario/ProcessScheduler.cpp
@@ -17,6 +17,9 @@
 Core::TimerId ProcessScheduler::runAfter(Core::Duration delay, Task task)
 {
     const auto id = ++m_lastId;
+    if (m_state == ProcessState::Dead) {
+        return Core::TimerId(id);
+    }
     m_tasks.emplace(id, std::move(task));
     m_world.runAfter(delay, [this, id] {
         fire(id);
