LibTicket: Let a route name the path under which attempts can be fenced

Whether a service can be asked what became of an attempt is the service's property, so it stands with its route, as "fencePath". It is optional and is left out of the JSON when empty, so tickets written before read and compare as before.

--- a/Libraries/LibTicket/Ticket.h
+++ b/Libraries/LibTicket/Ticket.h
@@ -33,6 +33,8 @@
     std::string name; // The path prefix without slashes, for example "seats".
     std::string service; // The role of the service's targets in the platform's list.
     std::vector<std::string> idempotentMethods; // For example "GET"; calls by any other method run at most once.
+    // The path at the targets under which an attempt can be fenced, for example "/attempts"; empty when it can't.
+    std::string fencePath;
 
     bool operator==(const ServiceRouteState &) const = default;
 };
--- a/Libraries/LibTicket/TicketJson.cpp
+++ b/Libraries/LibTicket/TicketJson.cpp
@@ -26,10 +26,14 @@
     }
     nlohmann::json operator()(const ServiceRouteState &route) const
     {
-        return {{"kind", "route"},
-                {"name", route.name},
-                {"service", route.service},
-                {"idempotentMethods", route.idempotentMethods}};
+        nlohmann::json json {{"kind", "route"},
+                             {"name", route.name},
+                             {"service", route.service},
+                             {"idempotentMethods", route.idempotentMethods}};
+        if (!route.fencePath.empty()) {
+            json["fencePath"] = route.fencePath;
+        }
+        return json;
     }
 };
 
@@ -120,10 +124,11 @@
 
     ServiceRouteState readRoute(const nlohmann::json &json, const std::string &path)
     {
-        refuseUnknown(json, path, {"kind", "name", "service", "idempotentMethods"});
+        refuseUnknown(json, path, {"kind", "name", "service", "idempotentMethods", "fencePath"});
         return {.name = text(json, path, "name"),
                 .service = text(json, path, "service"),
-                .idempotentMethods = texts(json, path, "idempotentMethods")};
+                .idempotentMethods = texts(json, path, "idempotentMethods"),
+                .fencePath = json.contains("fencePath") ? text(json, path, "fencePath") : ""};
     }
 
     std::string text(const nlohmann::json &json, const std::string &path, const char *name)
