--- a/Libraries/LibLog/EventCatalogue.h
+++ b/Libraries/LibLog/EventCatalogue.h
@@ -23,6 +23,8 @@
     WrongAnswerDropped = 301,
     LoadFailed = 400,
     TargetRestarted = 401,
+    AttemptAbandoned = 500,
+    AttemptUnknown = 501,
 };
 
 // One line of the catalogue. docs/EVENTS.md says what an operator does about each.
@@ -46,6 +48,8 @@
     EventDescription {Event::WrongAnswerDropped, Severity::Error, "wrong-answer-dropped"},
     EventDescription {Event::LoadFailed, Severity::Warning, "load-failed"},
     EventDescription {Event::TargetRestarted, Severity::Warning, "target-restarted"},
+    EventDescription {Event::AttemptAbandoned, Severity::Information, "attempt-abandoned"},
+    EventDescription {Event::AttemptUnknown, Severity::Warning, "attempt-unknown"},
 };
 
 }
