--- a/Libraries/LibLog/EventCatalogue.h
+++ b/Libraries/LibLog/EventCatalogue.h
@@ -26,6 +26,8 @@
     OwnershipClaimed = 500,
     OwnershipLost = 501,
     TakeoverWithoutTable = 502,
+    AttemptAbandoned = 600,
+    AttemptUnknown = 601,
 };
 
 // One line of the catalogue. docs/EVENTS.md says what an operator does about each.
@@ -52,6 +54,8 @@
     EventDescription {Event::OwnershipClaimed, Severity::Information, "ownership-claimed"},
     EventDescription {Event::OwnershipLost, Severity::Information, "ownership-lost"},
     EventDescription {Event::TakeoverWithoutTable, Severity::Warning, "takeover-without-table"},
+    EventDescription {Event::AttemptAbandoned, Severity::Information, "attempt-abandoned"},
+    EventDescription {Event::AttemptUnknown, Severity::Warning, "attempt-unknown"},
 };
 
 }
