LibMembership: Take a former incarnation of this host as ended

A restarted only host of a zone never got its eviction rights on a target that ignores fences: it asked itself whether it had stopped, and it holds the target. An own unload that is still on its way holds the adapter back as a former holder's does.

--- a/Libraries/LibMembership/TargetOwnership.cpp
+++ b/Libraries/LibMembership/TargetOwnership.cpp
@@ -163,7 +163,9 @@
 bool TargetOwnership::isHeldBack(const Core::TargetId &target, const Core::AdapterVersion &adapter) const
 {
     const auto formers = formersOf(target);
-    return std::any_of(formers.begin(), formers.end(), [&](const FormerHolder &former) {
+    const auto unloads = m_unloads.find(target);
+    const bool isOwnOnItsWay = unloads != m_unloads.end() && contains(unloads->second, adapter);
+    return (isOwnOnItsWay && !isChecking(target)) || std::any_of(formers.begin(), formers.end(), [&](const FormerHolder &former) {
         return contains(former.allowance, adapter);
     });
 }
@@ -488,7 +490,8 @@
     if (const auto held = m_held.find(target); held != m_held.end()) {
         std::erase_if(formers, [&](const FormerHolder &former) {
             const auto &settled = held->second.settledFormers;
-            const bool isSelf = former.host == m_leases.self().id && former.incarnation == m_leases.self().incarnation;
+            // Another incarnation of this host has ended, and this one knows its own orders.
+            const bool isSelf = former.host == m_leases.self().id;
             return isSelf || std::find(settled.begin(), settled.end(), former) != settled.end();
         });
     }
--- a/Libraries/LibOwner/TakeoverGuard.cpp
+++ b/Libraries/LibOwner/TakeoverGuard.cpp
@@ -28,7 +28,9 @@
 void TakeoverGuard::begin(const Membership::OwnershipGain &gain)
 {
     auto &takeover = m_takeovers[gain.target];
-    takeover = {.gain = gain, .beganAt = m_scheduler.now(), .hasFormerStopped = !gain.former.has_value()};
+    // A former incarnation of this host has ended.
+    const bool hasFormerStopped = !gain.former.has_value() || *gain.former == m_leases.self().id;
+    takeover = {.gain = gain, .beganAt = m_scheduler.now(), .hasFormerStopped = hasFormerStopped};
     takeover.unannounced.insert(m_leases.self().id);
     for (const auto &peer : m_leases.zonePeers()) {
         takeover.unannounced.insert(peer.id);
