LibRouting: Add the decisions about retries, avoidance and quarantine

A broken try had one outcome, a cut or a refusal. The decisions that a retry needs come first, as plain objects: a budget that keeps retries to 20 of a hundred recent requests, a table of failures that says whether the request can have run and what comes next, avoidance of targets that failed (bounded, undone by success), a watch that tells a silent owner from a long queue, and the quarantine of requests that crash targets.

Weighed for the quarantine's spread: telling every host (549 messages a death at 550 hosts) against telling the own zone and one host of each other zone, which passes it on (54 and 9, then 54 in each). The second was taken; deaths are counted by the target's incarnation, so that a doubled or crossing notice changes nothing.

The table and the budget agree with naive versions over 300 random sequences each (LibRoutingTests).

--- a/Libraries/LibLog/EventCatalogue.h
+++ b/Libraries/LibLog/EventCatalogue.h
@@ -21,6 +21,9 @@
     TicketFeedUnreadable = 203,
     AnswerCut = 300,
     WrongAnswerDropped = 301,
+    AnswerResumed = 302,
+    RequestSuspected = 303,
+    RequestQuarantined = 304,
     LoadFailed = 400,
     TargetRestarted = 401,
 };
@@ -44,6 +47,9 @@
     EventDescription {Event::TicketFeedUnreadable, Severity::Error, "ticket-feed-unreadable"},
     EventDescription {Event::AnswerCut, Severity::Warning, "answer-cut"},
     EventDescription {Event::WrongAnswerDropped, Severity::Error, "wrong-answer-dropped"},
+    EventDescription {Event::AnswerResumed, Severity::Information, "answer-resumed"},
+    EventDescription {Event::RequestSuspected, Severity::Warning, "request-suspected"},
+    EventDescription {Event::RequestQuarantined, Severity::Error, "request-quarantined"},
     EventDescription {Event::LoadFailed, Severity::Warning, "load-failed"},
     EventDescription {Event::TargetRestarted, Severity::Warning, "target-restarted"},
 };
--- a/Libraries/LibPeer/MessageKind.h
+++ b/Libraries/LibPeer/MessageKind.h
@@ -19,6 +19,7 @@
     ClaimQuery = 50,
     // LibRouting, 60 to 69.
     QuarantineNotice = 60,
+    OwnerProbe = 61,
 };
 
 }
--- /dev/null
+++ b/Libraries/LibRouting/Quarantine.cpp
@@ -0,0 +1,92 @@
+#include <LibRouting/Quarantine.h>
+
+#include <LibCore/Rendezvous.h>
+#include <LibLog/Log.h>
+#include <map>
+
+namespace Routing {
+
+Quarantine::Quarantine(Core::Scheduler &scheduler, Peer::PeerRouter &router, const Membership::HostLeases &leases,
+                       QuarantineTableOptions options)
+    : m_scheduler(scheduler)
+    , m_router(router)
+    , m_leases(leases)
+    , m_table(options)
+{
+}
+
+void Quarantine::start()
+{
+    m_router.onMessage<QuarantineNotice>([this](const Core::HostId & /*from*/, const QuarantineNotice &notice) {
+        take(notice);
+    });
+}
+
+void Quarantine::noteDeath(std::uint64_t fingerprint, const TargetDeath &death)
+{
+    const QuarantineNotice notice {.fingerprint = fingerprint, .deaths = {death}};
+    if (apply(notice)) {
+        tell(notice, Reach::AllZones);
+    }
+}
+
+void Quarantine::noteWhole(std::uint64_t fingerprint)
+{
+    const QuarantineNotice notice {.fingerprint = fingerprint};
+    if (apply(notice)) {
+        tell(notice, Reach::AllZones);
+    }
+}
+
+Suspicion Quarantine::suspicionOf(std::uint64_t fingerprint) const
+{
+    return m_table.suspicionOf(fingerprint, m_scheduler.now());
+}
+
+void Quarantine::take(const QuarantineNotice &notice)
+{
+    if (apply(notice) && notice.passOn == PassOn::ToZone) {
+        tell(notice, Reach::OwnZone);
+    }
+}
+
+bool Quarantine::apply(const QuarantineNotice &notice)
+{
+    const auto now = m_scheduler.now();
+    if (notice.deaths.empty()) {
+        return m_table.clear(notice.fingerprint, now);
+    }
+    const bool isChanged = m_table.add(notice.fingerprint, notice.deaths, now);
+    if (isChanged) {
+        const bool isRefused = m_table.suspicionOf(notice.fingerprint, now) == Suspicion::Refused;
+        Log::write(isRefused ? Log::Event::RequestQuarantined : Log::Event::RequestSuspected,
+                   {{"fingerprint", std::to_string(notice.fingerprint)},
+                    {"target", notice.deaths.front().target.value},
+                    {"incarnation", notice.deaths.front().incarnation}});
+    }
+    return isChanged;
+}
+
+void Quarantine::tell(QuarantineNotice notice, Reach reach)
+{
+    const auto &self = m_leases.self();
+    std::map<Core::ZoneId, std::vector<Core::RendezvousCandidate>> otherZones;
+    notice.passOn = PassOn::No;
+    for (const auto &host : m_leases.liveHosts()) {
+        if (host.zone != self.zone) {
+            otherZones[host.zone].push_back({.name = host.id.value});
+        } else if (host.id != self.id) {
+            m_router.send(host.id, notice);
+        }
+    }
+    if (reach == Reach::OwnZone) {
+        return;
+    }
+    notice.passOn = PassOn::ToZone;
+    for (const auto &[zone, hosts] : otherZones) {
+        const auto ranked = Core::rankByRendezvous(std::to_string(notice.fingerprint), hosts);
+        m_router.send(Core::HostId {ranked.front()}, notice);
+    }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/TargetAvoidance.cpp
@@ -0,0 +1,46 @@
+#include <LibRouting/TargetAvoidance.h>
+
+#include <algorithm>
+
+namespace Routing {
+
+namespace {
+
+constexpr std::uint32_t MostDoublings = 16;
+
+}
+
+TargetAvoidance::TargetAvoidance(TargetAvoidanceOptions options)
+    : m_options(options)
+{
+}
+
+void TargetAvoidance::noteFailure(const Core::TargetId &target, Core::TimePoint now)
+{
+    auto &record = m_records[target];
+    const auto period = m_options.firstPeriod * (1U << std::min(record.failures, MostDoublings));
+    ++record.failures;
+    record.until = now + std::min(period, m_options.longestPeriod);
+}
+
+void TargetAvoidance::noteSuccess(const Core::TargetId &target)
+{
+    m_records.erase(target);
+}
+
+std::vector<Core::TargetId> TargetAvoidance::avoided(Core::TimePoint now)
+{
+    // A target that has been let in again for the longest period without a failure begins anew.
+    std::erase_if(m_records, [&](const auto &entry) {
+        return entry.second.until + m_options.longestPeriod <= now;
+    });
+    std::vector<Core::TargetId> targets;
+    for (const auto &[target, record] : m_records) {
+        if (record.until > now) {
+            targets.push_back(target);
+        }
+    }
+    return targets;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRouting/Tests/RoutingDecisionsTest.cpp
@@ -0,0 +1,157 @@
+#include <LibRouting/FailureTable.h>
+#include <LibRouting/QuarantineTable.h>
+#include <LibRouting/RetryBudget.h>
+#include <LibRouting/TargetAvoidance.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <cstdlib>
+#include <rapidcheck.h>
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t MostEntries = 3;
+constexpr auto Lifetime = 10s;
+
+// Keeps every death for ever and recounts on each question.
+struct NaiveQuarantine {
+    struct Seen {
+        std::vector<std::pair<std::string, Core::TimePoint>> deaths;
+    };
+    std::map<std::uint64_t, Seen> entries;
+
+    Core::TimePoint expiry(const Seen &seen) const
+    {
+        return seen.deaths.back().second + Lifetime;
+    }
+
+    void forgetOld(Core::TimePoint now)
+    {
+        std::erase_if(entries, [&](const auto &entry) {
+            return expiry(entry.second) <= now;
+        });
+    }
+
+    void add(std::uint64_t fingerprint, const std::string &incarnation, Core::TimePoint now)
+    {
+        forgetOld(now);
+        auto &deaths = entries[fingerprint].deaths;
+        const bool isKnown = std::any_of(deaths.begin(), deaths.end(), [&](const auto &death) {
+            return death.first == incarnation;
+        });
+        if (!isKnown && deaths.size() < 2) {
+            deaths.emplace_back(incarnation, now);
+        }
+        while (entries.size() > MostEntries) {
+            entries.erase(std::min_element(entries.begin(), entries.end(), [this](const auto &a, const auto &b) {
+                return expiry(a.second) < expiry(b.second);
+            }));
+        }
+    }
+
+    Routing::Suspicion suspicionOf(std::uint64_t fingerprint, Core::TimePoint now)
+    {
+        forgetOld(now);
+        const auto found = entries.find(fingerprint);
+        if (found == entries.end()) {
+            return Routing::Suspicion::None;
+        }
+        return found->second.deaths.size() == 2 ? Routing::Suspicion::Refused : Routing::Suspicion::Suspect;
+    }
+};
+
+}
+
+class RoutingDecisionsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RoutingDecisionsTest);
+    CPPUNIT_TEST(quarantineAgreesWithTheNaiveTable);
+    CPPUNIT_TEST(retriesStayWithinTheirShare);
+    CPPUNIT_TEST(avoidanceIsBoundedAndUndoneBySuccess);
+    CPPUNIT_TEST(everyFailureHasItsRule);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        setenv("RC_PARAMS", "seed=1 max_success=300", 0);
+    }
+
+private:
+    void quarantineAgreesWithTheNaiveTable()
+    {
+        CPPUNIT_ASSERT(rc::check("deaths are counted once, age out and stay bounded", [] {
+            Routing::QuarantineTable table({.lifetime = Lifetime, .mostEntries = MostEntries});
+            NaiveQuarantine naive;
+            Core::TimePoint now {};
+            const auto steps = *rc::gen::inRange(1, 60);
+            for (int step = 0; step < steps; ++step) {
+                now += std::chrono::milliseconds(*rc::gen::inRange(1, 3000));
+                const auto fingerprint = *rc::gen::inRange<std::uint64_t>(0, 6);
+                const auto incarnation = *rc::gen::element<std::string>("x", "y", "z");
+                if (*rc::gen::inRange(0, 8) == 0) {
+                    if (naive.suspicionOf(fingerprint, now) == Routing::Suspicion::Suspect) {
+                        naive.entries.erase(fingerprint);
+                    }
+                    (void)table.clear(fingerprint, now);
+                } else {
+                    const std::vector<Routing::TargetDeath> deaths {{{"e"}, incarnation}};
+                    naive.add(fingerprint, incarnation, now);
+                    table.add(fingerprint, deaths, now);
+                }
+                for (std::uint64_t any = 0; any < 6; ++any) {
+                    RC_ASSERT(table.suspicionOf(any, now) == naive.suspicionOf(any, now));
+                }
+                RC_ASSERT(table.size() <= MostEntries);
+            }
+        }));
+    }
+
+    void retriesStayWithinTheirShare()
+    {
+        CPPUNIT_ASSERT(rc::check("retries never exceed the saved ones and the share of requests", [] {
+            Routing::RetryBudget budget({.sharePercent = 20, .mostSaved = 5});
+            int saved = 500;
+            for (const auto isRequest : *rc::gen::container<std::vector<bool>>(200, rc::gen::arbitrary<bool>())) {
+                if (isRequest) {
+                    budget.noteRequest();
+                    saved = std::min(saved + 20, 500);
+                } else {
+                    RC_ASSERT(budget.tryRetry() == (saved >= 100));
+                    saved -= saved >= 100 ? 100 : 0;
+                }
+            }
+        }));
+    }
+
+    void avoidanceIsBoundedAndUndoneBySuccess()
+    {
+        Routing::TargetAvoidance avoidance({.firstPeriod = 1s, .longestPeriod = 4s});
+        Core::TimePoint now {};
+        for (const auto expected : {1s, 2s, 4s, 4s}) {
+            avoidance.noteFailure({"e"}, now);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), avoidance.avoided(now + expected - 1ms).size());
+            now += expected;
+            CPPUNIT_ASSERT(avoidance.avoided(now).empty());
+        }
+        avoidance.noteFailure({"e"}, now);
+        avoidance.noteSuccess({"e"});
+        CPPUNIT_ASSERT(avoidance.avoided(now).empty());
+        avoidance.noteFailure({"e"}, now);
+        CPPUNIT_ASSERT(avoidance.avoided(now + 1s).empty());
+    }
+
+    void everyFailureHasItsRule()
+    {
+        for (auto i = 0; i <= static_cast<int>(Routing::Failure::DeadlinePassed); ++i) {
+            const auto failure = static_cast<Routing::Failure>(i);
+            const auto &rule = Routing::ruleFor(failure);
+            CPPUNIT_ASSERT(rule.failure == failure);
+            // What may have run is never sent on to an owner as if it had not.
+            CPPUNIT_ASSERT(rule.runClass == Routing::RunClass::SurelyNotRun
+                           || rule.next != Routing::NextStep::AskNextOwner);
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RoutingDecisionsTest);
