LibNet, LibEngine: Bound what streams hold, and notice callers that have gone

Found by reading: - HttpClient::cancel() destroyed the data function it was called from; the stream's progress was freed while its lines were being cut. The functions now live until curl has let go of the transfer. - Events still followed a cancel from inside an event, for the lines of the same piece. - A malformed line ended the stream for the front but left the transfer open. - A caller's stream grew without bound while the caller didn't read, and its sent part was never dropped as long as anything waited. More than 1 MiB unsent now cuts the caller off. - libmicrohttpd doesn't look at a suspended connection, so that a caller that had gone while its answer was awaited was never noticed. Suspended ones are looked at every 500 ms. - Stopping libmicrohttpd with suspended connections ends the process; they are resumed first. - A line without an end grew without bound. A stream may ask for a connection of its own, and idle ones older than 15 s aren't used again.

--- a/Libraries/LibEngine/EngineJson.cpp
+++ b/Libraries/LibEngine/EngineJson.cpp
@@ -81,9 +81,13 @@
 
 nlohmann::json toJson(const GenerateRequest &request)
 {
-    return {{"attempt", request.attempt.value}, {"adapter", adapterToJson(request.adapter)},
-            {"prompt", request.prompt},         {"mostTokens", request.mostTokens},
-            {"offset", request.offset},         {"priority", request.priority}};
+    return {{"attempt", request.attempt.value},
+            {"adapter", adapterToJson(request.adapter)},
+            {"prompt", request.prompt},
+            {"mostTokens", request.mostTokens},
+            {"offset", request.offset},
+            {"priority", request.priority},
+            {"patienceMilliseconds", request.patienceMilliseconds}};
 }
 
 GenerateRequest generateFromJson(const nlohmann::json &json)
@@ -93,7 +97,8 @@
             .prompt = json.at("prompt").get<std::string>(),
             .mostTokens = json.at("mostTokens").get<std::uint32_t>(),
             .offset = json.at("offset").get<std::uint32_t>(),
-            .priority = json.at("priority").get<std::int32_t>()};
+            .priority = json.at("priority").get<std::int32_t>(),
+            .patienceMilliseconds = json.value("patienceMilliseconds", std::int64_t(0))};
 }
 
 std::string toLine(const StreamEvent &event)
--- a/Libraries/LibEngine/EngineLink.h
+++ b/Libraries/LibEngine/EngineLink.h
@@ -52,6 +52,13 @@
     std::vector<ReportedSlot> slots;
 };
 
+enum class StreamConnection {
+    // A connection that has been used before may serve.
+    Any,
+    // A connection is opened for this stream, as one that has gone silent must not be met again.
+    Fresh,
+};
+
 // A request to generate tokens. The offset says how many tokens the caller already has.
 struct GenerateRequest {
     Core::AttemptId attempt;
@@ -60,6 +67,8 @@
     std::uint32_t mostTokens = 0;
     std::uint32_t offset = 0;
     std::int32_t priority = 0;
+    std::int64_t patienceMilliseconds = 0; // The caller's time that is left; zero is no limit.
+    StreamConnection connection = StreamConnection::Any;
     std::string traceparent;
 };
 
@@ -88,6 +97,7 @@
 // The connection ended without an end mark, or the engine never answered.
 struct StreamBroken {
     bool mayHaveRun = true;
+    bool isSilent = false; // Nothing came for too long; the target may well be alive.
     std::string reason;
 };
 using StreamEvent = std::variant<StreamHead, StreamToken, StreamEnd, StreamRefusal, StreamBroken>;
--- a/Libraries/LibEngine/HttpEngineLink.cpp
+++ b/Libraries/LibEngine/HttpEngineLink.cpp
@@ -11,41 +11,62 @@
 constexpr long StatusConflict = 409;
 constexpr long StatusTooEarly = 425;
 
-// One stream's progress while its lines arrive.
-struct StreamProgress {
-    LineBuffer lines;
-    EngineLink::StreamFunction events;
-    bool hasStarted = false;
-    bool hasEnded = false;
-};
-
-void passLine(StreamProgress &progress, std::string_view line)
+StreamEvent parseLine(std::string_view line)
 {
-    if (progress.hasEnded || line.empty()) {
-        return;
-    }
-    progress.hasStarted = true;
     try {
-        const auto event = eventFromLine(line);
-        progress.hasEnded = std::holds_alternative<StreamEnd>(event);
-        progress.events(event);
+        return eventFromLine(line);
     } catch (const nlohmann::json::exception &error) {
-        progress.hasEnded = true;
-        progress.events(StreamBroken {.reason = std::string("malformed line: ") + error.what()});
+        return StreamBroken {.reason = std::string("malformed line: ") + error.what()};
     }
 }
 
-StreamEvent describeEnd(const StreamProgress &progress, const Net::HttpResult &result)
+bool isLast(const StreamEvent &event)
 {
-    if (result.isComplete() && result.status != StatusOk) {
-        return StreamRefusal {.status = result.status, .reason = progress.lines.rest()};
-    }
-    return StreamBroken {.mayHaveRun = progress.hasStarted || result.mayHaveBeenSent,
-                         .reason = result.isComplete() ? "ended without an end mark" : result.error};
+    return std::holds_alternative<StreamEnd>(event) || std::holds_alternative<StreamBroken>(event);
 }
 
 }
 
+// One stream's progress while its lines arrive.
+struct HttpEngineLink::StreamProgress {
+    LineBuffer lines;
+    StreamFunction events;
+    bool hasStarted = false;
+    bool hasEnded = false; // No event is passed any more.
+
+    void pass(const StreamEvent &event)
+    {
+        if (!hasEnded) {
+            hasEnded = isLast(event) || std::holds_alternative<StreamRefusal>(event);
+            events(event);
+        }
+    }
+
+    void takeBytes(long status, std::string_view bytes)
+    {
+        const bool isFit = lines.append(bytes, [&](std::string_view line) {
+            if (status == StatusOk && !line.empty() && !hasEnded) {
+                hasStarted = true;
+                pass(parseLine(line));
+            }
+        });
+        if (!isFit) {
+            pass(StreamBroken {.reason = "a line has no end"});
+        }
+    }
+
+    void takeResult(const Net::HttpResult &result)
+    {
+        if (result.isComplete() && result.status != StatusOk) {
+            pass(StreamRefusal {.status = result.status, .reason = lines.rest()});
+            return;
+        }
+        pass(StreamBroken {.mayHaveRun = hasStarted || result.mayHaveBeenSent,
+                           .isSilent = result.isTimedOut,
+                           .reason = result.isComplete() ? "ended without an end mark" : result.error});
+    }
+};
+
 HttpEngineLink::HttpEngineLink(Net::HttpClient &client, HttpEngineLinkOptions options)
     : m_client(client)
     , m_options(options)
@@ -108,28 +129,31 @@
          .url = "http://" + engine.address + "/v1/generate",
          .headers = {"Content-Type: application/json", "traceparent: " + request.traceparent},
          .body = toJson(request).dump(),
-         .silenceTimeout = m_options.silenceTimeout},
-        [progress](const Net::HttpResult &result) {
-            if (!progress->hasEnded) {
-                progress->hasEnded = true;
-                progress->events(describeEnd(*progress, result));
-            }
+         .silenceTimeout = m_options.silenceTimeout,
+         .connectionUse
+         = request.connection == StreamConnection::Fresh ? Net::ConnectionUse::Fresh : Net::ConnectionUse::Reuse},
+        [this, progress, number = m_lastStream + 1](const Net::HttpResult &result) {
+            m_streams.erase(number);
+            progress->takeResult(result);
         },
         [progress](long status, std::string_view bytes) {
-            if (status == StatusOk) {
-                progress->lines.append(bytes, [&](std::string_view line) {
-                    passLine(*progress, line);
-                });
-            } else {
-                progress->lines.append(bytes, [](std::string_view) {});
-            }
+            progress->takeBytes(status, bytes);
         });
-    return StreamId(static_cast<std::uint64_t>(id));
+    m_streams.emplace(++m_lastStream, Running {.request = id, .progress = progress});
+    return StreamId(m_lastStream);
 }
 
 void HttpEngineLink::cancel(StreamId stream)
 {
-    m_client.cancel(Net::HttpRequestId(static_cast<std::uint64_t>(stream)));
+    const auto found = m_streams.find(static_cast<std::uint64_t>(stream));
+    if (found == m_streams.end()) {
+        return;
+    }
+    const auto running = found->second;
+    m_streams.erase(found);
+    // Lines of the piece that is being taken may still follow.
+    running.progress->hasEnded = true;
+    m_client.cancel(running.request);
 }
 
 }
--- a/Libraries/LibEngine/HttpEngineLink.h
+++ b/Libraries/LibEngine/HttpEngineLink.h
@@ -24,10 +24,18 @@
     void cancel(StreamId stream) override;
 
 private:
+    struct StreamProgress;
+    struct Running {
+        Net::HttpRequestId request;
+        std::shared_ptr<StreamProgress> progress;
+    };
+
     void sendOrder(const EngineAddress &engine, const char *path, const AdapterOrder &order, OrderFunction done);
 
     Net::HttpClient &m_client;
     HttpEngineLinkOptions m_options;
+    std::uint64_t m_lastStream = 0;
+    std::unordered_map<std::uint64_t, Running> m_streams;
 };
 
 }
--- a/Libraries/LibEngine/LineBuffer.h
+++ b/Libraries/LibEngine/LineBuffer.h
@@ -10,8 +10,9 @@
 class LineBuffer
 {
 public:
-    // Calls the function with each line that the new bytes complete, without its line feed.
-    void append(std::string_view bytes, const std::function<void(std::string_view)> &onLine)
+    // Calls the function with each line that the new bytes complete, without its line feed. Returns false when
+    // the line that has begun is longer than any real one; its bytes are dropped.
+    [[nodiscard]] bool append(std::string_view bytes, const std::function<void(std::string_view)> &onLine)
     {
         m_rest += bytes;
         std::size_t begin = 0;
@@ -20,6 +21,11 @@
             begin = end + 1;
         }
         m_rest.erase(0, begin);
+        if (m_rest.size() > LongestLineBytes) {
+            m_rest.clear();
+            return false;
+        }
+        return true;
     }
 
     // Bytes after the last line feed.
@@ -29,6 +35,8 @@
     }
 
 private:
+    static constexpr std::size_t LongestLineBytes = 256UL * 1024;
+
     std::string m_rest;
 };
 
--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -10,6 +10,13 @@
 
 namespace Net {
 
+namespace {
+
+// An idle connection older than this isn't used again: what lies between may have forgotten it.
+constexpr long LongestIdleSeconds = 15;
+
+}
+
 struct HttpClient::Transfer {
     HttpClient *client = nullptr;
     std::uint64_t id = 0;
@@ -21,6 +28,7 @@
     std::string body;
     Core::TimePoint lastActivity {};
     Core::TimerId silenceTimer = Core::TimerId::None;
+    bool isCancelled = false;
 };
 
 // curl's C callbacks. The sockets are kept in an epoll descriptor of the client's own, which the event loop
@@ -59,6 +67,9 @@
     {
         auto *transfer = static_cast<Transfer *>(context);
         const std::string_view piece(bytes, size * count);
+        if (transfer->isCancelled) {
+            return piece.size();
+        }
         transfer->lastActivity = transfer->client->m_loop.now();
         if (transfer->data) {
             long status = 0;
@@ -91,6 +102,10 @@
 
 HttpClient::~HttpClient()
 {
+    *m_isAlive = false;
+    for (const auto &transfer : m_cancelled) {
+        release(*transfer);
+    }
     for (auto &[id, transfer] : m_transfers) {
         release(*transfer);
     }
@@ -131,6 +146,7 @@
     curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->headers);
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(Core::toMilliseconds(wanted.connectTimeout)));
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(Core::toMilliseconds(wanted.totalTimeout)));
+    curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, LongestIdleSeconds);
     if (wanted.connectionUse == ConnectionUse::Fresh) {
         curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
         curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
@@ -151,14 +167,18 @@
     if (found == m_transfers.end()) {
         return;
     }
-    // A cancel may come from inside curl's own data callback, where the handle can't be removed yet.
-    auto transfer = std::shared_ptr<Transfer>(std::move(found->second));
+    // A cancel may come from inside curl's own data callback, where the handle can't be removed and the data
+    // function can't be destroyed yet.
+    const auto transfer = std::shared_ptr<Transfer>(std::move(found->second));
     m_transfers.erase(found);
-    transfer->done = nullptr;
-    transfer->data = nullptr;
+    transfer->isCancelled = true;
     m_loop.cancel(transfer->silenceTimer);
-    m_loop.post([this, transfer] {
-        release(*transfer);
+    m_cancelled.insert(transfer);
+    m_loop.post([this, isAlive = m_isAlive, transfer] {
+        if (*isAlive) {
+            m_cancelled.erase(transfer);
+            release(*transfer);
+        }
     });
 }
 
@@ -209,6 +229,7 @@
     if (curlCode != CURLE_OK) {
         result.status = 0;
         result.error = curl_easy_strerror(static_cast<CURLcode>(curlCode));
+        result.isTimedOut = curlCode == CURLE_OPERATION_TIMEDOUT;
         result.mayHaveBeenSent = sentBytes > 0;
     }
     result.body = std::move(transfer.body);
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace Net {
@@ -34,6 +35,7 @@
     long status = 0; // Zero when no complete answer arrived.
     std::string body; // Empty when a data function took the pieces.
     std::string error; // Empty when the answer is complete.
+    bool isTimedOut = false; // A time limit ended it, or silence did.
     bool mayHaveBeenSent = true; // False only when surely no byte of the request left.
 
     [[nodiscard]] bool isComplete() const
@@ -79,6 +81,8 @@
     Core::TimerId m_timer = Core::TimerId::None;
     std::uint64_t m_lastId = 0;
     std::unordered_map<std::uint64_t, std::unique_ptr<Transfer>> m_transfers;
+    std::unordered_set<std::shared_ptr<Transfer>> m_cancelled; // Until curl has let go of them.
+    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
 
 }
--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -7,6 +7,7 @@
 #include <cstring>
 #include <microhttpd.h>
 #include <netinet/in.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 namespace Net {
@@ -51,7 +52,7 @@
             exchange->m_request.path = url;
             MHD_get_connection_values(connection, MHD_HEADER_KIND, &collectValue, &exchange->m_request);
             MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &collectValue, &exchange->m_request);
-            ++server->m_openExchanges;
+            server->m_openExchanges.insert(exchange);
             *state = new std::shared_ptr<Exchange>(std::move(exchange));
             return MHD_YES;
         }
@@ -70,6 +71,9 @@
 
     static MHD_Result answer(HttpServer &server, const std::shared_ptr<Exchange> &exchange)
     {
+        if (exchange->m_isDropped) {
+            return MHD_NO;
+        }
         if (!exchange->m_isHandled) {
             exchange->m_isHandled = true;
             if (exchange->m_isTooLarge) {
@@ -115,6 +119,9 @@
     static ssize_t onReadBody(void *context, std::uint64_t /*position*/, char *buffer, std::size_t most)
     {
         auto &exchange = **static_cast<std::shared_ptr<Exchange> *>(context);
+        if (exchange.m_isDropped) {
+            return MHD_CONTENT_READER_END_WITH_ERROR;
+        }
         const auto available = exchange.m_pending.size() - exchange.m_pendingOffset;
         if (available == 0) {
             if (exchange.m_end == Exchange::BodyEnd::Whole) {
@@ -153,7 +160,7 @@
         delete static_cast<std::shared_ptr<Exchange> *>(*state);
         *state = nullptr;
         exchange->m_connection = nullptr;
-        --server->m_openExchanges;
+        server->m_openExchanges.erase(exchange);
         auto closed = std::move(exchange->m_closed);
         exchange->m_closed = nullptr;
         if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK && closed) {
@@ -197,9 +204,18 @@
 
 void Exchange::send(std::string_view piece)
 {
-    if (m_connection == nullptr) {
+    if (m_connection == nullptr || m_isDropped) {
+        return;
+    }
+    if (m_pending.size() - m_pendingOffset + piece.size() > m_server->m_options.mostUnsent) {
+        drop();
         return;
     }
+    // What has been sent is dropped before it outgrows what waits.
+    if (m_pendingOffset > StreamBlockBytes && m_pendingOffset > m_pending.size() / 2) {
+        m_pending.erase(0, m_pendingOffset);
+        m_pendingOffset = 0;
+    }
     m_pending += piece;
     wake();
 }
@@ -231,6 +247,28 @@
     m_server->scheduleRun();
 }
 
+void Exchange::drop()
+{
+    m_isDropped = true;
+    m_pending.clear();
+    m_pendingOffset = 0;
+    // A blocked connection isn't suspended; shutting its socket down lets libmicrohttpd see that it has ended.
+    shutdown(socket(), SHUT_RDWR);
+    wake();
+}
+
+bool Exchange::hasCallerGone() const
+{
+    char next = 0;
+    const auto count = recv(socket(), &next, sizeof next, MSG_PEEK | MSG_DONTWAIT);
+    return count == 0 || (count < 0 && errno != EAGAIN && errno != EINTR);
+}
+
+int Exchange::socket() const
+{
+    return MHD_get_connection_info(m_connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+}
+
 HttpServer::HttpServer(EventLoop &loop, HttpServerOptions options, RequestFunction handler)
     : m_loop(loop)
     , m_options(std::move(options))
@@ -255,13 +293,20 @@
     m_loop.watchReadable(m_epollFd, [this] {
         serve();
     });
+    dropGoneCallers();
 }
 
 HttpServer::~HttpServer()
 {
     *m_isAlive = false;
     m_loop.cancel(m_timer);
+    m_loop.cancel(m_goneTimer);
     m_loop.unwatch(m_epollFd);
+    // libmicrohttpd ends the process when it is stopped with suspended connections.
+    for (const auto &exchange : m_openExchanges) {
+        exchange->m_isDropped = true;
+        exchange->wake();
+    }
     MHD_stop_daemon(m_daemon);
     if (m_listenFd >= 0) {
         close(m_listenFd);
@@ -277,7 +322,21 @@
 
 std::size_t HttpServer::openExchanges() const
 {
-    return m_openExchanges;
+    return m_openExchanges.size();
+}
+
+void HttpServer::dropGoneCallers()
+{
+    // A copy, since dropping may end exchanges.
+    const auto open = m_openExchanges;
+    for (const auto &exchange : open) {
+        if (exchange->m_isSuspended && !exchange->m_isDropped && exchange->hasCallerGone()) {
+            exchange->drop();
+        }
+    }
+    m_goneTimer = m_loop.runAfter(m_options.goneCheckPeriod, [this] {
+        dropGoneCallers();
+    });
 }
 
 void HttpServer::scheduleRun()
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 struct MHD_Daemon;
@@ -44,7 +45,8 @@
     void respond(ResponseHead head, std::string body);
     // Begins an answer whose body follows in pieces.
     void beginStream(ResponseHead head);
-    // Sends a piece of the body.
+    // Sends a piece of the body. A caller that doesn't read until mostUnsent bytes wait is cut off: its
+    // connection is closed and the closed function runs.
     void send(std::string_view piece);
     // Ends the body as whole.
     void endStream();
@@ -59,6 +61,11 @@
     enum class BodyEnd { Open, Whole, Cut };
 
     void wake();
+    // Closes a connection whose caller has gone or doesn't read.
+    void drop();
+    // True when the caller has closed its end, which nothing else notices while the exchange is suspended.
+    [[nodiscard]] bool hasCallerGone() const;
+    [[nodiscard]] int socket() const;
 
     class HttpServer *m_server = nullptr;
     MHD_Connection *m_connection = nullptr; // Null when the connection has closed.
@@ -73,6 +80,7 @@
     bool m_isStreamed = false;
     bool m_isQueued = false;
     bool m_isSuspended = false;
+    bool m_isDropped = false;
     ClosedFunction m_closed;
 };
 
@@ -83,6 +91,8 @@
     std::size_t largestBody = 1U << 20U; // Bytes.
     unsigned mostConnections = 1000;
     unsigned idleTimeoutSeconds = 30;
+    std::size_t mostUnsent = 1U << 20U; // Bytes that one caller's stream may have waiting.
+    Core::Duration goneCheckPeriod = std::chrono::milliseconds(500);
 };
 
 // Serves HTTP from the event loop, by libmicrohttpd.
@@ -108,6 +118,7 @@
 
     void scheduleRun();
     void serve();
+    void dropGoneCallers();
 
     EventLoop &m_loop;
     HttpServerOptions m_options;
@@ -116,7 +127,8 @@
     int m_epollFd = -1;
     int m_listenFd = -1;
     bool m_isRunScheduled = false;
-    std::size_t m_openExchanges = 0;
+    std::unordered_set<std::shared_ptr<Exchange>> m_openExchanges;
+    Core::TimerId m_goneTimer = Core::TimerId::None;
     Core::TimerId m_timer = Core::TimerId::None;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
--- a/StandIns/StandIn.cpp
+++ b/StandIns/StandIn.cpp
@@ -6,11 +6,19 @@
 
 namespace StandIns {
 
+namespace {
+
+// A stand-in engine may send a whole answer at once.
+constexpr std::size_t MostUnsent = 64UL << 20U;
+
+}
+
 Net::HttpServerOptions serverOptions(const std::string &address)
 {
     const auto colon = address.rfind(':');
     return {.address = address.substr(0, colon),
-            .port = static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))};
+            .port = static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))),
+            .mostUnsent = MostUnsent};
 }
 
 }
