LibFront: Resume broken answers and refuse requests that crash targets

A completion did one try and cut the answer on any break. Now an attempt is an object of its own that checks the head (attempt, adapter, version, incarnation) before the first byte; a broken or silent one is resumed from its last delivered token, on a fresh connection to the same target when the target's report shows that it lives, or under a new grant elsewhere. An owner that falls silent is passed over and what it may have granted is given back, also when it answers late. Other availability zones serve when the own one can't. Only what no target can have begun is told "not-run".

Ruled out: counting silence as a death, since a frozen or cut-off target would put innocents into quarantine.

The scenario invariant for "not-run" counts starts since the request was sent, as prompts may now repeat; for a prompt of its own it is as strict as before.

--- a/Libraries/LibFront/Completion.cpp
+++ b/Libraries/LibFront/Completion.cpp
@@ -1,6 +1,7 @@
 #include <LibFront/Completion.h>
 
 #include <LibCore/Rendezvous.h>
+#include <LibFront/Refusals.h>
 #include <LibLog/Log.h>
 #include <algorithm>
 
@@ -8,78 +9,28 @@
 
 namespace {
 
-constexpr unsigned StatusForbidden = 403;
-constexpr unsigned StatusNotFound = 404;
-constexpr unsigned StatusGone = 410;
-constexpr unsigned StatusBadGateway = 502;
-constexpr unsigned StatusUnavailable = 503;
-constexpr std::int64_t DefaultRetryMilliseconds = 1000;
+using Routing::Failure;
+using Routing::NextStep;
 
-Refusal describe(Ticket::ResolveRefusal reason, const std::string &model)
-{
-    switch (reason) {
-    case Ticket::ResolveRefusal::UnknownAdapter:
-        return {.status = StatusNotFound,
-                .code = "unknown-adapter",
-                .message = "no adapter \"" + model + "\" exists",
-                .advice = "check the model's name"};
-    case Ticket::ResolveRefusal::UnknownVersion:
-        return {.status = StatusNotFound,
-                .code = "unknown-version",
-                .message = "\"" + model + "\" names a version that the adapter doesn't have",
-                .advice = "name another version, or none for the current one"};
-    case Ticket::ResolveRefusal::NotAllowed:
-        return {.status = StatusForbidden,
-                .code = "not-allowed",
-                .message = "no rule lets you reach \"" + model + "\"",
-                .advice = "ask an operator for a rule"};
-    case Ticket::ResolveRefusal::Retired:
-        return {.status = StatusGone,
-                .code = "retired-adapter",
-                .message = "\"" + model + "\" is retired",
-                .advice = "name another adapter"};
-    }
-    return {};
-}
+constexpr std::uint32_t MostRetries = 6; // Of one request, over all owners and targets.
+constexpr auto FirstPause = std::chrono::milliseconds(250); // Before the second retry; doubles with each further.
+// How long a grant that an owner gives after it was taken for silent is still heard of and given back.
+constexpr auto LateReplyPeriod = std::chrono::seconds(60);
 
-Refusal describe(const Owner::GrantReply &reply)
+Failure failureOf(Owner::GrantOutcome outcome)
 {
-    const bool isLoadFailure = reply.outcome == Owner::GrantOutcome::LoadFailed;
-    return {.status = StatusUnavailable,
-            .code = isLoadFailure ? "load-failed" : "overloaded",
-            .message = reply.reason,
-            .advice = "send the request again after the time in Retry-After",
-            .retryAfterMilliseconds = std::max(reply.retryAfterMilliseconds, DefaultRetryMilliseconds)};
+    switch (outcome) {
+    case Owner::GrantOutcome::Overloaded:
+        return Failure::Overloaded;
+    case Owner::GrantOutcome::LoadFailed:
+        return Failure::LoadFailed;
+    default:
+        return Failure::NotOwner;
+    }
 }
 
 }
 
-// Sends each kind of stream event to its own function.
-struct Completion::StreamVisitor {
-    Completion &completion;
-
-    void operator()(const Engine::StreamHead &head) const
-    {
-        completion.takeHead(head);
-    }
-    void operator()(const Engine::StreamToken &token) const
-    {
-        completion.takeToken(token);
-    }
-    void operator()(const Engine::StreamEnd &end) const
-    {
-        completion.takeEnd(end);
-    }
-    void operator()(const Engine::StreamRefusal &refusal) const
-    {
-        completion.takeRefusal(refusal);
-    }
-    void operator()(const Engine::StreamBroken &broken) const
-    {
-        completion.takeBreak(broken);
-    }
-};
-
 Completion::Completion(const FrontPorts &ports, Core::HostId self, Core::ZoneId zone, CompletionRequest request,
                        std::shared_ptr<CallerAnswer> answer, DoneFunction done)
     : m_ports(ports)
@@ -88,6 +39,7 @@
     , m_request(std::move(request))
     , m_answer(std::move(answer))
     , m_done(std::move(done))
+    , m_assembly({.mostTokens = m_request.mostTokens})
 {
 }
 
@@ -98,200 +50,365 @@
     m_span.set("currantbay.model", m_request.model);
     const auto resolution = m_ports.tickets.state()->resolve(m_request.customer, m_request.model);
     if (const auto *reason = std::get_if<Ticket::ResolveRefusal>(&resolution)) {
-        refuse(describe(*reason, m_request.model));
+        end(describe(*reason, m_request.model));
         return;
     }
     m_resolved = std::get<Ticket::ResolvedAdapter>(resolution);
-    m_ownersToAsk = rankOwners();
+    m_fingerprint = Routing::fingerprintOf(m_request.customer, m_resolved.adapter, m_request.prompt);
+    if (isQuarantined()) {
+        return;
+    }
+    m_ports.retryBudget.noteRequest();
+    m_deadline = m_ports.scheduler.runAfter(m_request.timeout, whileRunning([](Completion &self) {
+                                                self.giveUp({.failure = Failure::DeadlinePassed});
+                                            }));
+    rankOwners();
     askNextOwner();
 }
 
 void Completion::abandon()
 {
-    if (m_hasEnded) {
-        return;
+    if (!m_hasEnded) {
+        finish(Outcome::Unknown);
     }
-    m_ports.engines.cancel(m_stream);
-    finish(Outcome::Unknown);
 }
 
-std::vector<Core::HostId> Completion::rankOwners() const
+// The owners of the own availability zone come first; those of others serve when it has none that can. Owners of
+// targets that failed lately come last.
+void Completion::rankOwners()
+{
+    m_ownersToAsk.clear();
+    m_isViewDoubtful = false;
+    std::vector<Core::ZoneId> zones {m_zone};
+    for (const auto &[id, target] : m_ports.directory.all()) {
+        if (std::find(zones.begin(), zones.end(), target.zone) == zones.end()) {
+            zones.push_back(target.zone);
+        }
+    }
+    const auto avoided = m_ports.avoidance.avoided(m_ports.scheduler.now());
+    std::vector<Core::TargetId> avoidedTargets;
+    for (const auto &zone : zones) {
+        for (auto &target : rankTargetsOf(zone)) {
+            if (std::find(avoided.begin(), avoided.end(), target) == avoided.end()) {
+                addOwnerOf(target);
+            } else {
+                avoidedTargets.push_back(std::move(target));
+            }
+        }
+    }
+    for (const auto &target : avoidedTargets) {
+        addOwnerOf(target);
+    }
+}
+
+std::vector<Core::TargetId> Completion::rankTargetsOf(const Core::ZoneId &zone) const
 {
     std::vector<Core::RendezvousCandidate> candidates;
-    for (const auto *target :
-         m_ports.directory.available(m_zone, Platform::MachineKind::Engine, m_resolved.baseModel)) {
+    for (const auto *target : m_ports.directory.available(zone, Platform::MachineKind::Engine, m_resolved.baseModel)) {
         candidates.push_back({.name = target->id.value});
     }
-    std::vector<Core::HostId> owners;
+    std::vector<Core::TargetId> ranked;
     for (auto &name : Core::rankByRendezvous(m_resolved.adapter.toString(), candidates)) {
-        const auto ownership = m_ports.ownership.ownerOf({std::move(name)});
-        if (ownership.has_value() && std::find(owners.begin(), owners.end(), ownership->owner) == owners.end()) {
-            owners.push_back(ownership->owner);
-        }
+        ranked.push_back({std::move(name)});
+    }
+    return ranked;
+}
+
+void Completion::addOwnerOf(const Core::TargetId &target)
+{
+    const auto ownership = m_ports.ownership.ownerOf(target);
+    const bool isNew
+        = ownership.has_value() && std::none_of(m_ownersToAsk.begin(), m_ownersToAsk.end(), [&](const auto &asked) {
+              return asked.owner == ownership->owner;
+          });
+    if (isNew) {
+        const auto *known = m_ports.directory.find(target);
+        m_ownersToAsk.push_back({.owner = ownership->owner, .isOfOwnZone = known != nullptr && known->zone == m_zone});
     }
-    return owners;
 }
 
 void Completion::askNextOwner()
 {
     if (m_ownersToAsk.empty()) {
-        refuse({.status = StatusUnavailable,
-                .code = "no-target",
-                .message = "no target of this availability zone can serve base model \"" + m_resolved.baseModel + '"',
-                .advice = "send the request again after the time in Retry-After",
-                .retryAfterMilliseconds = DefaultRetryMilliseconds});
+        if (m_isViewDoubtful) {
+            askOwnersAnew();
+        } else {
+            giveUp(m_lastFailure);
+        }
         return;
     }
-    const auto owner = m_ownersToAsk.front();
-    m_ownersToAsk.erase(m_ownersToAsk.begin());
-    m_owner = owner;
+    m_owner = m_ownersToAsk.front().owner;
+    m_ownersToAsk.pop_front();
+    sendGrantRequest();
+}
+
+void Completion::sendGrantRequest()
+{
     m_grant = {m_ports.ids.next("grant")};
-    const auto left = m_startedAt + m_request.timeout - m_ports.scheduler.now();
+    m_grantState = GrantState::Asked;
+    m_hasResumedHere = false;
     auto span = m_ports.tracer.begin("owner.grant", m_span.context);
-    span.set("currantbay.owner", owner.value);
+    span.set("currantbay.owner", m_owner.value);
     const Owner::GrantRequest asked {.grant = m_grant,
                                      .adapter = m_resolved.adapter,
                                      .baseModel = m_resolved.baseModel,
                                      .customer = m_request.customer,
-                                     .patienceMilliseconds = Core::toMilliseconds(left)};
-    m_ports.router.call<Owner::GrantReply>(
-        owner, asked, left, [self = shared_from_this(), owner, span = std::move(span)](const auto &reply) {
-            self->m_ports.tracer.end(span);
-            self->takeGrant(owner, reply);
-        });
+                                     .patienceMilliseconds = Core::toMilliseconds(timeLeft()),
+                                     .avoid = m_ports.avoidance.avoided(m_ports.scheduler.now()),
+                                     .isSuspect
+                                     = m_ports.quarantine.suspicionOf(m_fingerprint) == Routing::Suspicion::Suspect};
+    m_watch = m_ports.owners.watch(m_owner, whileRunning([](Completion &self) {
+                                       self.takeOwnerSilence();
+                                   }));
+    m_ports.router.call<Owner::GrantReply>(m_owner, asked, timeLeft() + LateReplyPeriod,
+                                           [weak = weak_from_this(), ports = m_ports, owner = m_owner, grant = m_grant,
+                                            span = std::move(span)](const auto &reply) {
+                                               ports.tracer.end(span);
+                                               const auto self = weak.lock();
+                                               const bool isWaitedFor = self != nullptr && !self->m_hasEnded
+                                                   && self->m_grant == grant && self->m_grantState == GrantState::Asked;
+                                               if (isWaitedFor && reply.has_value()) {
+                                                   self->takeGrant(*reply);
+                                               } else if (reply.has_value()
+                                                          && reply->outcome == Owner::GrantOutcome::Granted) {
+                                                   ports.grantReturns.giveBack(owner, grant);
+                                               }
+                                           });
 }
 
-void Completion::takeGrant(const Core::HostId &owner, const std::optional<Owner::GrantReply> &reply)
+void Completion::takeGrant(const Owner::GrantReply &reply)
 {
-    if (m_hasEnded) {
+    m_ports.owners.unwatch(m_watch);
+    if (reply.outcome != Owner::GrantOutcome::Granted) {
+        m_grantState = GrantState::None;
+        m_isViewDoubtful = m_isViewDoubtful || reply.outcome == Owner::GrantOutcome::NotOwner;
+        takeFailure({.failure = failureOf(reply.outcome), .reason = reply.reason});
         return;
     }
-    if (!reply.has_value()) {
-        // The owner may have granted it all the same.
-        releaseGrant();
-        refuse({.status = StatusUnavailable,
-                .code = "owner-silent",
-                .message = "host " + owner.value + " didn't answer in time",
-                .advice = "send the request again after the time in Retry-After",
-                .retryAfterMilliseconds = DefaultRetryMilliseconds});
-        return;
+    m_grantState = GrantState::Held;
+    m_granted = reply;
+    startAttempt(Engine::StreamConnection::Any);
+}
+
+void Completion::takeOwnerSilence()
+{
+    if (m_grantState == GrantState::Asked) {
+        m_isViewDoubtful = true;
+        takeFailure({.failure = Failure::OwnerSilent});
     }
-    if (reply->outcome == Owner::GrantOutcome::NotOwner) {
-        askNextOwner();
+}
+
+// An owner that was silent may have been replaced by now, and one that knew of no target may have found it.
+void Completion::askOwnersAnew()
+{
+    retryAfterPause([](Completion &self) {
+        self.rankOwners();
+        self.askNextOwner();
+    });
+}
+
+void Completion::startAttempt(Engine::StreamConnection connection)
+{
+    const auto *target = m_ports.directory.find(m_granted.target);
+    if (target == nullptr) {
+        takeFailure({.failure = Failure::TargetGone});
         return;
     }
-    if (reply->outcome != Owner::GrantOutcome::Granted) {
-        refuse(describe(*reply));
-        return;
+    m_grantState = GrantState::InUse;
+    m_attempt = std::make_shared<EngineAttempt>(m_ports.engines, m_assembly, attemptEvents());
+    m_attempt->start({.target = target->id, .address = target->address},
+                     {.attempt = {m_ports.ids.next("attempt")},
+                      .adapter = m_resolved.adapter,
+                      .prompt = m_request.prompt,
+                      .mostTokens = m_request.mostTokens,
+                      .offset = m_assembly.resumeOffset(),
+                      .patienceMilliseconds = Core::toMilliseconds(timeLeft()),
+                      .connection = connection,
+                      .traceparent = m_span.context.toHeader()},
+                     m_granted.targetIncarnation);
+}
+
+EngineAttempt::Events Completion::attemptEvents()
+{
+    const auto weak = weak_from_this();
+    const auto run = [weak](auto act) {
+        if (const auto self = weak.lock(); self != nullptr && !self->m_hasEnded) {
+            act(*self);
+        }
+    };
+    return {.onHead =
+                [run] {
+                    run([](Completion &self) {
+                        self.takeHead();
+                    });
+                },
+            .onText =
+                [run](const std::string &text) {
+                    run([&](Completion &self) {
+                        self.m_answer->text(text);
+                    });
+                },
+            .onWhole =
+                [run] {
+                    run([](Completion &self) {
+                        self.takeWhole();
+                    });
+                },
+            .onFailure =
+                [run](const auto &failure) {
+                    run([&](Completion &self) {
+                        self.takeFailure(failure);
+                    });
+                }};
+}
+
+void Completion::takeHead()
+{
+    if (!std::exchange(m_hasBegun, true)) {
+        m_answer->begin({.adapter = m_resolved.adapter, .target = m_granted.target});
+    }
+}
+
+void Completion::takeWhole()
+{
+    if (!m_hasResumedHere) {
+        m_grantState = GrantState::Held;
     }
-    m_granted = *reply;
-    startStream();
+    m_ports.avoidance.noteSuccess(m_granted.target);
+    m_ports.quarantine.noteWhole(m_fingerprint);
+    m_answer->finish(m_assembly.delivered());
+    finish(Outcome::Completed);
 }
 
-void Completion::startStream()
+void Completion::takeFailure(const AttemptFailure &failure)
+{
+    const auto &rule = Routing::ruleFor(failure.failure);
+    const bool hasSurelyNotRun = rule.runClass == Routing::RunClass::SurelyNotRun;
+    m_lastFailure = failure;
+    m_mayHaveRun = m_mayHaveRun || !hasSurelyNotRun;
+    if (m_grantState == GrantState::InUse && hasSurelyNotRun && !m_hasResumedHere) {
+        m_grantState = GrantState::Held;
+    }
+    switch (rule.next) {
+    case NextStep::AskNextOwnerOfZone:
+        std::erase_if(m_ownersToAsk, [](const auto &ranked) {
+            return !ranked.isOfOwnZone;
+        });
+        [[fallthrough]];
+    case NextStep::AskNextOwner:
+        leaveGrant();
+        askNextOwner();
+        break;
+    case NextStep::Resume:
+        examineTarget(failure);
+        break;
+    case NextStep::AskAgain:
+        m_ports.avoidance.noteFailure(m_granted.target, m_ports.scheduler.now());
+        retryElsewhere();
+        break;
+    case NextStep::GiveUp:
+        giveUp(failure);
+        break;
+    }
+}
+
+void Completion::examineTarget(const AttemptFailure &failure)
 {
     const auto *target = m_ports.directory.find(m_granted.target);
     if (target == nullptr) {
-        refuse({.status = StatusUnavailable,
-                .code = "target-gone",
-                .message = "target " + m_granted.target.value + " has left",
-                .advice = "send the request again",
-                .retryAfterMilliseconds = DefaultRetryMilliseconds});
+        retryElsewhere();
         return;
     }
-    m_attempt = {m_ports.ids.next("attempt")};
-    m_assembly.beginAttempt(m_attempt);
-    m_stream = m_ports.engines.generate({.target = target->id, .address = target->address},
-                                        {.attempt = m_attempt,
-                                         .adapter = m_resolved.adapter,
-                                         .prompt = m_request.prompt,
-                                         .mostTokens = m_request.mostTokens,
-                                         .offset = m_assembly.delivered(),
-                                         .traceparent = m_span.context.toHeader()},
-                                        [self = shared_from_this()](const Engine::StreamEvent &event) {
-                                            if (!self->m_hasEnded) {
-                                                std::visit(StreamVisitor {*self}, event);
-                                            }
-                                        });
+    m_ports.engines.status({.target = target->id, .address = target->address},
+                           [weak = weak_from_this(), failure](const auto &status) {
+                               if (const auto self = weak.lock(); self != nullptr && !self->m_hasEnded) {
+                                   self->takeExamined(failure, status);
+                               }
+                           });
 }
 
-void Completion::takeHead(const Engine::StreamHead &head)
+void Completion::takeExamined(const AttemptFailure &failure, const std::optional<Engine::EngineStatus> &status)
 {
-    const bool isRight = head.attempt == m_attempt && head.adapter == m_resolved.adapter
-        && head.incarnation == m_granted.targetIncarnation;
-    if (!isRight) {
-        Log::write(Log::Event::WrongAnswerDropped,
-                   {{"target", m_granted.target.value}, {"adapter", head.adapter.toString()}});
-        m_ports.engines.cancel(m_stream);
-        takeBreak({.reason = "the target answered for another adapter, attempt or incarnation"});
+    const bool isAlive = status.has_value() && status->incarnation == m_granted.targetIncarnation;
+    const bool isRetryAllowed = m_retries < MostRetries && !m_hasResumedHere;
+    if (isAlive && isRetryAllowed && m_ports.retryBudget.tryRetry()) {
+        ++m_retries;
+        m_hasResumedHere = true;
+        Log::write(Log::Event::AnswerResumed, {{"target", m_granted.target.value}, {"reason", failure.reason}});
+        startAttempt(Engine::StreamConnection::Fresh);
         return;
     }
-    if (!m_hasBegun) {
-        m_hasBegun = true;
-        m_answer->begin({.adapter = m_resolved.adapter, .target = m_granted.target});
+    // Silence alone is no evidence of a death: the target may be cut off from this host or stopped for a while.
+    const bool isDead = status.has_value() ? !isAlive : failure.failure == Failure::StreamBroken;
+    if (isDead) {
+        m_ports.quarantine.noteDeath(m_fingerprint,
+                                     {.target = m_granted.target, .incarnation = m_granted.targetIncarnation});
     }
+    m_ports.avoidance.noteFailure(m_granted.target, m_ports.scheduler.now());
+    retryElsewhere();
 }
 
-void Completion::takeToken(const Engine::StreamToken &token)
+void Completion::retryElsewhere()
 {
-    if (!m_hasBegun) {
-        m_ports.engines.cancel(m_stream);
-        takeBreak({.reason = "tokens came before the head"});
+    leaveGrant();
+    if (isQuarantined()) {
         return;
     }
-    if (const auto text = m_assembly.accept(token); !text.empty()) {
-        m_answer->text(text);
-    }
+    retryAfterPause([](Completion &self) {
+        if (!self.isQuarantined()) {
+            self.rankOwners();
+            self.askNextOwner();
+        }
+    });
 }
 
-void Completion::takeEnd(const Engine::StreamEnd &end)
+void Completion::retryAfterPause(std::function<void(Completion &)> retry)
 {
-    m_assembly.acceptEnd(end);
-    if (!m_hasBegun || !m_assembly.isWhole()) {
-        takeBreak({.reason = "the end mark came before the whole answer"});
+    if (m_retries >= MostRetries || !m_ports.retryBudget.tryRetry()) {
+        giveUp(m_lastFailure);
         return;
     }
-    m_answer->finish(end.tokenCount);
-    finish(Outcome::Completed);
+    const Core::Duration pause = m_retries == 0 ? Core::Duration() : FirstPause * (1U << (m_retries - 1));
+    ++m_retries;
+    m_ports.scheduler.runAfter(pause, whileRunning(std::move(retry)));
 }
 
-void Completion::takeRefusal(const Engine::StreamRefusal &refusal)
+// Ends the request when it is quarantined.
+bool Completion::isQuarantined()
 {
-    refuse({.status = StatusUnavailable,
-            .code = "target-refused",
-            .message = "target " + m_granted.target.value + " refused: " + refusal.reason,
-            .advice = "send the request again",
-            .retryAfterMilliseconds = DefaultRetryMilliseconds});
+    if (m_ports.quarantine.suspicionOf(m_fingerprint) != Routing::Suspicion::Refused) {
+        return false;
+    }
+    end(describeQuarantine(m_mayHaveRun ? Outcome::Unknown : Outcome::NotRun));
+    return true;
 }
 
-void Completion::takeBreak(const Engine::StreamBroken &broken)
+void Completion::giveUp(const AttemptFailure &failure)
 {
-    const Refusal reason {.status = StatusBadGateway,
-                          .outcome = broken.mayHaveRun ? Outcome::Unknown : Outcome::NotRun,
-                          .code = "target-broke-off",
-                          .message = "target " + m_granted.target.value + ": " + broken.reason,
-                          .advice = "the answer isn't whole; send the request again",
-                          .retryAfterMilliseconds = DefaultRetryMilliseconds};
-    if (!m_hasBegun) {
-        refuse(reason);
-        return;
-    }
-    Log::write(Log::Event::AnswerCut, {{"target", m_granted.target.value}, {"reason", broken.reason}});
-    m_answer->cut(reason);
-    finish(reason.outcome);
+    // An attempt that still runs has run in part.
+    m_mayHaveRun = m_mayHaveRun || m_grantState == GrantState::InUse;
+    const bool isOwnersFailure = m_grantState == GrantState::None || m_grantState == GrantState::Asked;
+    const auto place = isOwnersFailure ? m_owner.value : m_granted.target.value;
+    end(describe(failure, place, m_mayHaveRun ? Outcome::Unknown : Outcome::NotRun));
 }
 
-void Completion::refuse(Refusal refusal)
+void Completion::end(Refusal refusal)
 {
-    m_answer->refuse(refusal);
     m_span.set("currantbay.refusal", refusal.code);
+    if (m_hasBegun) {
+        Log::write(Log::Event::AnswerCut, {{"reason", refusal.message}});
+        m_answer->cut(refusal);
+    } else {
+        m_answer->refuse(refusal);
+    }
     finish(refusal.outcome);
 }
 
 void Completion::finish(Outcome outcome)
 {
     m_hasEnded = true;
-    releaseGrant();
+    m_ports.scheduler.cancel(m_deadline);
+    leaveGrant();
     m_span.set("currantbay.outcome", std::string(toText(outcome)));
     m_ports.tracer.end(m_span);
     m_ports.metrics.count("currantbay_requests_total{outcome=\"" + std::string(toText(outcome)) + "\"}");
@@ -299,12 +416,43 @@
     m_done();
 }
 
-void Completion::releaseGrant()
+void Completion::leaveGrant()
 {
-    if (m_owner.has_value()) {
-        m_ports.router.send(*m_owner, Owner::GrantRelease {.grant = m_grant});
-        m_owner.reset();
+    m_ports.owners.unwatch(m_watch);
+    if (m_attempt != nullptr) {
+        m_attempt->cancel();
+    }
+    switch (std::exchange(m_grantState, GrantState::None)) {
+    case GrantState::None:
+        break;
+    case GrantState::Asked:
+        m_ports.grantReturns.giveBackToSilent(m_owner, m_grant);
+        break;
+    case GrantState::Held:
+        m_ports.grantReturns.giveBack(m_owner, m_grant);
+        break;
+    case GrantState::InUse:
+        m_ports.grantReturns.giveBackWhenIdle({.owner = m_owner,
+                                               .grant = m_grant,
+                                               .target = m_granted.target,
+                                               .targetIncarnation = m_granted.targetIncarnation,
+                                               .adapter = m_resolved.adapter});
+        break;
     }
 }
 
+Core::Duration Completion::timeLeft() const
+{
+    return std::max(m_startedAt + m_request.timeout - m_ports.scheduler.now(), Core::Duration::zero());
+}
+
+Core::Scheduler::Task Completion::whileRunning(std::function<void(Completion &)> task)
+{
+    return [weak = weak_from_this(), task = std::move(task)] {
+        if (const auto self = weak.lock(); self != nullptr && !self->m_hasEnded) {
+            task(*self);
+        }
+    };
+}
+
 }
--- a/Libraries/LibFront/Completion.h
+++ b/Libraries/LibFront/Completion.h
@@ -2,16 +2,19 @@
 
 #include <LibFront/CallerAnswer.h>
 #include <LibFront/CompletionRequest.h>
+#include <LibFront/EngineAttempt.h>
 #include <LibFront/FrontPorts.h>
 #include <LibFront/StreamAssembly.h>
 #include <LibOwner/GrantMessages.h>
+#include <deque>
 #include <functional>
 #include <memory>
 
 namespace Front {
 
 // One caller's request from its arrival to the end of its answer: decides the adapter by the tickets in force,
-// asks the owner for a grant, and carries the engine's answer to the caller.
+// asks owners for a grant, carries the engine's answer to the caller, and resumes a broken answer at the same
+// target or under a new grant as long as the failure's rule, the retry budget and the caller's time allow.
 class Completion : public std::enable_shared_from_this<Completion>
 {
 public:
@@ -26,20 +29,44 @@
     void abandon();
 
 private:
-    struct StreamVisitor;
+    struct RankedOwner {
+        Core::HostId owner;
+        bool isOfOwnZone = true;
+    };
+    enum class GrantState {
+        None,
+        Asked,
+        // Nothing runs under it.
+        Held,
+        // An attempt under it was begun and may still run.
+        InUse,
+    };
 
+    void rankOwners();
+    [[nodiscard]] std::vector<Core::TargetId> rankTargetsOf(const Core::ZoneId &zone) const;
+    void addOwnerOf(const Core::TargetId &target);
     void askNextOwner();
-    void takeGrant(const Core::HostId &owner, const std::optional<Owner::GrantReply> &reply);
-    void startStream();
-    void takeHead(const Engine::StreamHead &head);
-    void takeToken(const Engine::StreamToken &token);
-    void takeEnd(const Engine::StreamEnd &end);
-    void takeRefusal(const Engine::StreamRefusal &refusal);
-    void takeBreak(const Engine::StreamBroken &broken);
-    void refuse(Refusal refusal);
+    void sendGrantRequest();
+    void takeGrant(const Owner::GrantReply &reply);
+    void takeOwnerSilence();
+    void askOwnersAnew();
+    void startAttempt(Engine::StreamConnection connection);
+    [[nodiscard]] EngineAttempt::Events attemptEvents();
+    void takeHead();
+    void takeWhole();
+    void takeFailure(const AttemptFailure &failure);
+    void examineTarget(const AttemptFailure &failure);
+    void takeExamined(const AttemptFailure &failure, const std::optional<Engine::EngineStatus> &status);
+    void retryElsewhere();
+    void retryAfterPause(std::function<void(Completion &)> retry);
+    [[nodiscard]] bool isQuarantined();
+    void giveUp(const AttemptFailure &failure);
+    void end(Refusal refusal);
     void finish(Outcome outcome);
-    void releaseGrant();
-    [[nodiscard]] std::vector<Core::HostId> rankOwners() const;
+    void leaveGrant();
+    [[nodiscard]] Core::Duration timeLeft() const;
+    // A task that runs only while this request hasn't ended.
+    [[nodiscard]] Core::Scheduler::Task whileRunning(std::function<void(Completion &)> task);
 
     FrontPorts m_ports;
     Core::HostId m_self;
@@ -49,15 +76,23 @@
     DoneFunction m_done;
     Trace::Span m_span;
     Core::TimePoint m_startedAt {};
+    Core::TimerId m_deadline = Core::TimerId::None;
 
     Ticket::ResolvedAdapter m_resolved;
-    std::vector<Core::HostId> m_ownersToAsk;
-    std::optional<Core::HostId> m_owner;
+    std::uint64_t m_fingerprint = 0;
+    std::deque<RankedOwner> m_ownersToAsk;
+    Core::HostId m_owner;
     Core::GrantId m_grant;
+    GrantState m_grantState = GrantState::None;
+    Routing::OwnerWatch::WatchId m_watch = Routing::OwnerWatch::WatchId::None;
     Owner::GrantReply m_granted;
-    Core::AttemptId m_attempt;
-    Engine::StreamId m_stream = Engine::StreamId::None;
+    std::shared_ptr<EngineAttempt> m_attempt;
     StreamAssembly m_assembly;
+    AttemptFailure m_lastFailure {.failure = Routing::Failure::NoTarget};
+    std::uint32_t m_retries = 0;
+    bool m_isViewDoubtful = false; // An owner of the current round was silent, or denied that it is one.
+    bool m_hasResumedHere = false; // Under the current grant.
+    bool m_mayHaveRun = false;
     bool m_hasBegun = false;
     bool m_hasEnded = false;
 };
--- a/Libraries/LibFront/FrontPorts.h
+++ b/Libraries/LibFront/FrontPorts.h
@@ -3,10 +3,15 @@
 #include <LibCore/IdSource.h>
 #include <LibCore/Scheduler.h>
 #include <LibEngine/EngineLink.h>
+#include <LibFront/GrantReturns.h>
 #include <LibMembership/OwnershipView.h>
 #include <LibMetrics/Registry.h>
 #include <LibPeer/PeerRouter.h>
 #include <LibPlatform/TargetDirectory.h>
+#include <LibRouting/OwnerWatch.h>
+#include <LibRouting/Quarantine.h>
+#include <LibRouting/RetryBudget.h>
+#include <LibRouting/TargetAvoidance.h>
 #include <LibTicket/TicketFeed.h>
 #include <LibTrace/Tracer.h>
 
@@ -21,6 +26,11 @@
     const Membership::OwnershipView &ownership;
     const Platform::TargetDirectory &directory;
     const Ticket::TicketFeed &tickets;
+    GrantReturns &grantReturns;
+    Routing::RetryBudget &retryBudget;
+    Routing::TargetAvoidance &avoidance;
+    Routing::OwnerWatch &owners;
+    Routing::Quarantine &quarantine;
     Trace::Tracer &tracer;
     Metrics::Registry &metrics;
 };
--- /dev/null
+++ b/Libraries/LibFront/Refusals.cpp
@@ -0,0 +1,71 @@
+#include <LibFront/Refusals.h>
+
+namespace Front {
+
+namespace {
+
+constexpr unsigned StatusForbidden = 403;
+constexpr unsigned StatusNotFound = 404;
+constexpr unsigned StatusGone = 410;
+constexpr unsigned StatusUnprocessable = 422;
+constexpr std::int64_t DefaultRetryMilliseconds = 1000;
+
+}
+
+Refusal describe(Ticket::ResolveRefusal reason, const std::string &model)
+{
+    switch (reason) {
+    case Ticket::ResolveRefusal::UnknownAdapter:
+        return {.status = StatusNotFound,
+                .code = "unknown-adapter",
+                .message = "no adapter \"" + model + "\" exists",
+                .advice = "check the model's name"};
+    case Ticket::ResolveRefusal::UnknownVersion:
+        return {.status = StatusNotFound,
+                .code = "unknown-version",
+                .message = "\"" + model + "\" names a version that the adapter doesn't have",
+                .advice = "name another version, or none for the current one"};
+    case Ticket::ResolveRefusal::NotAllowed:
+        return {.status = StatusForbidden,
+                .code = "not-allowed",
+                .message = "no rule lets you reach \"" + model + "\"",
+                .advice = "ask an operator for a rule"};
+    case Ticket::ResolveRefusal::Retired:
+        return {.status = StatusGone,
+                .code = "retired-adapter",
+                .message = "\"" + model + "\" is retired",
+                .advice = "name another adapter"};
+    }
+    return {};
+}
+
+Refusal describe(const AttemptFailure &failure, const std::string &place, Outcome outcome)
+{
+    const auto &rule = Routing::ruleFor(failure.failure);
+    auto message = std::string(rule.message);
+    if (!place.empty()) {
+        message += " (" + place + ')';
+    }
+    if (!failure.reason.empty()) {
+        message += ": " + failure.reason;
+    }
+    const bool isKnown = outcome == Outcome::NotRun;
+    return {.status = rule.status,
+            .outcome = outcome,
+            .code = std::string(rule.code),
+            .message = std::move(message),
+            .advice = isKnown ? "send the request again after the time in Retry-After"
+                              : "the answer isn't whole; send the request again after the time in Retry-After",
+            .retryAfterMilliseconds = DefaultRetryMilliseconds};
+}
+
+Refusal describeQuarantine(Outcome outcome)
+{
+    return {.status = StatusUnprocessable,
+            .outcome = outcome,
+            .code = "crashes-targets",
+            .message = "several targets died while they ran this request; it is refused for some minutes",
+            .advice = "don't send the same prompt again; tell the operators"};
+}
+
+}
--- a/Libraries/LibHost/Host.cpp
+++ b/Libraries/LibHost/Host.cpp
@@ -16,6 +16,11 @@
     , m_tickets(ports.scheduler, ports.table, ports.ids, options.tickets)
     , m_desk(ports.table)
     , m_owner(ports.scheduler, m_router, ports.engines, m_ownership, m_directory, options.owner)
+    , m_grantReturns(ports.scheduler, m_router, ports.engines, m_directory, options.grantReturns)
+    , m_retryBudget(options.retryBudget)
+    , m_avoidance(options.avoidance)
+    , m_owners(ports.scheduler, m_router, options.owners)
+    , m_quarantine(ports.scheduler, m_router, m_leases, options.quarantine)
 {
 }
 
@@ -25,6 +30,8 @@
     m_leases.start();
     m_tickets.start();
     m_owner.start();
+    m_owners.start();
+    m_quarantine.start();
 }
 
 bool Host::isReady() const
@@ -41,6 +48,11 @@
                                    .ownership = m_ownership,
                                    .directory = m_directory,
                                    .tickets = m_tickets,
+                                   .grantReturns = m_grantReturns,
+                                   .retryBudget = m_retryBudget,
+                                   .avoidance = m_avoidance,
+                                   .owners = m_owners,
+                                   .quarantine = m_quarantine,
                                    .tracer = m_ports.tracer,
                                    .metrics = m_ports.metrics};
     const auto number = ++m_lastRun;
@@ -119,6 +131,11 @@
     return m_owner;
 }
 
+const Routing::Quarantine &Host::quarantine() const
+{
+    return m_quarantine;
+}
+
 void Host::checkLeft()
 {
     if (m_left && m_running.empty()) {
--- a/Libraries/LibHost/Host.h
+++ b/Libraries/LibHost/Host.h
@@ -32,6 +32,11 @@
     Membership::HostLeasesOptions leases;
     Ticket::TicketFeedOptions tickets;
     Owner::OwnedTargetsOptions owner;
+    Front::GrantReturnsOptions grantReturns;
+    Routing::RetryBudgetOptions retryBudget;
+    Routing::TargetAvoidanceOptions avoidance;
+    Routing::OwnerWatchOptions owners;
+    Routing::QuarantineTableOptions quarantine;
 };
 
 // Every duty of one entry host, joined. It does no input or output of its own.
@@ -58,6 +63,7 @@
     [[nodiscard]] const Platform::TargetDirectory &directory() const;
     [[nodiscard]] const Ticket::TicketFeed &tickets() const;
     [[nodiscard]] const Owner::OwnedTargets &owner() const;
+    [[nodiscard]] const Routing::Quarantine &quarantine() const;
 
 private:
     void checkLeft();
@@ -71,6 +77,11 @@
     Ticket::TicketFeed m_tickets;
     Ticket::TicketDesk m_desk;
     Owner::OwnedTargets m_owner;
+    Front::GrantReturns m_grantReturns;
+    Routing::RetryBudget m_retryBudget;
+    Routing::TargetAvoidance m_avoidance;
+    Routing::OwnerWatch m_owners;
+    Routing::Quarantine m_quarantine;
     std::uint64_t m_lastRun = 0;
     std::map<std::uint64_t, std::shared_ptr<Front::Completion>> m_running;
     std::function<void()> m_left;
--- a/Libraries/LibOwner/GrantMessages.h
+++ b/Libraries/LibOwner/GrantMessages.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <msgpack.hpp>
 #include <string>
+#include <vector>
 
 namespace Owner {
 
@@ -18,8 +19,10 @@
     std::string baseModel;
     Core::CustomerId customer;
     std::int64_t patienceMilliseconds = 0; // How long the answer may take.
+    std::vector<Core::TargetId> avoid; // Targets that failed the asker lately; used when no other can serve.
+    bool isSuspect = false; // A target died while it ran this request; no two such run on one target.
 
-    MSGPACK_DEFINE(grant, adapter, baseModel, customer, patienceMilliseconds)
+    MSGPACK_DEFINE(grant, adapter, baseModel, customer, patienceMilliseconds, avoid, isSuspect)
 };
 
 enum class GrantOutcome : std::uint8_t {
--- a/Libraries/LibOwner/OwnedTargets.cpp
+++ b/Libraries/LibOwner/OwnedTargets.cpp
@@ -102,6 +102,7 @@
     std::erase_if(m_waiting, [&](const Waiter &waiter) {
         return waiter.request.grant == grant;
     });
+    m_suspects.release(grant);
     for (auto &[target, table] : m_tables) {
         if (table.release(grant, m_scheduler.now())) {
             break;
@@ -124,10 +125,11 @@
 
 bool OwnedTargets::serve(const Waiter &waiter)
 {
-    for (const auto &target : candidates(waiter.request)) {
+    for (const auto &target : openTargets(waiter.request)) {
         auto &table = m_tables.at(target);
         if (const auto *slot = table.find(waiter.request.adapter); slot != nullptr && slot->state == SlotState::Ready) {
             table.grant(waiter.request.adapter, waiter.request.grant, m_scheduler.now());
+            m_suspects.place(target, waiter.request);
             waiter.reply({.outcome = GrantOutcome::Granted,
                           .grant = waiter.request.grant,
                           .target = target,
@@ -141,7 +143,10 @@
 // Returns false when no target can take a load now, so that later waiters need not be tried.
 bool OwnedTargets::startLoad(const Waiter &waiter)
 {
-    const auto targets = candidates(waiter.request);
+    const auto targets = openTargets(waiter.request);
+    if (targets.empty()) {
+        return true;
+    }
     const bool isOnItsWay = std::any_of(targets.begin(), targets.end(), [&](const auto &target) {
         return m_tables.at(target).find(waiter.request.adapter) != nullptr;
     });
@@ -251,6 +256,19 @@
     for (auto &name : Core::rankByRendezvous(request.adapter.toString(), owned)) {
         targets.push_back({std::move(name)});
     }
+    std::vector<Core::TargetId> others;
+    std::copy_if(targets.begin(), targets.end(), std::back_inserter(others), [&](const auto &target) {
+        return std::find(request.avoid.begin(), request.avoid.end(), target) == request.avoid.end();
+    });
+    return others.empty() ? targets : others;
+}
+
+std::vector<Core::TargetId> OwnedTargets::openTargets(const GrantRequest &request) const
+{
+    auto targets = candidates(request);
+    std::erase_if(targets, [&](const auto &target) {
+        return !m_suspects.allows(target, request);
+    });
     return targets;
 }
 
--- a/Libraries/LibOwner/OwnedTargets.h
+++ b/Libraries/LibOwner/OwnedTargets.h
@@ -5,6 +5,7 @@
 #include <LibMembership/OwnershipView.h>
 #include <LibOwner/GrantMessages.h>
 #include <LibOwner/SlotTable.h>
+#include <LibOwner/SuspectPlacement.h>
 #include <LibPeer/PeerRouter.h>
 #include <LibPlatform/TargetDirectory.h>
 #include <deque>
@@ -54,6 +55,8 @@
                     Engine::OrderOutcome outcome);
     void refuseExpired();
     [[nodiscard]] std::vector<Core::TargetId> candidates(const GrantRequest &request) const;
+    // The candidates that may run the request now.
+    [[nodiscard]] std::vector<Core::TargetId> openTargets(const GrantRequest &request) const;
     [[nodiscard]] Engine::EngineAddress addressOf(const Core::TargetId &target) const;
 
     Core::Scheduler &m_scheduler;
@@ -63,6 +66,7 @@
     const Platform::TargetDirectory &m_directory;
     OwnedTargetsOptions m_options;
     std::map<Core::TargetId, SlotTable> m_tables;
+    SuspectPlacement m_suspects;
     std::deque<Waiter> m_waiting;
     std::uint64_t m_loadCount = 0;
 };
--- a/Libraries/LibSettings/DaemonSettings.cpp
+++ b/Libraries/LibSettings/DaemonSettings.cpp
@@ -14,6 +14,7 @@
 constexpr long long MostConnections = 60000;
 constexpr long long DefaultRequestMilliseconds = 120000;
 constexpr long long LongestRequestMilliseconds = 3600000;
+constexpr long long DefaultStreamSilenceMilliseconds = 5000;
 constexpr long long DefaultDrainMilliseconds = 150000;
 
 std::vector<TokenHolder> readTokens(SettingsReader &reader, const char *list, const char *name)
@@ -65,6 +66,8 @@
         limits.number("requestMilliseconds", DefaultRequestMilliseconds, 1, LongestRequestMilliseconds));
     settings.drainTimeout = std::chrono::milliseconds(
         limits.number("drainMilliseconds", DefaultDrainMilliseconds, 0, LongestRequestMilliseconds));
+    settings.streamSilence = std::chrono::milliseconds(
+        limits.number("streamSilenceMilliseconds", DefaultStreamSilenceMilliseconds, 1, LongestRequestMilliseconds));
     limits.finish();
     root.finish();
     if (!mistakes.empty()) {
--- a/Libraries/LibSettings/DaemonSettings.h
+++ b/Libraries/LibSettings/DaemonSettings.h
@@ -29,6 +29,7 @@
     unsigned mostConnections = 0;
     Core::Duration requestTimeout {};
     Core::Duration drainTimeout {};
+    Core::Duration streamSilence {}; // Between two pieces of an engine's stream.
 };
 
 // Reads settings in JSON with comments. Throws InvalidSettings naming every mistake.
--- a/Libraries/LibSettings/Tests/DaemonSettingsTest.cpp
+++ b/Libraries/LibSettings/Tests/DaemonSettingsTest.cpp
@@ -16,10 +16,12 @@
             "listen": {"callers": "127.0.0.1:8080", "peers": "127.0.0.1:9080"},
             "platform": {"address": "127.0.0.1:9000"},
             "peerKey": "secret",
-            "callers": [{"customer": "noor", "token": "t"}]
+            "callers": [{"customer": "noor", "token": "t"}],
+            "limits": {"streamSilenceMilliseconds": 300}
         })");
         CPPUNIT_ASSERT_EQUAL(std::string("mct-a-1"), settings.hostId);
         CPPUNIT_ASSERT_EQUAL(std::string("noor"), settings.callers.front().name);
+        CPPUNIT_ASSERT(settings.streamSilence == std::chrono::milliseconds(300));
     }
 
     void reportsEveryMistakeAtOnce()
--- a/Meta/deployment.sh
+++ b/Meta/deployment.sh
@@ -79,6 +79,7 @@
     "peerKey": "peer-secret",
     "callers": [{"customer": "noor", "token": "noor-token"}],
     "operators": [{"name": "amal", "token": "amal-token"}],
+    "limits": {"streamSilenceMilliseconds": ${stream_silence:-5000}},
     "trace": {"file": "$work/host-$1.trace"}
 }
 SETTINGS
--- a/Tests/Scenario/FakeEngines.cpp
+++ b/Tests/Scenario/FakeEngines.cpp
@@ -76,6 +76,7 @@
     std::uint32_t next = 0;
     bool isRunning = false; // At the engine.
     bool isEnded = false; // At the host.
+    bool isDead = false; // Something between the ends has lost the connection; nothing passes either way.
     Core::TimePoint lastEvent {};
     std::uint64_t sentEvents = 0;
     std::uint64_t takenEvents = 0;
@@ -205,6 +206,9 @@
     const auto cancelled = found->second;
     m_streams.erase(found);
     cancelled->isEnded = true;
+    if (cancelled->isDead) {
+        return;
+    }
     auto &target = m_engines.at(cancelled->engine);
     m_engines.m_network.deliver(m_host, cancelled->engine, *target.process, [this, cancelled] {
         auto &engine = m_engines.at(cancelled->engine);
@@ -214,6 +218,13 @@
     });
 }
 
+void HostEngines::silenceStreams(const std::string &engine)
+{
+    for (const auto &[id, stream] : m_streams) {
+        stream->isDead = stream->isDead || stream->engine == engine;
+    }
+}
+
 void HostEngines::serveStream(const std::shared_ptr<Stream> &stream)
 {
     auto &engine = m_engines.at(stream->engine);
@@ -224,7 +235,6 @@
                   Engine::StreamRefusal {.status = 404, .reason = request.adapter.toString() + " isn't resident"});
         return;
     }
-    engine.startedPrompts.insert(request.prompt);
     ++engine.startCounts[request.prompt];
     stream->isRunning = true;
     engine.onDeath.push_back([this, stream] {
@@ -270,6 +280,9 @@
 
 void HostEngines::sendEvent(const std::shared_ptr<Stream> &stream, Engine::StreamEvent event)
 {
+    if (stream->isDead) {
+        return;
+    }
     // A connection delivers in order and without gaps, or not at all.
     const auto number = ++stream->sentEvents;
     m_engines.m_network.deliver(stream->engine, m_host, m_process, [this, stream, number, event = std::move(event)] {
@@ -287,7 +300,7 @@
             return;
         }
         if (m_process.now() - stream->lastEvent >= SilenceTimeout) {
-            takeEvent(stream, Engine::StreamBroken {.reason = "silent for too long"});
+            takeEvent(stream, Engine::StreamBroken {.isSilent = true, .reason = "silent for too long"});
             return;
         }
         watchSilence(stream);
--- a/Tests/Scenario/FakeEngines.h
+++ b/Tests/Scenario/FakeEngines.h
@@ -27,8 +27,7 @@
     int loadsToFail = 0;
     std::string crashPrompt; // A request whose prompt holds this text ends the process.
     std::uint32_t earlierEvictionsInUse = 0; // Counted by incarnations that have ended.
-    std::set<std::string> startedPrompts; // Over all incarnations.
-    std::map<std::string, int> startCounts;
+    std::map<std::string, int> startCounts; // By prompt, over all incarnations.
     std::vector<std::function<void()>> onDeath; // Breaks the connections that are open.
 };
 
@@ -68,6 +67,8 @@
     Engine::StreamId generate(const Engine::EngineAddress &engine, const Engine::GenerateRequest &request,
                               StreamFunction events) override;
     void cancel(Engine::StreamId stream) override;
+    // Nothing passes any more on the streams that are open with an engine; new ones work.
+    void silenceStreams(const std::string &engine);
 
 private:
     struct Stream;
--- a/Tests/Scenario/FaultCommands.cpp
+++ b/Tests/Scenario/FaultCommands.cpp
@@ -148,6 +148,12 @@
     script.world().platform().setListLag(parseDuration(words[0]));
 }
 
+// silence HOST ENGINE: their open streams go dead without a word, while new ones work.
+void silence(Script &script, Words words)
+{
+    script.world().host(words[0]).engines->silenceStreams(words[1]);
+}
+
 // fail-loads ENGINE COUNT
 void failLoads(Script &script, Words words)
 {
@@ -178,6 +184,7 @@
     script.add("lose-answers", loseAnswers);
     script.add("read-lag", setReadLag);
     script.add("list-lag", setListLag);
+    script.add("silence", silence);
     script.add("fail-loads", failLoads);
     script.add("crash-on", crashOn);
 }
--- a/Tests/Scenario/RequestCommands.cpp
+++ b/Tests/Scenario/RequestCommands.cpp
@@ -4,11 +4,12 @@
 
 namespace {
 
-// request NAME at HOST model MODEL [tokens N] [customer CUSTOMER] [timeout DURATION]
+// request NAME at HOST model MODEL [prompt TEXT] [tokens N] [customer CUSTOMER] [timeout DURATION]
+// Without a prompt the name is the prompt.
 void request(Script &script, Words words)
 {
-    script.world().request(words[0], option(words, "at", ""), option(words, "customer", "noor"),
-                           option(words, "model", ""),
+    script.world().request(words[0], option(words, "at", ""), option(words, "prompt", words[0]),
+                           option(words, "customer", "noor"), option(words, "model", ""),
                            static_cast<std::uint32_t>(std::stoul(option(words, "tokens", "5"))),
                            parseDuration(option(words, "timeout", "60s")));
 }
@@ -44,14 +45,10 @@
     }
 }
 
-// expect starts NAME COUNT: how often engines have begun to run the request.
+// expect starts NAME COUNT: how often engines have begun to run the prompt.
 void expectStarts(Script &script, Words words)
 {
-    int starts = 0;
-    for (const auto &[name, engine] : script.world().engines().all()) {
-        const auto found = engine.startCounts.find(words[0]);
-        starts += found == engine.startCounts.end() ? 0 : found->second;
-    }
+    const int starts = script.world().startsOf(words[0]);
     expect(starts == std::stoi(words[1]), std::to_string(starts) + " starts");
 }
 
--- a/Tests/Scenario/World.cpp
+++ b/Tests/Scenario/World.cpp
@@ -138,11 +138,20 @@
     this->host(host).host->submitTicket(std::move(ticket), std::move(done));
 }
 
-void World::request(const std::string &name, const std::string &host, const std::string &customer,
-                    const std::string &model, std::uint32_t mostTokens, Core::Duration timeout)
+void World::request(const std::string &name, const std::string &host, const std::string &prompt,
+                    const std::string &customer, const std::string &model, std::uint32_t mostTokens,
+                    Core::Duration timeout)
 {
+    for (auto &[earlierName, earlier] : m_requests) {
+        earlier.isPromptReused = earlier.isPromptReused || (earlier.prompt == prompt && earlier.caller->isToldNotRun());
+    }
     auto &request = m_requests[name];
-    request = {.name = name, .host = host, .mostTokens = mostTokens, .caller = std::make_shared<FakeCaller>()};
+    request = {.name = name,
+               .host = host,
+               .prompt = prompt,
+               .startsBefore = startsOf(prompt),
+               .mostTokens = mostTokens,
+               .caller = std::make_shared<FakeCaller>()};
     auto &entry = this->host(host);
     if (entry.process->state() == ProcessState::Dead) {
         request.caller->refuse({.message = "connection refused"});
@@ -151,7 +160,7 @@
     entry.process->runAfter({}, [&request, &entry, customer, model, mostTokens, timeout] {
         request.abandon = entry.host->complete({.customer = {customer},
                                                 .model = model,
-                                                .prompt = request.name,
+                                                .prompt = request.prompt,
                                                 .mostTokens = mostTokens,
                                                 .timeout = timeout},
                                                request.caller);
@@ -174,10 +183,8 @@
 {
     const auto &caller = *request.caller;
     if (caller.isToldNotRun()) {
-        for (const auto &[name, engine] : m_engines.all()) {
-            if (engine.startedPrompts.contains(request.name)) {
-                throw std::runtime_error("invariant: " + request.name + " was told \"not run\" but ran on " + name);
-            }
+        if (!request.isPromptReused && startsOf(request.prompt) > request.startsBefore) {
+            throw std::runtime_error("invariant: " + request.name + " was told \"not run\" but an engine began it");
         }
     }
     if (caller.received().empty()) {
@@ -185,7 +192,7 @@
     }
     std::string whole;
     for (std::uint32_t i = 0; i < request.mostTokens; ++i) {
-        whole += StandIns::tokenAt(caller.head().adapter, request.name, i);
+        whole += StandIns::tokenAt(caller.head().adapter, request.prompt, i);
     }
     if (!whole.starts_with(caller.received())) {
         throw std::runtime_error("invariant: " + request.name + " received text that isn't its own answer");
@@ -195,6 +202,16 @@
     }
 }
 
+int World::startsOf(const std::string &prompt)
+{
+    int starts = 0;
+    for (const auto &[name, engine] : m_engines.all()) {
+        const auto found = engine.startCounts.find(prompt);
+        starts += found == engine.startCounts.end() ? 0 : found->second;
+    }
+    return starts;
+}
+
 void World::loseCallers(const std::string &host)
 {
     for (auto &[name, request] : m_requests) {
--- a/Tests/Scenario/World.h
+++ b/Tests/Scenario/World.h
@@ -26,6 +26,9 @@
 struct FakeRequest {
     std::string name;
     std::string host;
+    std::string prompt;
+    int startsBefore = 0; // How often engines had begun the prompt when this request was sent.
+    bool isPromptReused = false; // By a request sent after this one had been told "not run".
     std::uint32_t mostTokens = 0;
     std::shared_ptr<FakeCaller> caller;
     std::function<void()> abandon;
@@ -47,10 +50,13 @@
     void restartHost(const std::string &name);
     void stopHost(const std::string &name);
     void submitTicket(const std::string &host, Ticket::Ticket ticket, Ticket::TicketDesk::AcceptFunction done);
-    // The prompt is the request's name, so that each is told apart at the engines.
-    void request(const std::string &name, const std::string &host, const std::string &customer,
-                 const std::string &model, std::uint32_t mostTokens, Core::Duration timeout);
+    // Requests with different prompts are told apart at the engines.
+    void request(const std::string &name, const std::string &host, const std::string &prompt,
+                 const std::string &customer, const std::string &model, std::uint32_t mostTokens,
+                 Core::Duration timeout);
     void checkInvariants();
+    // How often engines have begun to run a prompt.
+    [[nodiscard]] int startsOf(const std::string &prompt);
 
     [[nodiscard]] Core::VirtualScheduler &clock();
     [[nodiscard]] Network &network();
