--- a/Libraries/LibFront/Completion.cpp
+++ b/Libraries/LibFront/Completion.cpp
@@ -157,6 +157,7 @@
                                      .avoid = m_ports.avoidance.avoided(m_ports.scheduler.now()),
                                      .isSuspect
                                      = m_ports.quarantine.suspicionOf(m_fingerprint) == Routing::Suspicion::Suspect};
+    m_ports.heldGrants.ask(m_grant, m_resolved.adapter, m_owner);
     m_watch = m_ports.owners.watch(m_owner, whileRunning([](Completion &self) {
                                        self.takeOwnerSilence();
                                    }));
@@ -181,12 +182,14 @@
     m_ports.owners.unwatch(m_watch);
     if (reply.outcome != Owner::GrantOutcome::Granted) {
         m_grantState = GrantState::None;
+        m_ports.heldGrants.release(m_grant);
         m_isViewDoubtful = m_isViewDoubtful || reply.outcome == Owner::GrantOutcome::NotOwner;
         takeFailure({.failure = failureOf(reply.outcome), .reason = reply.reason});
         return;
     }
     m_grantState = GrantState::Held;
     m_granted = reply;
+    m_ports.heldGrants.hold(m_grant, m_granted.target);
     startAttempt(Engine::StreamConnection::Any);
 }
 
--- a/Libraries/LibFront/FrontPorts.h
+++ b/Libraries/LibFront/FrontPorts.h
@@ -6,6 +6,7 @@
 #include <LibFront/GrantReturns.h>
 #include <LibMembership/OwnershipView.h>
 #include <LibMetrics/Registry.h>
+#include <LibOwner/HeldGrants.h>
 #include <LibPeer/PeerRouter.h>
 #include <LibPlatform/TargetDirectory.h>
 #include <LibRouting/OwnerWatch.h>
@@ -24,6 +25,7 @@
     Peer::PeerRouter &router;
     Engine::EngineLink &engines;
     const Membership::OwnershipView &ownership;
+    Owner::HeldGrants &heldGrants;
     const Platform::TargetDirectory &directory;
     const Ticket::TicketFeed &tickets;
     GrantReturns &grantReturns;
--- a/Libraries/LibFront/GrantReturns.cpp
+++ b/Libraries/LibFront/GrantReturns.cpp
@@ -17,10 +17,12 @@
 
 }
 
-GrantReturns::GrantReturns(Core::Scheduler &scheduler, Peer::PeerRouter &router, Engine::EngineLink &engines,
-                           const Platform::TargetDirectory &directory, GrantReturnsOptions options)
+GrantReturns::GrantReturns(Core::Scheduler &scheduler, Peer::PeerRouter &router, Owner::HeldGrants &heldGrants,
+                           Engine::EngineLink &engines, const Platform::TargetDirectory &directory,
+                           GrantReturnsOptions options)
     : m_scheduler(scheduler)
     , m_router(router)
+    , m_heldGrants(heldGrants)
     , m_engines(engines)
     , m_directory(directory)
     , m_options(options)
@@ -29,6 +31,7 @@
 
 void GrantReturns::giveBack(const Core::HostId &owner, const Core::GrantId &grant)
 {
+    m_heldGrants.release(grant);
     m_router.send(owner, Owner::GrantRelease {.grant = grant});
 }
 
--- a/Libraries/LibFront/GrantReturns.h
+++ b/Libraries/LibFront/GrantReturns.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Scheduler.h>
 #include <LibEngine/EngineLink.h>
+#include <LibOwner/HeldGrants.h>
 #include <LibPeer/PeerRouter.h>
 #include <LibPlatform/TargetDirectory.h>
 
@@ -28,8 +29,8 @@
 class GrantReturns
 {
 public:
-    GrantReturns(Core::Scheduler &scheduler, Peer::PeerRouter &router, Engine::EngineLink &engines,
-                 const Platform::TargetDirectory &directory, GrantReturnsOptions options);
+    GrantReturns(Core::Scheduler &scheduler, Peer::PeerRouter &router, Owner::HeldGrants &heldGrants,
+                 Engine::EngineLink &engines, const Platform::TargetDirectory &directory, GrantReturnsOptions options);
 
     // Gives back a grant that surely runs nothing.
     void giveBack(const Core::HostId &owner, const Core::GrantId &grant);
@@ -47,6 +48,7 @@
 
     Core::Scheduler &m_scheduler;
     Peer::PeerRouter &m_router;
+    Owner::HeldGrants &m_heldGrants;
     Engine::EngineLink &m_engines;
     const Platform::TargetDirectory &m_directory;
     GrantReturnsOptions m_options;
--- a/Tests/Scenario/RequestCommands.cpp
+++ b/Tests/Scenario/RequestCommands.cpp
@@ -8,10 +8,10 @@
 // Without a prompt the name is the prompt.
 void request(Script &script, Words words)
 {
-    script.world().request(words[0], option(words, "at", ""), option(words, "prompt", words[0]),
-                           option(words, "customer", "noor"), option(words, "model", ""),
+    script.world().request(words[0], option(words, "at", ""), option(words, "customer", "noor"),
+                           option(words, "model", ""),
                            static_cast<std::uint32_t>(std::stoul(option(words, "tokens", "5"))),
-                           parseDuration(option(words, "timeout", "60s")));
+                           parseDuration(option(words, "timeout", "60s")), option(words, "prompt", ""));
 }
 
 // abandon NAME: the caller goes away.
@@ -45,6 +45,16 @@
     }
 }
 
+// expect all-ended: no caller is waiting or in mid-answer.
+void expectAllEnded(Script &script, Words /*words*/)
+{
+    for (const auto &[name, request] : script.world().requests()) {
+        const auto state = request.caller->state();
+        expect(state != FakeCaller::State::Waiting && state != FakeCaller::State::Streaming,
+               name + " at " + request.host + " is " + request.caller->describe());
+    }
+}
+
 // expect starts NAME COUNT: how often engines have begun to run the prompt.
 void expectStarts(Script &script, Words words)
 {
@@ -59,6 +69,7 @@
     script.add("request", request);
     script.add("abandon", abandon);
     script.add("expect request", expectRequest);
+    script.add("expect all-ended", expectAllEnded);
     script.add("expect starts", expectStarts);
 }
 
--- a/Tests/Scenario/World.cpp
+++ b/Tests/Scenario/World.cpp
@@ -138,10 +138,11 @@
     this->host(host).host->submitTicket(std::move(ticket), std::move(done));
 }
 
-void World::request(const std::string &name, const std::string &host, const std::string &prompt,
-                    const std::string &customer, const std::string &model, std::uint32_t mostTokens,
-                    Core::Duration timeout)
+void World::request(const std::string &name, const std::string &host, const std::string &customer,
+                    const std::string &model, std::uint32_t mostTokens, Core::Duration timeout,
+                    const std::string &givenPrompt)
 {
+    const auto &prompt = givenPrompt.empty() ? name : givenPrompt;
     for (auto &[earlierName, earlier] : m_requests) {
         earlier.isPromptReused = earlier.isPromptReused || (earlier.prompt == prompt && earlier.caller->isToldNotRun());
     }
--- a/Tests/Scenario/World.h
+++ b/Tests/Scenario/World.h
@@ -50,10 +50,10 @@
     void restartHost(const std::string &name);
     void stopHost(const std::string &name);
     void submitTicket(const std::string &host, Ticket::Ticket ticket, Ticket::TicketDesk::AcceptFunction done);
-    // Requests with different prompts are told apart at the engines.
-    void request(const std::string &name, const std::string &host, const std::string &prompt,
-                 const std::string &customer, const std::string &model, std::uint32_t mostTokens,
-                 Core::Duration timeout);
+    // Without a prompt the request's name is the prompt. Different prompts are told apart at the engines.
+    void request(const std::string &name, const std::string &host, const std::string &customer,
+                 const std::string &model, std::uint32_t mostTokens, Core::Duration timeout,
+                 const std::string &givenPrompt = "");
     void checkInvariants();
     // How often engines have begun to run a prompt.
     [[nodiscard]] int startsOf(const std::string &prompt);
