--- a/Libraries/LibEngine/Tests/EngineJsonTest.cpp
+++ b/Libraries/LibEngine/Tests/EngineJsonTest.cpp
@@ -46,9 +46,9 @@
             Engine::LineBuffer buffer;
             for (const auto &piece : pieces) {
                 all += piece;
-                buffer.append(piece, [&](std::string_view line) {
+                RC_ASSERT(buffer.append(piece, [&](std::string_view line) {
                     joined += std::string(line) + '\n';
-                });
+                }));
             }
             RC_ASSERT(joined + buffer.rest() == all);
         });
--- a/Libraries/LibHost/Host.cpp
+++ b/Libraries/LibHost/Host.cpp
@@ -20,6 +20,11 @@
     , m_issuedGrants(ports.scheduler, m_router, m_leases, m_directory, {})
     , m_takeovers(ports.scheduler, m_router, m_ownership, m_leases, m_directory, m_issuedGrants, {})
     , m_owner(ports.scheduler, m_router, m_orders, m_ownership, m_directory, m_issuedGrants, m_takeovers, options.owner)
+    , m_grantReturns(ports.scheduler, m_router, m_heldGrants, ports.engines, m_directory, options.grantReturns)
+    , m_retryBudget(options.retryBudget)
+    , m_avoidance(options.avoidance)
+    , m_owners(ports.scheduler, m_router, options.owners)
+    , m_quarantine(ports.scheduler, m_router, m_leases, options.quarantine)
 {
 }
 
@@ -31,6 +36,8 @@
     m_tickets.start();
     m_heldGrants.start();
     m_owner.start();
+    m_owners.start();
+    m_quarantine.start();
 }
 
 bool Host::isReady() const
@@ -48,6 +55,11 @@
                                    .heldGrants = m_heldGrants,
                                    .directory = m_directory,
                                    .tickets = m_tickets,
+                                   .grantReturns = m_grantReturns,
+                                   .retryBudget = m_retryBudget,
+                                   .avoidance = m_avoidance,
+                                   .owners = m_owners,
+                                   .quarantine = m_quarantine,
                                    .tracer = m_ports.tracer,
                                    .metrics = m_ports.metrics};
     const auto number = ++m_lastRun;
@@ -130,6 +142,11 @@
     return m_owner;
 }
 
+const Routing::Quarantine &Host::quarantine() const
+{
+    return m_quarantine;
+}
+
 void Host::checkLeft()
 {
     if (m_left && m_running.empty() && m_isHandedOver) {
--- a/Libraries/LibHost/Host.h
+++ b/Libraries/LibHost/Host.h
@@ -35,6 +35,11 @@
     Membership::TargetOwnershipOptions ownership;
     Ticket::TicketFeedOptions tickets;
     Owner::OwnedTargetsOptions owner;
+    Front::GrantReturnsOptions grantReturns;
+    Routing::RetryBudgetOptions retryBudget;
+    Routing::TargetAvoidanceOptions avoidance;
+    Routing::OwnerWatchOptions owners;
+    Routing::QuarantineTableOptions quarantine;
 };
 
 // Every duty of one entry host, joined. It does no input or output of its own.
@@ -61,6 +66,7 @@
     [[nodiscard]] const Platform::TargetDirectory &directory() const;
     [[nodiscard]] const Ticket::TicketFeed &tickets() const;
     [[nodiscard]] const Owner::OwnedTargets &owner() const;
+    [[nodiscard]] const Routing::Quarantine &quarantine() const;
 
 private:
     void checkLeft();
@@ -78,6 +84,11 @@
     Owner::IssuedGrants m_issuedGrants;
     Owner::TakeoverGuard m_takeovers;
     Owner::OwnedTargets m_owner;
+    Front::GrantReturns m_grantReturns;
+    Routing::RetryBudget m_retryBudget;
+    Routing::TargetAvoidance m_avoidance;
+    Routing::OwnerWatch m_owners;
+    Routing::Quarantine m_quarantine;
     std::uint64_t m_lastRun = 0;
     std::map<std::uint64_t, std::shared_ptr<Front::Completion>> m_running;
     bool m_isHandedOver = false; // Nothing of this host's is left to hand over.
--- a/Libraries/LibOwner/Dispatcher.cpp
+++ b/Libraries/LibOwner/Dispatcher.cpp
@@ -105,6 +105,7 @@
 
 void Dispatcher::release(const Core::GrantId &grant, Core::TimePoint now)
 {
+    m_suspects.release(grant);
     if (m_waiting.remove(grant)) {
         return;
     }
--- a/Libraries/LibOwner/Dispatcher.h
+++ b/Libraries/LibOwner/Dispatcher.h
@@ -3,6 +3,7 @@
 #include <LibOwner/DispatchAction.h>
 #include <LibOwner/LoadPace.h>
 #include <LibOwner/SlotTable.h>
+#include <LibOwner/SuspectPlacement.h>
 #include <LibOwner/TargetLoad.h>
 #include <LibPolicy/LoadBudget.h>
 #include <LibPolicy/PolicyVersion.h>
@@ -87,6 +88,10 @@
     };
 
     [[nodiscard]] bool canServe(const Core::TargetId &target, const std::string &baseModel) const;
+    // True when this very request may run on the target: suspects stay apart, and targets to avoid come last.
+    [[nodiscard]] bool isOpen(const Core::TargetId &target, const WaitingRequest &request) const;
+    // The oldest request of a group that some target is open for, or null.
+    [[nodiscard]] const WaitingRequest *oldestOpen(const std::vector<WaitingRequest> &group) const;
     [[nodiscard]] bool isDraining(const Core::TargetId &target, const Core::AdapterVersion &adapter) const;
     void refuseExpired(Core::TimePoint now);
     void serveAll(Core::TimePoint now);
@@ -97,13 +102,11 @@
     [[nodiscard]] std::vector<Policy::LoadView> loadCandidates(Core::TimePoint now) const;
     [[nodiscard]] std::optional<Policy::LoadView> viewLoad(const std::vector<WaitingRequest> &group,
                                                            Core::TimePoint now) const;
-    [[nodiscard]] std::optional<Choice> place(const Core::AdapterVersion &adapter, Core::TimePoint now) const;
-    [[nodiscard]] std::optional<Choice> placeFree(const std::string &baseModel,
-                                                  const Core::AdapterVersion &adapter) const;
+    [[nodiscard]] std::optional<Choice> place(const WaitingRequest &request, Core::TimePoint now) const;
+    [[nodiscard]] std::optional<Choice> placeFree(const WaitingRequest &request) const;
     [[nodiscard]] bool mayPlace(const Core::TargetId &target, const Core::AdapterVersion &adapter) const;
     [[nodiscard]] std::optional<Choice> firstEvictable(std::vector<std::pair<double, Choice>> victims) const;
-    [[nodiscard]] std::optional<Choice> placeByEviction(const std::string &baseModel,
-                                                        const Core::AdapterVersion &adapter, Core::TimePoint now) const;
+    [[nodiscard]] std::optional<Choice> placeByEviction(const WaitingRequest &request, Core::TimePoint now) const;
     void drainFor(const Policy::LoadView &load, Core::TimePoint now);
     void beginLoad(const Choice &choice, const Core::AdapterVersion &adapter, Core::TimePoint now);
     [[nodiscard]] Policy::VictimView viewVictim(const Core::TargetId &target, const Core::AdapterVersion &adapter,
@@ -124,6 +127,7 @@
     std::map<Core::TargetId, std::vector<Reservation>> m_reservations;
     std::map<Core::TargetId, Core::AdapterVersion> m_draining;
     WaitingQueue m_waiting;
+    SuspectPlacement m_suspects;
     std::map<Core::AdapterVersion, unsigned> m_failures;
     std::vector<DispatchAction> m_actions;
     std::uint64_t m_loadCount = 0;
--- a/Libraries/LibOwner/DispatcherChoices.cpp
+++ b/Libraries/LibOwner/DispatcherChoices.cpp
@@ -13,6 +13,7 @@
         auto request = m_waiting.serve(*next);
         auto &table = m_tables.at(*target);
         table.grant(request.adapter, request.grant, now);
+        m_suspects.place(*target, request);
         m_loads.at(*target).noteGranted(static_cast<std::uint32_t>(table.grantCount()));
         m_actions.emplace_back(GrantAction {.request = std::move(request), .target = *target});
     }
@@ -24,10 +25,19 @@
     const WaitingRequest *best = nullptr;
     double bestServed = 0;
     for (const auto &[adapter, group] : m_waiting.groups()) {
-        if (!readyTarget(group.front()).has_value()) {
-            continue;
-        }
+        std::optional<bool> isReady; // The same for every request that isn't constrained.
         for (const auto &request : group) {
+            if (request.isConstrained() || !isReady.has_value()) {
+                const bool isThisReady = readyTarget(request).has_value();
+                if (!request.isConstrained()) {
+                    isReady = isThisReady;
+                }
+                if (!isThisReady) {
+                    continue;
+                }
+            } else if (!*isReady) {
+                continue;
+            }
             const double served = m_options.policy->isFair ? m_waiting.served(request.customer) : 0;
             const bool isBetter = best == nullptr || served < bestServed
                 || (served == bestServed && request.arrivedAt < best->arrivedAt);
@@ -49,7 +59,7 @@
         const auto *slot = table.find(request.adapter);
         ++rank;
         if (slot == nullptr || slot->state != SlotState::Ready || !canServe(target, request.baseModel)
-            || isDraining(target, request.adapter) || !mayPlace(target, request.adapter)) {
+            || isDraining(target, request.adapter) || !mayPlace(target, request.adapter) || !isOpen(target, request)) {
             continue;
         }
         const auto granted = table.grantCount();
@@ -74,7 +84,7 @@
             return;
         }
         const auto &first = candidates.front();
-        const auto choice = place(first.adapter, now);
+        const auto choice = place(*oldestOpen(m_waiting.groups().at(first.adapter)), now);
         if (!choice.has_value()) {
             drainFor(first, now);
             return;
@@ -110,10 +120,14 @@
 std::optional<Policy::LoadView> Dispatcher::viewLoad(const std::vector<WaitingRequest> &group,
                                                      Core::TimePoint now) const
 {
-    const auto &oldest = group.front();
+    const auto *open = oldestOpen(group);
+    if (open == nullptr) {
+        return std::nullopt;
+    }
+    const auto &oldest = *open;
     std::size_t copies = 0;
     for (const auto &[target, table] : m_tables) {
-        if (!canServe(target, oldest.baseModel) || !mayPlace(target, oldest.adapter)) {
+        if (!canServe(target, oldest.baseModel) || !mayPlace(target, oldest.adapter) || !isOpen(target, oldest)) {
             continue;
         }
         const auto reserved = m_reservations.find(target);
@@ -135,25 +149,47 @@
         .adapter = oldest.adapter, .waiting = group.size(), .age = now - oldest.arrivedAt, .isReplica = copies > 0};
 }
 
-std::optional<Dispatcher::Choice> Dispatcher::place(const Core::AdapterVersion &adapter, Core::TimePoint now) const
+const WaitingRequest *Dispatcher::oldestOpen(const std::vector<WaitingRequest> &group) const
+{
+    const auto found = std::find_if(group.begin(), group.end(), [this](const WaitingRequest &request) {
+        return !request.isConstrained() || std::any_of(m_tables.begin(), m_tables.end(), [&](const auto &entry) {
+            return canServe(entry.first, request.baseModel) && isOpen(entry.first, request);
+        });
+    });
+    return found == group.end() ? nullptr : &*found;
+}
+
+bool Dispatcher::isOpen(const Core::TargetId &target, const WaitingRequest &request) const
+{
+    const auto isAvoided = [&request](const Core::TargetId &candidate) {
+        return std::find(request.avoid.begin(), request.avoid.end(), candidate) != request.avoid.end();
+    };
+    if (!m_suspects.allows(target, request)) {
+        return false;
+    }
+    return !isAvoided(target) || std::none_of(m_tables.begin(), m_tables.end(), [&](const auto &entry) {
+        return canServe(entry.first, request.baseModel) && !isAvoided(entry.first);
+    });
+}
+
+std::optional<Dispatcher::Choice> Dispatcher::place(const WaitingRequest &request, Core::TimePoint now) const
 {
-    const auto &baseModel = m_waiting.groups().at(adapter).front().baseModel;
-    if (auto free = placeFree(baseModel, adapter); free.has_value()) {
+    if (auto free = placeFree(request); free.has_value()) {
         return free;
     }
-    return placeByEviction(baseModel, adapter, now);
+    return placeByEviction(request, now);
 }
 
-std::optional<Dispatcher::Choice> Dispatcher::placeFree(const std::string &baseModel,
-                                                        const Core::AdapterVersion &adapter) const
+std::optional<Dispatcher::Choice> Dispatcher::placeFree(const WaitingRequest &request) const
 {
+    const auto &adapter = request.adapter;
     std::optional<Choice> best;
     double bestCost = 0;
     std::size_t rank = 0;
     for (const auto &[target, table] : m_tables) {
         ++rank;
-        if (!canServe(target, baseModel) || !table.hasFreeSlot() || table.find(adapter) != nullptr
-            || !mayPlace(target, adapter)) {
+        if (!canServe(target, request.baseModel) || !table.hasFreeSlot() || table.find(adapter) != nullptr
+            || !mayPlace(target, adapter) || !isOpen(target, request)) {
             continue;
         }
         const double cost = m_options.policy->placeCost({.target = target,
@@ -168,13 +204,13 @@
     return best;
 }
 
-std::optional<Dispatcher::Choice> Dispatcher::placeByEviction(const std::string &baseModel,
-                                                              const Core::AdapterVersion &adapter,
-                                                              Core::TimePoint now) const
+std::optional<Dispatcher::Choice> Dispatcher::placeByEviction(const WaitingRequest &request, Core::TimePoint now) const
 {
+    const auto &adapter = request.adapter;
     std::vector<std::pair<double, Choice>> victims;
     for (const auto &[target, table] : m_tables) {
-        if (!canServe(target, baseModel) || table.find(adapter) != nullptr || !mayPlace(target, adapter)) {
+        if (!canServe(target, request.baseModel) || table.find(adapter) != nullptr || !mayPlace(target, adapter)
+            || !isOpen(target, request)) {
             continue;
         }
         for (const auto &victim : table.evictable()) {
@@ -219,10 +255,10 @@
     if (bound == Core::Duration::zero() || load.age < bound || load.isReplica || !m_draining.empty()) {
         return;
     }
-    const auto &baseModel = m_waiting.groups().at(load.adapter).front().baseModel;
+    const auto &request = *oldestOpen(m_waiting.groups().at(load.adapter));
     std::vector<std::pair<double, Choice>> victims;
     for (const auto &[target, table] : m_tables) {
-        if (!canServe(target, baseModel) || !mayPlace(target, load.adapter)) {
+        if (!canServe(target, request.baseModel) || !mayPlace(target, load.adapter) || !isOpen(target, request)) {
             continue;
         }
         for (const auto &[adapter, slot] : table.slots()) {
--- a/Libraries/LibOwner/OwnedTargets.cpp
+++ b/Libraries/LibOwner/OwnedTargets.cpp
@@ -164,7 +164,9 @@
                           .baseModel = request.baseModel,
                           .customer = request.customer,
                           .arrivedAt = now,
-                          .deadline = now + std::chrono::milliseconds(request.patienceMilliseconds)},
+                          .deadline = now + std::chrono::milliseconds(request.patienceMilliseconds),
+                          .avoid = request.avoid,
+                          .isSuspect = request.isSuspect},
                          now);
     step();
 }
--- a/Libraries/LibOwner/WaitingQueue.h
+++ b/Libraries/LibOwner/WaitingQueue.h
@@ -16,6 +16,14 @@
     Core::CustomerId customer;
     Core::TimePoint arrivedAt {};
     Core::TimePoint deadline {};
+    std::vector<Core::TargetId> avoid; // Targets that failed the asker lately; used when no other can serve.
+    bool isSuspect = false; // A target died while it ran this request; no two such run on one target.
+
+    // True when not every target that holds the adapter may be right for it.
+    [[nodiscard]] bool isConstrained() const
+    {
+        return isSuspect || !avoid.empty();
+    }
 };
 
 // The requests that wait for a grant, grouped by the adapter they need. Within the bound each group keeps the order of
--- a/Libraries/LibSettings/DaemonSettings.h
+++ b/Libraries/LibSettings/DaemonSettings.h
@@ -33,6 +33,7 @@
     double storeLoadsPerSecond = 0; // What the weight store allows all hosts together; zero means no limit.
     unsigned storeLoadsAtFullSpeed = 0; // Loads in flight, over all hosts, before each slows; zero means no limit.
     unsigned storeHosts = 1; // Hosts among which both are divided.
+    Core::Duration streamSilence {}; // Between two pieces of an engine's stream.
 };
 
 // Reads settings in JSON with comments. Throws InvalidSettings naming every mistake.
