--- a/Libraries/LibSettings/Tests/DaemonSettingsTest.cpp
+++ b/Libraries/LibSettings/Tests/DaemonSettingsTest.cpp
@@ -5,6 +5,7 @@
 {
     CPPUNIT_TEST_SUITE(DaemonSettingsTest);
     CPPUNIT_TEST(readsSettingsWithComments);
+    CPPUNIT_TEST(readsThePolicy);
     CPPUNIT_TEST(reportsEveryMistakeAtOnce);
     CPPUNIT_TEST_SUITE_END();
 
@@ -22,6 +23,21 @@
         CPPUNIT_ASSERT_EQUAL(std::string("noor"), settings.callers.front().name);
     }
 
+    void readsThePolicy()
+    {
+        const auto settings = Settings::parseDaemonSettings(R"({
+            "host": {"id": "mct-a-1", "zone": "mct-a"},
+            "listen": {"callers": "127.0.0.1:8080", "peers": "127.0.0.1:9080"},
+            "platform": {"address": "127.0.0.1:9000"}, "peerKey": "secret",
+            "policy": {"weighting": "batch-efficiency",
+                       "weightStore": {"loadsPerThousandSeconds": 4500, "loadsAtFullSpeed": 16, "hosts": 6}}
+        })");
+        CPPUNIT_ASSERT_EQUAL(std::string("batch-efficiency"), settings.weighting);
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(4.5, settings.storeLoadsPerSecond, 1e-9);
+        CPPUNIT_ASSERT_EQUAL(16U, settings.storeLoadsAtFullSpeed);
+        CPPUNIT_ASSERT_EQUAL(6U, settings.storeHosts);
+    }
+
     void reportsEveryMistakeAtOnce()
     {
         try {
