--- a/Libraries/LibMembership/OwnershipView.h
+++ b/Libraries/LibMembership/OwnershipView.h
@@ -48,7 +48,8 @@
     [[nodiscard]] virtual bool mayLoad(const Core::TargetId &target) const = 0;
     // Asks for the adapter to be recorded in the allowance of a target that ignores fences.
     virtual void requestAllowance(const Core::TargetId &target, const Core::AdapterVersion &adapter) = 0;
-    // An unload is about to be sent, and has ended with an answer. One without an answer never ends.
+    // An unload is about to be sent, and has ended with an answer. One without an answer ends when a later one of the
+    // same adapter is answered.
     virtual void beginUnload(const Core::TargetId &target, const Core::AdapterVersion &adapter) = 0;
     virtual void endUnload(const Core::TargetId &target, const Core::AdapterVersion &adapter) = 0;
     // True when this host doesn't hold the target and no unload of its own can take effect there any more.
--- a/Libraries/LibOwner/OwnedTargets.cpp
+++ b/Libraries/LibOwner/OwnedTargets.cpp
@@ -55,6 +55,7 @@
         m_guard.end(target);
         m_grants.dropTarget(target);
         m_tables.erase(target);
+        refuseOrphans();
     });
     m_ownership.onAllowanceChanged([this] {
         dispatch();
@@ -326,6 +327,21 @@
     dispatch();
 }
 
+// The fronts of requests that no owned target can serve any more ask the new owner.
+void OwnedTargets::refuseOrphans()
+{
+    std::erase_if(m_waiting, [this](const Waiter &waiter) {
+        if (!candidates(waiter.request).empty()) {
+            return false;
+        }
+        m_grants.release(waiter.request.grant);
+        waiter.reply({.outcome = GrantOutcome::NotOwner,
+                      .grant = waiter.request.grant,
+                      .reason = "another host owns the target now"});
+        return true;
+    });
+}
+
 void OwnedTargets::refuseExpired()
 {
     const auto now = m_scheduler.now();
--- a/Libraries/LibOwner/OwnedTargets.h
+++ b/Libraries/LibOwner/OwnedTargets.h
@@ -61,6 +61,7 @@
     void finishLoad(const Core::TargetId &target, const std::string &incarnation, const Core::AdapterVersion &adapter,
                     Engine::OrderOutcome outcome);
     void refuseExpired();
+    void refuseOrphans();
     [[nodiscard]] std::vector<Core::TargetId> candidates(const GrantRequest &request) const;
     [[nodiscard]] Engine::EngineAddress addressOf(const Core::TargetId &target) const;
 
--- a/Libraries/LibOwner/TakeoverGuard.cpp
+++ b/Libraries/LibOwner/TakeoverGuard.cpp
@@ -100,12 +100,13 @@
         }
     }
     for (const auto &[front, gained] : questions) {
-        m_router.call<GrantAnnouncement>(front, GrantQuery {.gained = gained}, m_options.queryPeriod,
-                                         [this, front = front, gained = gained](const std::optional<GrantAnnouncement> &announcement) {
-                                             if (announcement.has_value()) {
-                                                 takeAnnouncement(front, gained, *announcement);
-                                             }
-                                         });
+        m_router.call<GrantAnnouncement>(
+            front, GrantQuery {.gained = gained}, m_options.queryPeriod,
+            [this, front = front, gained = gained](const std::optional<GrantAnnouncement> &announcement) {
+                if (announcement.has_value()) {
+                    takeAnnouncement(front, gained, *announcement);
+                }
+            });
     }
 }
 
--- a/Tests/Scenario/OwnershipCommands.cpp
+++ b/Tests/Scenario/OwnershipCommands.cpp
@@ -35,6 +35,13 @@
     return names.empty() ? "nobody" : names;
 }
 
+std::uint64_t fenceOf(Script &script, const std::string &target)
+{
+    const auto holders = holdersOf(script, target);
+    expect(holders.size() == 1, join(holders) + " may grant there");
+    return holders.begin()->second;
+}
+
 // expect owner TARGET HOST [seen-by HOST]
 void expectOwner(Script &script, Words words)
 {
@@ -87,15 +94,17 @@
     script.add("expect lease", expectLease);
     script.add("await holder", awaitHolder);
     script.add("unlist", unlist);
-    // expect fence-rises TARGET: the holder's fence is higher than when this was last asked.
-    script.add("expect fence-rises",
-               [last = std::make_shared<std::map<std::string, std::uint64_t>>()](Script &world, Words words) {
-                   const auto holders = holdersOf(world, words[0]);
-                   expect(holders.size() == 1, join(holders) + " may grant there");
-                   const auto fence = holders.begin()->second;
-                   expect(fence > (*last)[words[0]], "the fence is " + std::to_string(fence));
-                   (*last)[words[0]] = fence;
-               });
+    // expect fence-rises TARGET, expect fence-same TARGET: against the fence when this was last asked.
+    const auto last = std::make_shared<std::map<std::string, std::uint64_t>>();
+    script.add("expect fence-rises", [last](Script &asked, Words words) {
+        const auto fence = fenceOf(asked, words[0]);
+        expect(fence > (*last)[words[0]], "the fence is " + std::to_string(fence));
+        (*last)[words[0]] = fence;
+    });
+    script.add("expect fence-same", [last](Script &asked, Words words) {
+        const auto fence = fenceOf(asked, words[0]);
+        expect(fence == (*last)[words[0]], "the fence is " + std::to_string(fence));
+    });
 }
 
 }
