--- a/Libraries/LibOwner/Dispatcher.cpp
+++ b/Libraries/LibOwner/Dispatcher.cpp
@@ -174,7 +174,7 @@
 
 std::vector<DispatchAction> Dispatcher::step(Core::TimePoint now)
 {
-    refuseExpired(now);
+    refuseHopeless(now);
     serveAll(now);
     beginLoads(now);
     return std::exchange(m_actions, {});
@@ -239,11 +239,20 @@
     return found != m_draining.end() && found->second == adapter;
 }
 
-void Dispatcher::refuseExpired(Core::TimePoint now)
+void Dispatcher::refuseHopeless(Core::TimePoint now)
 {
-    for (auto &request : m_waiting.takeExpired(now)) {
+    const auto isExpired = [now](const WaitingRequest &request) {
+        return request.deadline <= now;
+    };
+    for (auto &request : m_waiting.takeMatching(isExpired)) {
         refuse(std::move(request), GrantOutcome::Overloaded, "no place became free in time");
     }
+    const auto isUnserved = [this](const WaitingRequest &request) {
+        return !isServed(request.baseModel);
+    };
+    for (auto &request : m_waiting.takeMatching(isUnserved)) {
+        refuse(std::move(request), GrantOutcome::NotOwner, "the target has another owner now");
+    }
 }
 
 void Dispatcher::refuse(WaitingRequest request, GrantOutcome outcome, std::string reason)
--- a/Libraries/LibOwner/Dispatcher.h
+++ b/Libraries/LibOwner/Dispatcher.h
@@ -93,7 +93,8 @@
     // The oldest request of a group that some target is open for, or null.
     [[nodiscard]] const WaitingRequest *oldestOpen(const std::vector<WaitingRequest> &group) const;
     [[nodiscard]] bool isDraining(const Core::TargetId &target, const Core::AdapterVersion &adapter) const;
-    void refuseExpired(Core::TimePoint now);
+    // Refuses what waited too long, and what no owned target can serve any more.
+    void refuseHopeless(Core::TimePoint now);
     void serveAll(Core::TimePoint now);
     [[nodiscard]] const WaitingRequest *nextToServe() const;
     [[nodiscard]] std::optional<Core::TargetId> readyTarget(const WaitingRequest &request) const;
--- a/Libraries/LibOwner/OwnedTargets.cpp
+++ b/Libraries/LibOwner/OwnedTargets.cpp
@@ -69,6 +69,7 @@
         m_guard.end(target);
         m_grants.dropTarget(target);
         m_dispatcher.removeTarget(target);
+        step();
     });
     m_ownership.onAllowanceChanged([this] {
         step();
--- a/Libraries/LibOwner/WaitingQueue.cpp
+++ b/Libraries/LibOwner/WaitingQueue.cpp
@@ -35,21 +35,21 @@
     return false;
 }
 
-std::vector<WaitingRequest> WaitingQueue::takeExpired(Core::TimePoint now)
+std::vector<WaitingRequest> WaitingQueue::takeMatching(const std::function<bool(const WaitingRequest &)> &matches)
 {
-    std::vector<WaitingRequest> expired;
+    std::vector<WaitingRequest> taken;
     for (auto &[adapter, group] : m_groups) {
-        const auto kept = std::stable_partition(group.begin(), group.end(), [now](const WaitingRequest &request) {
-            return request.deadline > now;
+        const auto kept = std::stable_partition(group.begin(), group.end(), [&](const WaitingRequest &request) {
+            return !matches(request);
         });
-        std::move(kept, group.end(), std::back_inserter(expired));
+        std::move(kept, group.end(), std::back_inserter(taken));
         group.erase(kept, group.end());
     }
     std::erase_if(m_groups, [](const auto &entry) {
         return entry.second.empty();
     });
-    m_size -= expired.size();
-    return expired;
+    m_size -= taken.size();
+    return taken;
 }
 
 std::vector<WaitingRequest> WaitingQueue::takeGroup(const Core::AdapterVersion &adapter)
--- a/Libraries/LibOwner/WaitingQueue.h
+++ b/Libraries/LibOwner/WaitingQueue.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Identifier.h>
 #include <LibCore/Time.h>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
@@ -36,8 +37,8 @@
     void push(WaitingRequest request);
     // Returns false when no such request waits.
     bool remove(const Core::GrantId &grant);
-    // Takes out every request whose deadline has passed.
-    [[nodiscard]] std::vector<WaitingRequest> takeExpired(Core::TimePoint now);
+    // Takes out every request for which the function returns true.
+    [[nodiscard]] std::vector<WaitingRequest> takeMatching(const std::function<bool(const WaitingRequest &)> &matches);
     // Takes out every request for the adapter.
     [[nodiscard]] std::vector<WaitingRequest> takeGroup(const Core::AdapterVersion &adapter);
     // Takes out a request that is served, and counts it for its customer.
