--- a/Libraries/LibOwner/SuspectPlacement.h
+++ b/Libraries/LibOwner/SuspectPlacement.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibOwner/GrantMessages.h>
+#include <LibOwner/WaitingQueue.h>
 #include <map>
 
 namespace Owner {
@@ -11,12 +11,12 @@
 {
 public:
     // True when the request may be placed on the target.
-    [[nodiscard]] bool allows(const Core::TargetId &target, const GrantRequest &request) const
+    [[nodiscard]] bool allows(const Core::TargetId &target, const WaitingRequest &request) const
     {
         return !request.isSuspect || !m_suspects.contains(target);
     }
 
-    void place(const Core::TargetId &target, const GrantRequest &request)
+    void place(const Core::TargetId &target, const WaitingRequest &request)
     {
         if (request.isSuspect) {
             m_suspects[target] = request.grant;
