LibNet: End with suspended connections; share percent encoding

A test that failed while a stream was open showed a stand-in ending by SIGABRT: libmicrohttpd ends the process when it is stopped with suspended connections, which currantbayd would meet at its drain limit. The destructor now resumes them first. endKeepAlive() makes every answer close its connection, for planned stops. The percent encoding of the platform client moves to a file of its own, since the command line needs it too.

--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -85,8 +85,7 @@
             return MHD_YES;
         }
         if (!exchange->m_isAnswered) {
-            exchange->m_isSuspended = true;
-            MHD_suspend_connection(exchange->m_connection);
+            exchange->suspend();
             return MHD_YES;
         }
         return queue(exchange);
@@ -107,6 +106,9 @@
         for (const auto &[name, value] : exchange->m_head.headers) {
             MHD_add_response_header(response, name.c_str(), value.c_str());
         }
+        if (exchange->m_server->m_isKeepAliveEnded) {
+            MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
+        }
         const auto result = MHD_queue_response(exchange->m_connection, exchange->m_head.status, response);
         MHD_destroy_response(response);
         return result;
@@ -123,8 +125,7 @@
             if (exchange.m_end == Exchange::BodyEnd::Cut) {
                 return MHD_CONTENT_READER_END_WITH_ERROR;
             }
-            exchange.m_isSuspended = true;
-            MHD_suspend_connection(exchange.m_connection);
+            exchange.suspend();
             return 0;
         }
         const auto count = std::min(available, most);
@@ -153,6 +154,7 @@
         delete static_cast<std::shared_ptr<Exchange> *>(*state);
         *state = nullptr;
         exchange->m_connection = nullptr;
+        server->m_suspended.erase(exchange.get());
         --server->m_openExchanges;
         auto closed = std::move(exchange->m_closed);
         exchange->m_closed = nullptr;
@@ -221,12 +223,20 @@
     m_closed = std::move(closed);
 }
 
+void Exchange::suspend()
+{
+    m_isSuspended = true;
+    m_server->m_suspended.insert(this);
+    MHD_suspend_connection(m_connection);
+}
+
 void Exchange::wake()
 {
     if (m_connection == nullptr || !m_isSuspended) {
         return;
     }
     m_isSuspended = false;
+    m_server->m_suspended.erase(this);
     MHD_resume_connection(m_connection);
     m_server->scheduleRun();
 }
@@ -262,12 +272,22 @@
     *m_isAlive = false;
     m_loop.cancel(m_timer);
     m_loop.unwatch(m_epollFd);
+    // libmicrohttpd ends the process when it is stopped with connections suspended.
+    for (auto *exchange : m_suspended) {
+        exchange->m_isSuspended = false;
+        MHD_resume_connection(exchange->m_connection);
+    }
     MHD_stop_daemon(m_daemon);
     if (m_listenFd >= 0) {
         close(m_listenFd);
     }
 }
 
+void HttpServer::endKeepAlive()
+{
+    m_isKeepAliveEnded = true;
+}
+
 void HttpServer::stopListening()
 {
     if (m_listenFd < 0) {
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -58,6 +59,7 @@
     friend struct ServerCallbacks;
     enum class BodyEnd { Open, Whole, Cut };
 
+    void suspend();
     void wake();
 
     class HttpServer *m_server = nullptr;
@@ -97,6 +99,8 @@
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
 
+    // Lets every connection end after its next answer, so that kept-alive ones move to another host.
+    void endKeepAlive();
     // Stops accepting connections; exchanges that have begun go on.
     void stopListening();
     // Exchanges whose answer hasn't ended.
@@ -116,7 +120,9 @@
     int m_epollFd = -1;
     int m_listenFd = -1;
     bool m_isRunScheduled = false;
+    bool m_isKeepAliveEnded = false;
     std::size_t m_openExchanges = 0;
+    std::set<Exchange *> m_suspended;
     Core::TimerId m_timer = Core::TimerId::None;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
--- a/Libraries/LibPlatform/HttpPlatform.cpp
+++ b/Libraries/LibPlatform/HttpPlatform.cpp
@@ -1,5 +1,6 @@
 #include <LibPlatform/HttpPlatform.h>
 
+#include <LibNet/PercentEncoding.h>
 #include <LibPlatform/PlatformJson.h>
 
 namespace Platform {
@@ -10,20 +11,6 @@
 constexpr long StatusNotFound = 404;
 constexpr long StatusConflict = 409;
 
-std::string escape(std::string_view text)
-{
-    static constexpr std::string_view Digits = "0123456789ABCDEF";
-    std::string escaped;
-    for (const unsigned char c : text) {
-        if (std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.') {
-            escaped += static_cast<char>(c);
-        } else {
-            escaped += {'%', Digits[c >> 4U], Digits[c & 15U]};
-        }
-    }
-    return escaped;
-}
-
 std::string describeFailure(const Net::HttpResult &result)
 {
     return result.isComplete() ? "answered with status " + std::to_string(result.status) : result.error;
@@ -64,7 +51,7 @@
 
 void HttpPlatform::read(std::string_view table, std::string_view key, ReadFunction done)
 {
-    m_client.start(request("GET", "/v1/row?table=" + escape(table) + "&key=" + escape(key)),
+    m_client.start(request("GET", "/v1/row?table=" + Net::percentEncode(table) + "&key=" + Net::percentEncode(key)),
                    [done = std::move(done)](const Net::HttpResult &result) {
                        if (result.isComplete() && result.status == StatusNotFound) {
                            done({.isAvailable = true});
@@ -85,8 +72,8 @@
 
 void HttpPlatform::scan(std::string_view table, std::string_view afterKey, std::size_t most, ScanFunction done)
 {
-    const auto path
-        = "/v1/rows?table=" + escape(table) + "&after=" + escape(afterKey) + "&most=" + std::to_string(most);
+    const auto path = "/v1/rows?table=" + Net::percentEncode(table) + "&after=" + Net::percentEncode(afterKey)
+        + "&most=" + std::to_string(most);
     m_client.start(request("GET", path), [done = std::move(done)](const Net::HttpResult &result) {
         const auto json = nlohmann::json::parse(result.body, nullptr, false);
         if (!result.isComplete() || result.status != StatusOk || !json.is_array()) {
