--- a/Libraries/LibHost/Host.cpp
+++ b/Libraries/LibHost/Host.cpp
@@ -5,6 +5,12 @@
 
 namespace Host {
 
+namespace {
+
+constexpr auto LeaveCheckPeriod = std::chrono::milliseconds(20);
+
+}
+
 Host::Host(const HostPorts &ports, const HostOptions &options)
     : m_ports(ports)
     , m_options(options)
@@ -13,9 +19,26 @@
     , m_directory(ports.scheduler, ports.hostList, options.listRefreshPeriod)
     , m_leases(ports.scheduler, ports.table, options.record, options.leases)
     , m_ownership(m_leases, m_directory)
+    , m_targetNotices(m_router, m_directory, m_leases)
+    , m_engines(ports.engines,
+                [this](const Core::TargetId &target, const Engine::EngineStatus &status) {
+                    m_targetNotices.take(target, status);
+                })
     , m_tickets(ports.scheduler, ports.table, ports.ids, options.tickets)
-    , m_desk(ports.table)
-    , m_owner(ports.scheduler, m_router, ports.engines, m_ownership, m_directory, options.owner)
+    , m_desk(
+          ports.scheduler, ports.table, ports.ids,
+          [this] {
+              return m_tickets.state()->sequence();
+          },
+          options.desk)
+    , m_archive(ports.table)
+    , m_spread(m_router, ports.ids, m_tickets,
+               [this] {
+                   return spreadPeers();
+               },
+               {.zone = options.record.zone})
+    , m_coldStart(ports.scheduler, m_router, ports.ids, m_tickets, m_directory, m_leases, options.coldStart)
+    , m_owner(ports.scheduler, m_router, m_engines, m_ownership, m_directory, options.owner)
 {
 }
 
@@ -23,13 +46,32 @@
 {
     m_directory.start();
     m_leases.start();
+    m_tickets.onChange([this](const Ticket::TicketState &state) {
+        m_leases.setTicketSequence(state.sequence());
+    });
     m_tickets.start();
+    m_spread.start();
+    m_coldStart.start();
+    m_targetNotices.start();
     m_owner.start();
 }
 
 bool Host::isReady() const
 {
-    return !isLeaving() && m_directory.isFilled() && m_leases.isReady() && m_tickets.isReady();
+    return !isLeaving() && canServe();
+}
+
+bool Host::canServe() const
+{
+    return m_directory.isFilled() && m_leases.isReady() && m_tickets.isReady();
+}
+
+std::optional<std::string> Host::peerAddress(const Core::HostId &host) const
+{
+    if (const auto peer = m_leases.find(host); peer.has_value()) {
+        return peer->peerAddress;
+    }
+    return m_coldStart.addressOf(host);
 }
 
 std::function<void()> Host::complete(Front::CompletionRequest request, std::shared_ptr<Front::CallerAnswer> answer)
@@ -47,7 +89,6 @@
     auto completion = std::make_shared<Front::Completion>(ports, m_options.record.id, m_options.record.zone,
                                                           std::move(request), std::move(answer), [this, number] {
                                                               m_running.erase(number);
-                                                              checkLeft();
                                                           });
     m_running.emplace(number, completion);
     completion->start();
@@ -65,18 +106,23 @@
         const bool isAccepted = result.outcome == Ticket::AcceptOutcome::Accepted;
         Log::write(isAccepted ? Log::Event::TicketAccepted : Log::Event::TicketRefused,
                    {{"ticket", std::to_string(number)}, {"reason", result.reason}});
+        if (result.entry.has_value()) {
+            m_spread.announce(*result.entry);
+        }
         m_tickets.pollSoon();
         done(result);
     });
 }
 
-void Host::leave(std::function<void()> done)
+void Host::leave(Core::Duration grace, std::function<void()> done)
 {
     m_left = std::move(done);
     m_leases.update([](Membership::HostRecord &record) {
         record.isLeaving = true;
     });
-    checkLeft();
+    m_ports.scheduler.runAfter(grace, [this] {
+        checkLeft();
+    });
 }
 
 bool Host::isLeaving() const
@@ -114,16 +160,37 @@
     return m_tickets;
 }
 
+Ticket::TicketArchive &Host::ticketArchive()
+{
+    return m_archive;
+}
+
 const Owner::OwnedTargets &Host::owner() const
 {
     return m_owner;
 }
 
+std::vector<Ticket::SpreadPeer> Host::spreadPeers() const
+{
+    std::vector<Ticket::SpreadPeer> peers;
+    for (const auto &host : m_leases.liveHosts()) {
+        if (host.id != m_options.record.id && !host.isLeaving) {
+            peers.push_back({.id = host.id, .zone = host.zone});
+        }
+    }
+    return peers;
+}
+
+// Other hosts' requests that wait for a target of this host's end here too, so that they are counted.
 void Host::checkLeft()
 {
-    if (m_left && m_running.empty()) {
-        m_ports.scheduler.runAfter({}, std::exchange(m_left, nullptr));
+    if (m_running.empty() && m_owner.waitingCount() == 0) {
+        std::exchange(m_left, nullptr)();
+        return;
     }
+    m_ports.scheduler.runAfter(LeaveCheckPeriod, [this] {
+        checkLeft();
+    });
 }
 
 }
--- a/Libraries/LibHost/Host.h
+++ b/Libraries/LibHost/Host.h
@@ -2,13 +2,18 @@
 
 #include <LibCore/IdSource.h>
 #include <LibFront/Completion.h>
+#include <LibHost/ColdStart.h>
+#include <LibHost/ObservedEngines.h>
+#include <LibHost/TargetNotices.h>
 #include <LibMembership/HashedOwnership.h>
 #include <LibMembership/HostLeases.h>
 #include <LibOwner/OwnedTargets.h>
 #include <LibPeer/PeerRouter.h>
 #include <LibPlatform/TargetDirectory.h>
+#include <LibTicket/TicketArchive.h>
 #include <LibTicket/TicketDesk.h>
 #include <LibTicket/TicketFeed.h>
+#include <LibTicket/TicketSpread.h>
 #include <map>
 
 namespace Host {
@@ -31,6 +36,8 @@
     Core::Duration listRefreshPeriod = std::chrono::milliseconds(1000);
     Membership::HostLeasesOptions leases;
     Ticket::TicketFeedOptions tickets;
+    Ticket::TicketDeskOptions desk;
+    ColdStartOptions coldStart;
     Owner::OwnedTargetsOptions owner;
 };
 
@@ -47,9 +54,15 @@
     std::function<void()> complete(Front::CompletionRequest request, std::shared_ptr<Front::CallerAnswer> answer);
     // Accepts an operator's ticket.
     void submitTicket(Ticket::Ticket ticket, Ticket::TicketDesk::AcceptFunction done);
-    // Takes no new requests; those that run go on. The function runs when none is left.
-    void leave(std::function<void()> done);
+    // Begins a planned stop: tells the other hosts and the platform's balancer, by isReady(), that this host leaves.
+    // Requests that still arrive are served. The function runs when nothing has been running here, nor waiting for
+    // a target that this host owns, at some time after the grace period.
+    void leave(Core::Duration grace, std::function<void()> done);
     [[nodiscard]] bool isLeaving() const;
+    // True when this host knows what it needs to serve a request, also while it leaves.
+    [[nodiscard]] bool canServe() const;
+    // The address at which another host's messages arrive, when it is known.
+    [[nodiscard]] std::optional<std::string> peerAddress(const Core::HostId &host) const;
     [[nodiscard]] std::size_t runningCount() const;
 
     [[nodiscard]] Peer::PeerRouter &router();
@@ -57,10 +70,12 @@
     [[nodiscard]] const Membership::OwnershipView &ownership() const;
     [[nodiscard]] const Platform::TargetDirectory &directory() const;
     [[nodiscard]] const Ticket::TicketFeed &tickets() const;
+    [[nodiscard]] Ticket::TicketArchive &ticketArchive();
     [[nodiscard]] const Owner::OwnedTargets &owner() const;
 
 private:
     void checkLeft();
+    [[nodiscard]] std::vector<Ticket::SpreadPeer> spreadPeers() const;
 
     HostPorts m_ports;
     HostOptions m_options;
@@ -68,8 +83,13 @@
     Platform::TargetDirectory m_directory;
     Membership::HostLeases m_leases;
     Membership::HashedOwnership m_ownership;
+    TargetNotices m_targetNotices;
+    ObservedEngines m_engines;
     Ticket::TicketFeed m_tickets;
     Ticket::TicketDesk m_desk;
+    Ticket::TicketArchive m_archive;
+    Ticket::TicketSpread m_spread;
+    ColdStart m_coldStart;
     Owner::OwnedTargets m_owner;
     std::uint64_t m_lastRun = 0;
     std::map<std::uint64_t, std::shared_ptr<Front::Completion>> m_running;
--- a/Libraries/LibMembership/HostLeases.cpp
+++ b/Libraries/LibMembership/HostLeases.cpp
@@ -33,6 +33,19 @@
                      [](const auto &) {});
 }
 
+void HostLeases::setTicketSequence(std::uint64_t sequence)
+{
+    m_self.ticketSequence = sequence;
+}
+
+void HostLeases::learn(const HostRecord &record)
+{
+    if (record.id != m_self.id) {
+        m_seen.try_emplace(record.id, Seen {.record = record, .changedAt = m_scheduler.now()});
+    }
+    m_isReady = true;
+}
+
 const HostRecord &HostLeases::self() const
 {
     return m_self;
--- a/Libraries/LibMembership/HostLeases.h
+++ b/Libraries/LibMembership/HostLeases.h
@@ -26,6 +26,11 @@
     // Changes what the own row says from the next renewal on, which is sent at once.
     void update(const std::function<void(HostRecord &)> &change);
 
+    // Says in the own row, from the next renewal on, which ticket sequence is in force here.
+    void setTicketSequence(std::uint64_t sequence);
+    // Takes another host's record from a peer, for a host that can't read the rows; a row read later replaces it.
+    void learn(const HostRecord &record);
+
     [[nodiscard]] const HostRecord &self() const;
     // Hosts whose lease hasn't lapsed, this one included, by id.
     [[nodiscard]] std::vector<HostRecord> liveHosts() const;
--- a/Libraries/LibPeer/MessageKind.h
+++ b/Libraries/LibPeer/MessageKind.h
@@ -15,6 +15,8 @@
     // LibTicket, 40 to 49.
     TicketHint = 40,
     SnapshotRequest = 41,
+    SnapshotReply = 42,
+    TargetNotice = 45,
     // LibLedger, 50 to 59.
     ClaimQuery = 50,
     // LibRouting, 60 to 69.
--- a/Libraries/LibSettings/DaemonSettings.cpp
+++ b/Libraries/LibSettings/DaemonSettings.cpp
@@ -14,6 +14,8 @@
 constexpr long long MostConnections = 60000;
 constexpr long long DefaultRequestMilliseconds = 120000;
 constexpr long long LongestRequestMilliseconds = 3600000;
+constexpr long long DefaultLeaveMilliseconds = 5000;
+constexpr long long LongestLeaveMilliseconds = 600000;
 constexpr long long DefaultDrainMilliseconds = 150000;
 
 std::vector<TokenHolder> readTokens(SettingsReader &reader, const char *list, const char *name)
@@ -50,6 +52,7 @@
     auto platform = root.object("platform");
     settings.platformAddress = platform.address("address");
     platform.finish();
+    settings.peers = root.addresses("peers");
     settings.peerKey = root.text("peerKey");
     settings.callers = readTokens(root, "callers", "customer");
     settings.operators = readTokens(root, "operators", "name");
@@ -63,6 +66,8 @@
         = static_cast<unsigned>(limits.number("connections", DefaultConnections, 1, MostConnections));
     settings.requestTimeout = std::chrono::milliseconds(
         limits.number("requestMilliseconds", DefaultRequestMilliseconds, 1, LongestRequestMilliseconds));
+    settings.leaveGrace = std::chrono::milliseconds(
+        limits.number("leaveMilliseconds", DefaultLeaveMilliseconds, 0, LongestLeaveMilliseconds));
     settings.drainTimeout = std::chrono::milliseconds(
         limits.number("drainMilliseconds", DefaultDrainMilliseconds, 0, LongestRequestMilliseconds));
     limits.finish();
--- a/Libraries/LibSettings/DaemonSettings.h
+++ b/Libraries/LibSettings/DaemonSettings.h
@@ -21,6 +21,7 @@
     std::string callerAddress; // "host:port" to listen on for callers and operators.
     std::string peerAddress; // "host:port" to listen on for the system's other hosts.
     std::string platformAddress; // "host:port" of the platform's table service and host list.
+    std::vector<std::string> peers; // Addresses of other hosts, asked when the platform doesn't answer at the start.
     std::string peerKey; // Shared by all hosts of the system.
     std::vector<TokenHolder> callers;
     std::vector<TokenHolder> operators;
@@ -28,6 +29,7 @@
     std::size_t largestBodyBytes = 0;
     unsigned mostConnections = 0;
     Core::Duration requestTimeout {};
+    Core::Duration leaveGrace {};
     Core::Duration drainTimeout {};
 };
 
--- a/Libraries/LibSettings/SettingsReader.cpp
+++ b/Libraries/LibSettings/SettingsReader.cpp
@@ -88,6 +88,23 @@
     return value;
 }
 
+std::vector<std::string> SettingsReader::addresses(const char *name)
+{
+    std::vector<std::string> values;
+    const auto *list = find(name);
+    if (list == nullptr) {
+        return values;
+    }
+    const bool isValid = list->is_array() && std::all_of(list->begin(), list->end(), [](const auto &value) {
+                             return value.is_string() && isAddress(value.template get<std::string>());
+                         });
+    if (!isValid) {
+        report(name, list->dump(), "a list of \"IPv4 address:port\"");
+        return values;
+    }
+    return list->get<std::vector<std::string>>();
+}
+
 long long SettingsReader::number(const char *name, long long fallback, long long least, long long most)
 {
     const auto *value = find(name);
--- a/Libraries/LibSettings/SettingsReader.h
+++ b/Libraries/LibSettings/SettingsReader.h
@@ -31,6 +31,8 @@
     [[nodiscard]] std::string text(const char *name, std::string fallback);
     // "host:port" with an IPv4 address and a port from 1 to 65535.
     [[nodiscard]] std::string address(const char *name);
+    // A list of such addresses, which may be missing.
+    [[nodiscard]] std::vector<std::string> addresses(const char *name);
     [[nodiscard]] long long number(const char *name, long long fallback, long long least, long long most);
     [[nodiscard]] std::string choice(const char *name, std::string fallback, const std::vector<std::string> &allowed);
     // Members of an object, which may be missing when it isn't required.
--- a/Libraries/LibTicket/Ticket.h
+++ b/Libraries/LibTicket/Ticket.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <msgpack.hpp>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -17,6 +18,8 @@
     bool isRetired = false; // A retired adapter answers no new request.
 
     bool operator==(const AdapterState &) const = default;
+
+    MSGPACK_DEFINE(name, baseModel, versions, currentVersion, isRetired)
 };
 
 // The whole new state of one rule: which customers reach which adapters.
@@ -26,6 +29,8 @@
     std::vector<std::string> adapters; // A name, or a prefix ending in "*".
 
     bool operator==(const RuleState &) const = default;
+
+    MSGPACK_DEFINE(name, customers, adapters)
 };
 
 // The whole new state of one path prefix under which calls reach a plain application service.
@@ -35,6 +40,8 @@
     std::vector<std::string> idempotentMethods; // For example "GET"; calls by any other method run at most once.
 
     bool operator==(const ServiceRouteState &) const = default;
+
+    MSGPACK_DEFINE(name, service, idempotentMethods)
 };
 
 using ObjectState = std::variant<AdapterState, RuleState, ServiceRouteState>;
--- a/Libraries/LibTicket/TicketDesk.cpp
+++ b/Libraries/LibTicket/TicketDesk.cpp
@@ -1,36 +1,41 @@
 #include <LibTicket/TicketDesk.h>
 
+#include <LibLog/Log.h>
 #include <LibTicket/TicketJson.h>
+#include <algorithm>
 
 namespace Ticket {
 
-namespace {
-
-constexpr int MostTries = 20;
-constexpr std::size_t NumberKeyDigits = 20;
-constexpr std::string_view HeadKey = "head";
-
-}
-
 // One ticket on its way; rows that were read are the transaction's conditions.
 struct TicketDesk::Submission {
     Ticket ticket;
     AcceptFunction done;
-    int tries = 0;
+    Core::TimePoint startedAt {};
+    Core::Duration retryDelay {};
     std::size_t nextObject = 0;
     bool isOutcomeUnknown = false; // A commit's answer was lost.
     std::uint64_t lastSequence = 0;
     std::vector<Platform::RowCondition> conditions;
 };
 
-std::string numberKey(std::uint64_t number)
+namespace {
+
+AcceptResult unreadable(std::string_view table, const std::string &key)
 {
-    auto digits = std::to_string(number);
-    return std::string(NumberKeyDigits - digits.size(), '0') + digits;
+    Log::write(Log::Event::TicketRowMalformed, {{"table", std::string(table)}, {"key", key}});
+    return {.outcome = AcceptOutcome::Unknown,
+            .reason = "row " + key + " of table " + std::string(table) + " can't be read; mend it, then submit again"};
+}
+
 }
 
-TicketDesk::TicketDesk(Platform::TableService &table)
-    : m_table(table)
+TicketDesk::TicketDesk(Core::Scheduler &scheduler, Platform::TableService &table, Core::IdSource &ids,
+                       KnownSequenceFunction knownSequence, TicketDeskOptions options)
+    : m_scheduler(scheduler)
+    , m_table(table)
+    , m_ids(ids)
+    , m_knownSequence(std::move(knownSequence))
+    , m_options(options)
 {
 }
 
@@ -39,26 +44,22 @@
     auto submission = std::make_shared<Submission>();
     submission->ticket = std::move(ticket);
     submission->done = std::move(done);
+    submission->startedAt = m_scheduler.now();
+    submission->retryDelay = m_options.firstRetryDelay;
     readTicketRow(submission);
 }
 
-void TicketDesk::readTicketRow(const std::shared_ptr<Submission> &submission)
+void TicketDesk::readTicketRow(const SubmissionPointer &submission)
 {
     submission->conditions.clear();
     submission->nextObject = 0;
     m_table.read(Tables::Tickets, numberKey(submission->ticket.number), [this, submission](const auto &result) {
         if (!result.isAvailable) {
-            submission->done({.outcome = AcceptOutcome::Unknown, .reason = result.error});
+            retryRead(submission, result.error);
             return;
         }
         if (result.row.has_value()) {
-            const auto entry = feedEntryFromJson(nlohmann::json::parse(result.row->value));
-            const bool isSame = entry.ticket.objects == submission->ticket.objects;
-            submission->done({.outcome = !isSame                 ? AcceptOutcome::NumberTaken
-                                  : submission->isOutcomeUnknown ? AcceptOutcome::Accepted
-                                                                 : AcceptOutcome::AcceptedBefore,
-                              .sequence = entry.sequence,
-                              .reason = isSame ? "" : "the number belongs to a ticket with another content"});
+            takeTicketRow(submission, *result.row);
             return;
         }
         submission->conditions.push_back(
@@ -67,7 +68,25 @@
     });
 }
 
-void TicketDesk::readObjects(const std::shared_ptr<Submission> &submission)
+// The row of an accepted ticket never changes, so that what it says is final however old the read is.
+void TicketDesk::takeTicketRow(const SubmissionPointer &submission, const Platform::Row &row)
+{
+    const auto entry = feedEntryFromText(row.value);
+    if (!entry.has_value()) {
+        submission->done(unreadable(Tables::Tickets, row.key));
+        return;
+    }
+    if (entry->ticket.objects != submission->ticket.objects) {
+        submission->done(
+            {.outcome = AcceptOutcome::NumberTaken, .reason = "the number belongs to a ticket with another content"});
+        return;
+    }
+    submission->done({.outcome = submission->isOutcomeUnknown ? AcceptOutcome::Accepted : AcceptOutcome::AcceptedBefore,
+                      .sequence = entry->sequence,
+                      .entry = entry});
+}
+
+void TicketDesk::readObjects(const SubmissionPointer &submission)
 {
     if (submission->nextObject == submission->ticket.objects.size()) {
         readFeedHead(submission);
@@ -76,13 +95,16 @@
     const auto key = objectKey(submission->ticket.objects[submission->nextObject]);
     m_table.read(Tables::Objects, key, [this, submission, key](const auto &result) {
         if (!result.isAvailable) {
-            submission->done({.outcome = AcceptOutcome::Unknown, .reason = result.error});
+            retryRead(submission, result.error);
+            return;
+        }
+        const auto number = result.row.has_value() ? numberFromText(result.row->value) : 0;
+        if (!number.has_value()) {
+            submission->done(unreadable(Tables::Objects, key));
             return;
         }
-        const auto number = result.row.has_value() ? std::stoull(result.row->value) : 0;
-        if (number > submission->ticket.number) {
-            submission->done({.outcome = AcceptOutcome::Superseded,
-                              .reason = key + " already carries ticket " + std::to_string(number)});
+        if (*number > submission->ticket.number) {
+            settleSuperseded(submission, key + " already carries ticket " + std::to_string(*number));
             return;
         }
         submission->conditions.push_back({.table = std::string(Tables::Objects),
@@ -93,61 +115,102 @@
     });
 }
 
-void TicketDesk::readFeedHead(const std::shared_ptr<Submission> &submission)
+// An object's number only rises, so that a higher one is final; but this very ticket may have been accepted before
+// the higher one, with its row not yet seen. A transaction that would write nothing decides on the current rows.
+void TicketDesk::settleSuperseded(const SubmissionPointer &submission, const std::string &reason)
 {
-    m_table.read(Tables::FeedHead, HeadKey, [this, submission](const auto &result) {
+    Platform::Transaction check {
+        .conditions
+        = {{.table = std::string(Tables::Tickets), .key = numberKey(submission->ticket.number), .version = 0}}};
+    m_table.transact(std::move(check), [this, submission, reason](const auto &result) {
+        if (result.outcome == Platform::TransactionOutcome::Committed) {
+            submission->done({.outcome = AcceptOutcome::Superseded, .reason = reason});
+            return;
+        }
+        retry(submission, result.outcome == Platform::TransactionOutcome::Conflicted ? reason : result.error);
+    });
+}
+
+void TicketDesk::readFeedHead(const SubmissionPointer &submission)
+{
+    m_table.read(Tables::FeedHead, FeedHeadKey, [this, submission](const auto &result) {
         if (!result.isAvailable) {
-            submission->done({.outcome = AcceptOutcome::Unknown, .reason = result.error});
+            retryRead(submission, result.error);
             return;
         }
-        submission->lastSequence = result.row.has_value() ? std::stoull(result.row->value) : 0;
-        submission->conditions.push_back({.table = std::string(Tables::FeedHead),
-                                          .key = std::string(HeadKey),
-                                          .version = result.row.has_value() ? result.row->version : 0});
+        const auto head = result.row.has_value() ? numberFromText(result.row->value) : 0;
+        if (!head.has_value()) {
+            submission->done(unreadable(Tables::FeedHead, std::string(FeedHeadKey)));
+            return;
+        }
+        submission->lastSequence = std::max({*head, m_knownSequence(), m_lastCommitted});
         commit(submission);
     });
 }
 
-void TicketDesk::commit(const std::shared_ptr<Submission> &submission)
+// The last sequence is surely in the feed, whichever way it was learned. That the next one isn't there yet is a
+// condition, so that no sequence is left out or given twice.
+void TicketDesk::commit(const SubmissionPointer &submission)
 {
     const FeedEntry entry {.sequence = submission->lastSequence + 1, .ticket = submission->ticket};
     const auto text = toJson(entry).dump();
     Platform::Transaction transaction {.conditions = submission->conditions};
-    transaction.puts = {
-        {.table = std::string(Tables::Tickets), .key = numberKey(submission->ticket.number), .value = text},
-        {.table = std::string(Tables::Feed), .key = numberKey(entry.sequence), .value = text},
-        {.table = std::string(Tables::FeedHead), .key = std::string(HeadKey), .value = std::to_string(entry.sequence)}};
+    transaction.conditions.push_back(
+        {.table = std::string(Tables::Feed), .key = numberKey(entry.sequence), .version = 0});
+    transaction.puts
+        = {{.table = std::string(Tables::Tickets), .key = numberKey(submission->ticket.number), .value = text},
+           {.table = std::string(Tables::Feed), .key = numberKey(entry.sequence), .value = text},
+           {.table = std::string(Tables::FeedHead),
+            .key = std::string(FeedHeadKey),
+            .value = std::to_string(entry.sequence)}};
     for (const auto &object : submission->ticket.objects) {
         transaction.puts.push_back({.table = std::string(Tables::Objects),
                                     .key = objectKey(object),
                                     .value = std::to_string(submission->ticket.number)});
     }
-    m_table.transact(std::move(transaction), [this, submission, sequence = entry.sequence](const auto &result) {
+    m_table.transact(std::move(transaction), [this, submission, entry](const auto &result) {
         switch (result.outcome) {
         case Platform::TransactionOutcome::Committed:
-            submission->done({.outcome = AcceptOutcome::Accepted, .sequence = sequence});
+            m_lastCommitted = std::max(m_lastCommitted, entry.sequence);
+            submission->done({.outcome = AcceptOutcome::Accepted, .sequence = entry.sequence, .entry = entry});
             return;
         case Platform::TransactionOutcome::Conflicted:
-            retry(submission);
+            retry(submission, "other tickets are being accepted, or the table service's reads lag");
             return;
         case Platform::TransactionOutcome::Unknown:
             submission->isOutcomeUnknown = true;
-            retry(submission);
+            retry(submission, result.error);
             return;
         case Platform::TransactionOutcome::NotSent:
-            submission->done({.outcome = AcceptOutcome::Unknown, .reason = result.error});
+            retryRead(submission, result.error);
             return;
         }
     });
 }
 
-void TicketDesk::retry(const std::shared_ptr<Submission> &submission)
+void TicketDesk::retry(const SubmissionPointer &submission, const std::string &reason)
 {
-    if (++submission->tries == MostTries) {
-        submission->done({.outcome = AcceptOutcome::Unknown, .reason = "too many tickets at once; submit it again"});
+    // Jitter keeps desks that met in a conflict from meeting again.
+    const auto half = submission->retryDelay / 2;
+    const auto delay = half + half * static_cast<int>(m_ids.randomNumber() % 1000) / 1000;
+    submission->retryDelay = std::min(submission->retryDelay * 2, m_options.longestRetryDelay);
+    if (m_scheduler.now() + delay - submission->startedAt > m_options.patience) {
+        submission->done({.outcome = AcceptOutcome::Unknown, .reason = reason});
         return;
     }
-    readTicketRow(submission);
+    m_scheduler.runAfter(delay, [this, submission] {
+        readTicketRow(submission);
+    });
+}
+
+// A table service that is down is reported at once, unless a commit's fate is still open.
+void TicketDesk::retryRead(const SubmissionPointer &submission, const std::string &error)
+{
+    if (submission->isOutcomeUnknown) {
+        retry(submission, error);
+        return;
+    }
+    submission->done({.outcome = AcceptOutcome::Unknown, .reason = error});
 }
 
 }
--- a/Libraries/LibTicket/TicketJson.cpp
+++ b/Libraries/LibTicket/TicketJson.cpp
@@ -200,9 +200,17 @@
     return {{"sequence", entry.sequence}, {"ticket", toJson(entry.ticket)}};
 }
 
-FeedEntry feedEntryFromJson(const nlohmann::json &json)
+std::optional<FeedEntry> feedEntryFromText(std::string_view text)
 {
-    return {.sequence = json.at("sequence").get<std::uint64_t>(), .ticket = ticketFromJson(json.at("ticket"))};
+    try {
+        const auto json = nlohmann::json::parse(text);
+        return FeedEntry {.sequence = json.at("sequence").get<std::uint64_t>(),
+                          .ticket = ticketFromJson(json.at("ticket"))};
+    } catch (const nlohmann::json::exception &) {
+        return std::nullopt;
+    } catch (const InvalidTicket &) {
+        return std::nullopt;
+    }
 }
 
 }
--- a/Libraries/LibTicket/TicketJson.h
+++ b/Libraries/LibTicket/TicketJson.h
@@ -2,7 +2,9 @@
 
 #include <LibTicket/Ticket.h>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <stdexcept>
+#include <string_view>
 
 namespace Ticket {
 
@@ -17,6 +19,7 @@
 // Reads and checks a ticket. Throws InvalidTicket naming every mistake at once.
 [[nodiscard]] Ticket ticketFromJson(const nlohmann::json &json);
 [[nodiscard]] nlohmann::json toJson(const FeedEntry &entry);
-[[nodiscard]] FeedEntry feedEntryFromJson(const nlohmann::json &json);
+// Reads the text of a feed row or ticket row; without a value it holds no entry.
+[[nodiscard]] std::optional<FeedEntry> feedEntryFromText(std::string_view text);
 
 }
--- a/Libraries/LibTicket/TicketState.cpp
+++ b/Libraries/LibTicket/TicketState.cpp
@@ -4,16 +4,18 @@
 
 namespace Ticket {
 
-namespace {
-
-bool matchesPattern(std::string_view pattern, std::string_view text)
+TicketState::TicketState(const TicketSnapshot &snapshot)
+    : m_sequence(snapshot.sequence)
 {
-    if (!pattern.empty() && pattern.back() == '*') {
-        return text.starts_with(pattern.substr(0, pattern.size() - 1));
+    for (const auto &[number, adapter] : snapshot.adapters) {
+        put(adapter, number);
+    }
+    for (const auto &[number, rule] : snapshot.rules) {
+        put(rule, number);
+    }
+    for (const auto &[number, route] : snapshot.routes) {
+        put(route, number);
     }
-    return pattern == text;
-}
-
 }
 
 TicketState::ApplyOutcome TicketState::apply(const FeedEntry &entry)
@@ -25,14 +27,7 @@
         return ApplyOutcome::OutOfOrder;
     }
     for (const auto &object : entry.ticket.objects) {
-        if (const auto *adapter = std::get_if<AdapterState>(&object)) {
-            m_adapters[adapter->name] = *adapter;
-        } else if (const auto *rule = std::get_if<RuleState>(&object)) {
-            m_rules[rule->name] = *rule;
-        } else if (const auto *route = std::get_if<ServiceRouteState>(&object)) {
-            m_routes[route->name] = *route;
-        }
-        m_objectNumbers[objectKey(object)] = entry.ticket.number;
+        put(object, entry.ticket.number);
     }
     m_sequence = entry.sequence;
     return ApplyOutcome::Applied;
@@ -47,59 +42,128 @@
 {
     const auto separator = model.find('@');
     const std::string name(model.substr(0, separator));
-    const auto found = m_adapters.find(name);
-    if (found == m_adapters.end()) {
+    const auto *adapter = m_adapters.find(name);
+    if (adapter == nullptr) {
         return ResolveRefusal::UnknownAdapter;
     }
-    const auto &adapter = found->second;
     if (!isAllowed(customer, name)) {
         return ResolveRefusal::NotAllowed;
     }
-    if (adapter.isRetired) {
+    if (adapter->isRetired) {
         return ResolveRefusal::Retired;
     }
-    auto version = adapter.currentVersion;
+    auto version = adapter->currentVersion;
     if (separator != std::string_view::npos) {
         version = model.substr(separator + 1);
-        if (std::find(adapter.versions.begin(), adapter.versions.end(), version) == adapter.versions.end()) {
+        if (std::find(adapter->versions.begin(), adapter->versions.end(), version) == adapter->versions.end()) {
             return ResolveRefusal::UnknownVersion;
         }
     }
     return ResolvedAdapter {
-        .adapter = {.adapter = name, .version = version}, .baseModel = adapter.baseModel, .sequence = m_sequence};
+        .adapter = {.adapter = name, .version = version}, .baseModel = adapter->baseModel, .sequence = m_sequence};
 }
 
 const ServiceRouteState *TicketState::findRoute(std::string_view name) const
 {
-    const auto found = m_routes.find(name);
-    return found == m_routes.end() ? nullptr : &found->second;
+    return m_routes.find(name);
 }
 
-const std::map<std::string, AdapterState> &TicketState::adapters() const
+const AdapterState *TicketState::findAdapter(std::string_view name) const
 {
-    return m_adapters;
+    return m_adapters.find(name);
 }
 
-const std::map<std::string, std::uint64_t> &TicketState::objectNumbers() const
+std::map<std::string, AdapterState> TicketState::adapters() const
 {
-    return m_objectNumbers;
+    return m_adapters.sorted();
 }
 
-bool TicketState::isAllowed(const Core::CustomerId &customer, const std::string &adapter) const
+std::uint64_t TicketState::objectNumber(std::string_view key) const
+{
+    const auto *number = m_objectNumbers.find(key);
+    return number == nullptr ? 0 : *number;
+}
+
+TicketSnapshot TicketState::snapshot() const
+{
+    return {.sequence = m_sequence,
+            .adapters = numbered(m_adapters),
+            .rules = numbered(m_rules),
+            .routes = numbered(m_routes)};
+}
+
+template<typename Object>
+std::vector<NumberedObject<Object>> TicketState::numbered(const SharedMap<Object> &objects) const
+{
+    std::vector<NumberedObject<Object>> all;
+    for (const auto &[name, object] : objects.sorted()) {
+        all.push_back({.number = objectNumber(objectKey(object)), .object = object});
+    }
+    return all;
+}
+
+void TicketState::put(const ObjectState &object, std::uint64_t number)
 {
-    for (const auto &[name, rule] : m_rules) {
-        const bool isCustomerNamed
-            = std::any_of(rule.customers.begin(), rule.customers.end(), [&](const auto &pattern) {
-                  return pattern == "*" || pattern == customer.value;
-              });
-        const bool isAdapterNamed = std::any_of(rule.adapters.begin(), rule.adapters.end(), [&](const auto &pattern) {
-            return matchesPattern(pattern, adapter);
+    if (const auto *adapter = std::get_if<AdapterState>(&object)) {
+        m_adapters.set(adapter->name, *adapter);
+    } else if (const auto *rule = std::get_if<RuleState>(&object)) {
+        putRule(*rule);
+    } else if (const auto *route = std::get_if<ServiceRouteState>(&object)) {
+        m_routes.set(route->name, *route);
+    }
+    m_objectNumbers.set(objectKey(object), number);
+}
+
+void TicketState::putRule(const RuleState &rule)
+{
+    const auto change = [this](const std::string &pattern, const auto &edit) {
+        const auto *names = m_rulesByPattern.find(pattern);
+        auto changed = names == nullptr ? RuleNames() : *names;
+        edit(changed);
+        if (changed.empty()) {
+            m_rulesByPattern.remove(pattern);
+        } else {
+            m_rulesByPattern.set(pattern, std::move(changed));
+        }
+    };
+    if (const auto *former = m_rules.find(rule.name); former != nullptr) {
+        for (const auto &pattern : former->adapters) {
+            change(pattern, [&](RuleNames &names) {
+                names.erase(rule.name);
+            });
+        }
+    }
+    for (const auto &pattern : rule.adapters) {
+        change(pattern, [&](RuleNames &names) {
+            names.insert(rule.name);
         });
-        if (isCustomerNamed && isAdapterNamed) {
+    }
+    m_rules.set(rule.name, rule);
+}
+
+bool TicketState::isAllowed(const Core::CustomerId &customer, const std::string &adapter) const
+{
+    if (isAllowedBy(customer, adapter)) {
+        return true;
+    }
+    // Every pattern that ends in "*" and matches the name is one of the name's beginnings.
+    for (std::size_t length = 0; length <= adapter.size(); ++length) {
+        if (isAllowedBy(customer, adapter.substr(0, length) + '*')) {
             return true;
         }
     }
     return false;
 }
 
+bool TicketState::isAllowedBy(const Core::CustomerId &customer, std::string_view pattern) const
+{
+    const auto *names = m_rulesByPattern.find(pattern);
+    return names != nullptr && std::any_of(names->begin(), names->end(), [&](const auto &name) {
+               const auto &customers = m_rules.find(name)->customers;
+               return std::any_of(customers.begin(), customers.end(), [&](const auto &named) {
+                   return named == "*" || named == customer.value;
+               });
+           });
+}
+
 }
--- a/Meta/deployment.sh
+++ b/Meta/deployment.sh
@@ -79,6 +79,8 @@
     "peerKey": "peer-secret",
     "callers": [{"customer": "noor", "token": "noor-token"}],
     "operators": [{"name": "amal", "token": "amal-token"}],
+    "limits": {"leaveMilliseconds": 300},
+    "peers": [${peer_seeds:-}],
     "trace": {"file": "$work/host-$1.trace"}
 }
 SETTINGS
@@ -136,6 +138,21 @@
     write_settings 3 2
     for number in 1 2 3; do start_host "$number"; done
     for number in 1 2 3; do wait_for "http://$(host_address "$number")/readyz"; done
+    wait_hosts 1 2 3
+}
+
+# wait_hosts HOSTS...: waits until each of the hosts sees all of them.
+wait_hosts() {
+    local host
+    for host in "$@"; do
+        for _ in $(seq 300); do
+            operate "$host" host list --json >"$work/hosts-seen" || true
+            [ "$(grep -o '"id":' "$work/hosts-seen" | wc -l)" -ge $# ] && continue 2
+            sleep 0.05
+        done
+        echo "host $host doesn't see the others" >&2
+        return 1
+    done
 }
 
 # wait_sequence SEQUENCE HOSTS...: waits until a ticket sequence is in force at each host.
--- a/Services/currantbayd/CallerInterface.cpp
+++ b/Services/currantbayd/CallerInterface.cpp
@@ -121,7 +121,7 @@
                 .advice = "send the request by POST"});
         return;
     }
-    if (!m_host.isReady()) {
+    if (!m_host.canServe()) {
         refuse(*exchange,
                {.status = StatusUnavailable,
                 .code = "starting",
--- a/Services/currantbayd/Daemon.cpp
+++ b/Services/currantbayd/Daemon.cpp
@@ -26,6 +26,17 @@
             .mostConnections = settings.mostConnections};
 }
 
+std::vector<Core::HostId> seedsOf(const Settings::DaemonSettings &settings)
+{
+    std::vector<Core::HostId> seeds;
+    for (const auto &address : settings.peers) {
+        if (address != settings.peerAddress) {
+            seeds.push_back({address});
+        }
+    }
+    return seeds;
+}
+
 Host::HostOptions hostOptions(const Settings::DaemonSettings &settings, std::uint64_t incarnation)
 {
     return {.record = {.id = {settings.hostId},
@@ -33,7 +44,8 @@
                        .peerAddress = settings.peerAddress,
                        .callerAddress = settings.callerAddress,
                        .incarnation = incarnation},
-            .peerKey = settings.peerKey};
+            .peerKey = settings.peerKey,
+            .coldStart = {.seeds = seedsOf(settings)}};
 }
 
 }
@@ -73,6 +85,9 @@
     m_metrics.gauge("currantbay_ticket_sequence", [this] {
         return static_cast<double>(m_host.tickets().state()->sequence());
     });
+    m_metrics.gauge("currantbay_ticket_feed_malformed_rows", [this] {
+        return static_cast<double>(m_host.tickets().malformedRowCount());
+    });
 }
 
 void Daemon::run()
@@ -91,15 +106,15 @@
 
 void Daemon::send(const Core::HostId &to, std::string bytes)
 {
-    if (const auto peer = m_host.leases().find(to); peer.has_value()) {
-        m_peers.send(peer->peerAddress, bytes);
+    if (const auto address = m_host.peerAddress(to); address.has_value()) {
+        m_peers.send(*address, bytes);
     }
 }
 
 void Daemon::reconnect(const Core::HostId &to)
 {
-    if (const auto peer = m_host.leases().find(to); peer.has_value()) {
-        m_peers.disconnect(peer->peerAddress);
+    if (const auto address = m_host.peerAddress(to); address.has_value()) {
+        m_peers.disconnect(*address);
     }
 }
 
@@ -116,7 +131,7 @@
         exchange->respond({.contentType = "text/plain; version=0.0.4"}, m_metrics.toPrometheusText());
     } else if (path.starts_with("/operator/")) {
         m_operators.take(exchange);
-    } else if (m_isStopping) {
+    } else if (m_isRefusing) {
         refuse(*exchange,
                {.status = 503,
                 .code = "stopping",
@@ -135,10 +150,16 @@
     }
     m_isStopping = true;
     Log::write(Log::Event::DaemonStopping, {{"running", std::to_string(m_host.runningCount())}});
+    m_server.endKeepAlive();
     m_loop.runAfter(m_settings.drainTimeout, [this] {
+        Log::write(Log::Event::DrainCut, {{"running", std::to_string(m_host.runningCount())}});
         m_loop.stop();
     });
-    m_host.leave([this] {
+    // The balancer needs a while to see that this host isn't ready; what arrives until then is served.
+    m_loop.runAfter(m_settings.leaveGrace, [this] {
+        m_isRefusing = true;
+    });
+    m_host.leave(m_settings.leaveGrace, [this] {
         m_server.stopListening();
         awaitExchanges();
     });
--- a/Services/currantbayd/Daemon.h
+++ b/Services/currantbayd/Daemon.h
@@ -44,6 +44,7 @@
     OperatorInterface m_operators;
     Net::HttpServer m_server;
     bool m_isStopping = false;
+    bool m_isRefusing = false; // The grace period of a planned stop is over.
 };
 
 }
--- a/Services/currantbayd/OperatorInterface.cpp
+++ b/Services/currantbayd/OperatorInterface.cpp
@@ -1,6 +1,8 @@
 #include <currantbayd/OperatorInterface.h>
 
 #include <LibTicket/TicketJson.h>
+#include <LibTicket/TicketTables.h>
+#include <algorithm>
 #include <currantbayd/HttpRefusal.h>
 #include <currantbayd/TokenTable.h>
 
@@ -11,21 +13,80 @@
 constexpr unsigned StatusBadRequest = 400;
 constexpr unsigned StatusUnauthorized = 401;
 constexpr unsigned StatusNotFound = 404;
+constexpr unsigned StatusMethodNotAllowed = 405;
 constexpr unsigned StatusConflict = 409;
 constexpr unsigned StatusUnavailable = 503;
+constexpr std::uint64_t DefaultListedTickets = 20;
+constexpr std::uint64_t MostListedTickets = 500;
 
 void respond(Net::Exchange &exchange, const nlohmann::json &json)
 {
     exchange.respond({}, json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
-void answerSubmission(Net::Exchange &exchange, const Ticket::AcceptResult &result)
+void refuseUnknownName(Net::Exchange &exchange, const std::string &what, const std::string &command)
+{
+    refuse(exchange,
+           {.status = StatusNotFound,
+            .code = "not-found",
+            .message = "there is no " + what,
+            .advice = "see currantbay " + command});
+}
+
+void refuseBadNumber(Net::Exchange &exchange, const std::string &found)
+{
+    refuse(exchange,
+           {.status = StatusBadRequest,
+            .code = "bad-number",
+            .message = "found \"" + found + "\" where a whole number in range is expected",
+            .advice = "correct the number"});
+}
+
+void refuseSilentTable(Net::Exchange &exchange, const std::string &error)
+{
+    refuse(exchange,
+           {.status = StatusUnavailable,
+            .code = "table-service-silent",
+            .message = "the table service: " + error,
+            .advice = "try again; nothing was changed"});
+}
+
+nlohmann::json describeTicket(const Ticket::FeedEntry &entry, std::uint64_t sequenceInForce)
+{
+    auto json = Ticket::toJson(entry.ticket);
+    json["sequence"] = entry.sequence;
+    json["inForceHere"] = entry.sequence <= sequenceInForce;
+    return json;
+}
+
+nlohmann::json describeAdapter(const Ticket::AdapterState &adapter, const Ticket::TicketState &state)
+{
+    return {{"name", adapter.name},         {"baseModel", adapter.baseModel},
+            {"versions", adapter.versions}, {"currentVersion", adapter.currentVersion},
+            {"retired", adapter.isRetired}, {"ticket", state.objectNumber("adapter/" + adapter.name)}};
+}
+
+std::string_view toText(Owner::SlotState state)
+{
+    switch (state) {
+    case Owner::SlotState::Loading:
+        return "loading";
+    case Owner::SlotState::Ready:
+        return "ready";
+    case Owner::SlotState::Unloading:
+        return "unloading";
+    }
+    return "";
+}
+
+void answerSubmission(Net::Exchange &exchange, std::uint64_t number, const Ticket::AcceptResult &result)
 {
     switch (result.outcome) {
     case Ticket::AcceptOutcome::Accepted:
     case Ticket::AcceptOutcome::AcceptedBefore:
         respond(exchange,
                 {{"accepted", true},
+                 {"number", number},
                  {"before", result.outcome == Ticket::AcceptOutcome::AcceptedBefore},
                  {"sequence", result.sequence}});
         return;
@@ -68,30 +129,45 @@
                 .advice = "use an operator's token"});
         return;
     }
-    if (request.path == "/operator/tickets" && request.method == "POST") {
-        submitTicket(exchange, *operatorName);
-    } else if (request.path == "/operator/adapters") {
-        listAdapters(*exchange);
-    } else if (request.path == "/operator/targets") {
-        listTargets(*exchange);
-    } else if (request.path == "/operator/hosts") {
-        listHosts(*exchange);
-    } else {
-        refuse(*exchange,
-               {.status = StatusNotFound,
-                .code = "unknown-path",
-                .message = "nothing is served at " + request.path,
-                .advice = "see currantbay --help"});
+    m_operator = *operatorName;
+    bool isPathKnown = false;
+    for (const auto &[method, path, serve] : routes()) {
+        const bool isMatch = path.ends_with('/') ? request.path.starts_with(path) && request.path.size() > path.size()
+                                                 : request.path == path;
+        isPathKnown = isPathKnown || isMatch;
+        if (isMatch && request.method == method) {
+            (this->*serve)(exchange, request.path.substr(path.size()));
+            return;
+        }
     }
+    refuse(*exchange,
+           {.status = isPathKnown ? StatusMethodNotAllowed : StatusNotFound,
+            .code = isPathKnown ? "wrong-method" : "unknown-path",
+            .message
+            = isPathKnown ? request.path + " doesn't take " + request.method : "nothing is served at " + request.path,
+            .advice = "see currantbay --help"});
 }
 
-void OperatorInterface::submitTicket(const std::shared_ptr<Net::Exchange> &exchange, const std::string &operatorName)
+const std::vector<OperatorInterface::Route> &OperatorInterface::routes()
+{
+    using Self = OperatorInterface;
+    static const std::vector<Route> all {
+        {"POST", "/operator/tickets", &Self::submitTicket}, {"GET", "/operator/tickets", &Self::listTickets},
+        {"GET", "/operator/tickets/", &Self::showTicket},   {"GET", "/operator/adapters", &Self::listAdapters},
+        {"GET", "/operator/adapters/", &Self::showAdapter}, {"GET", "/operator/targets", &Self::listTargets},
+        {"GET", "/operator/targets/", &Self::showTarget},   {"GET", "/operator/hosts", &Self::listHosts},
+    };
+    return all;
+}
+
+void OperatorInterface::submitTicket(const ExchangePointer &exchange, const std::string & /*name*/)
 {
     try {
         auto ticket = Ticket::ticketFromJson(nlohmann::json::parse(exchange->request().body));
-        ticket.submittedBy = operatorName;
-        m_host.submitTicket(std::move(ticket), [exchange](const auto &result) {
-            answerSubmission(*exchange, result);
+        ticket.submittedBy = m_operator;
+        const auto number = ticket.number;
+        m_host.submitTicket(std::move(ticket), [exchange, number](const auto &result) {
+            answerSubmission(*exchange, number, result);
         });
     } catch (const std::exception &error) {
         refuse(*exchange,
@@ -102,36 +178,120 @@
     }
 }
 
-void OperatorInterface::listAdapters(Net::Exchange &exchange) const
+void OperatorInterface::listTickets(const ExchangePointer &exchange, const std::string & /*name*/)
+{
+    const auto &query = exchange->request().query;
+    const auto asked = query.find("last");
+    const auto last = asked == query.end() ? DefaultListedTickets : Ticket::numberFromText(asked->second).value_or(0);
+    if (last == 0 || last > MostListedTickets) {
+        refuseBadNumber(*exchange, asked->second);
+        return;
+    }
+    const auto inForce = m_host.tickets().state()->sequence();
+    m_host.ticketArchive().after(inForce - std::min(inForce, last), last, [exchange, inForce](const auto &answer) {
+        if (!answer.error.empty()) {
+            refuseSilentTable(*exchange, answer.error);
+            return;
+        }
+        auto tickets = nlohmann::json::array();
+        for (const auto &entry : answer.entries) {
+            tickets.push_back(describeTicket(entry, inForce));
+        }
+        respond(*exchange, tickets);
+    });
+}
+
+void OperatorInterface::showTicket(const ExchangePointer &exchange, const std::string &name)
+{
+    const auto number = Ticket::numberFromText(name);
+    if (!number.has_value()) {
+        refuseBadNumber(*exchange, name);
+        return;
+    }
+    const auto inForce = m_host.tickets().state()->sequence();
+    m_host.ticketArchive().find(*number, [exchange, name, inForce](const auto &answer) {
+        if (!answer.error.empty()) {
+            refuseSilentTable(*exchange, answer.error);
+        } else if (answer.entries.empty()) {
+            refuseUnknownName(*exchange, "accepted ticket " + name, "ticket list");
+        } else {
+            respond(*exchange, describeTicket(answer.entries.front(), inForce));
+        }
+    });
+}
+
+void OperatorInterface::listAdapters(const ExchangePointer &exchange, const std::string & /*name*/)
 {
     auto adapters = nlohmann::json::array();
     const auto state = m_host.tickets().state();
     for (const auto &[name, adapter] : state->adapters()) {
-        adapters.push_back({{"name", name},
-                            {"baseModel", adapter.baseModel},
-                            {"versions", adapter.versions},
-                            {"currentVersion", adapter.currentVersion},
-                            {"retired", adapter.isRetired},
-                            {"ticket", state->objectNumbers().at("adapter/" + name)}});
+        adapters.push_back(describeAdapter(adapter, *state));
+    }
+    respond(*exchange, adapters);
+}
+
+void OperatorInterface::showAdapter(const ExchangePointer &exchange, const std::string &name)
+{
+    const auto state = m_host.tickets().state();
+    const auto *adapter = state->findAdapter(name);
+    if (adapter == nullptr) {
+        refuseUnknownName(*exchange, "adapter \"" + name + '"', "adapter list");
+        return;
     }
-    respond(exchange, adapters);
+    respond(*exchange, describeAdapter(*adapter, *state));
 }
 
-void OperatorInterface::listTargets(Net::Exchange &exchange) const
+void OperatorInterface::listTargets(const ExchangePointer &exchange, const std::string & /*name*/)
 {
     auto targets = nlohmann::json::array();
     for (const auto &[id, target] : m_host.directory().all()) {
-        const auto ownership = m_host.ownership().ownerOf(id);
-        targets.push_back({{"name", id.value},
-                           {"zone", target.zone.value},
-                           {"role", target.role},
-                           {"state", target.state == Platform::MachineState::Live ? "live" : "leaving"},
-                           {"owner", ownership.has_value() ? ownership->owner.value : ""}});
+        targets.push_back(describe(target));
+    }
+    respond(*exchange, targets);
+}
+
+void OperatorInterface::showTarget(const ExchangePointer &exchange, const std::string &name)
+{
+    const auto *target = m_host.directory().find({name});
+    if (target == nullptr) {
+        refuseUnknownName(*exchange, "target \"" + name + '"', "target list");
+        return;
+    }
+    auto json = describe(*target);
+    json["address"] = target->address;
+    json["slots"] = describeSlots(target->id);
+    respond(*exchange, json);
+}
+
+nlohmann::json OperatorInterface::describe(const Platform::Target &target) const
+{
+    const auto ownership = m_host.ownership().ownerOf(target.id);
+    return {{"name", target.id.value},
+            {"zone", target.zone.value},
+            {"role", target.role},
+            {"state", target.state == Platform::MachineState::Live ? "live" : "leaving"},
+            {"owner", ownership.has_value() ? ownership->owner.value : ""}};
+}
+
+// The slots as their owner decides them; null where this host isn't the owner.
+nlohmann::json OperatorInterface::describeSlots(const Core::TargetId &target) const
+{
+    const auto ownership = m_host.ownership().ownerOf(target);
+    const auto table = m_host.owner().tables().find(target);
+    if (!ownership.has_value() || ownership->owner != m_host.leases().self().id
+        || table == m_host.owner().tables().end()) {
+        return nullptr;
+    }
+    auto slots = nlohmann::json::array();
+    for (const auto &[adapter, slot] : table->second.slots()) {
+        slots.push_back({{"adapter", adapter.toString()},
+                         {"state", std::string(toText(slot.state))},
+                         {"grants", slot.grants.size()}});
     }
-    respond(exchange, targets);
+    return slots;
 }
 
-void OperatorInterface::listHosts(Net::Exchange &exchange) const
+void OperatorInterface::listHosts(const ExchangePointer &exchange, const std::string & /*name*/)
 {
     auto hosts = nlohmann::json::array();
     for (const auto &host : m_host.leases().liveHosts()) {
@@ -141,7 +301,7 @@
                          {"ticketSequence", host.ticketSequence},
                          {"leaving", host.isLeaving}});
     }
-    respond(exchange, hosts);
+    respond(*exchange, hosts);
 }
 
 }
--- a/Tests/Scenario/FakeEngines.cpp
+++ b/Tests/Scenario/FakeEngines.cpp
@@ -224,6 +224,7 @@
                   Engine::StreamRefusal {.status = 404, .reason = request.adapter.toString() + " isn't resident"});
         return;
     }
+    engine.lastStart = m_engines.m_world.now();
     engine.startedPrompts.insert(request.prompt);
     ++engine.startCounts[request.prompt];
     stream->isRunning = true;
--- a/Tests/Scenario/FakeEngines.h
+++ b/Tests/Scenario/FakeEngines.h
@@ -29,6 +29,8 @@
     std::uint32_t earlierEvictionsInUse = 0; // Counted by incarnations that have ended.
     std::set<std::string> startedPrompts; // Over all incarnations.
     std::map<std::string, int> startCounts;
+    Core::TimePoint lastStart {}; // When a request last began to run.
+    Core::TimePoint leftAt {}; // When a scenario let it begin to leave.
     std::vector<std::function<void()>> onDeath; // Breaks the connections that are open.
 };
 
--- a/Tests/Scenario/FakePlatform.cpp
+++ b/Tests/Scenario/FakePlatform.cpp
@@ -62,6 +62,11 @@
     });
 }
 
+void FakePlatform::putRow(const std::string &table, const std::string &key, const std::string &value)
+{
+    (void)m_rows.transact({.puts = {{.table = table, .key = key, .value = value}}});
+}
+
 const StandIns::MemoryTable &FakePlatform::rows() const
 {
     return m_rows;
--- a/Tests/Scenario/FakePlatform.h
+++ b/Tests/Scenario/FakePlatform.h
@@ -31,6 +31,8 @@
     void setListLag(Core::Duration lag);
     void putMachine(const Platform::ListedMachine &machine);
     void removeMachine(const std::string &name);
+    // Changes a row without any host.
+    void putRow(const std::string &table, const std::string &key, const std::string &value);
     [[nodiscard]] const StandIns::MemoryTable &rows() const;
     [[nodiscard]] std::uint64_t writeCount() const;
     [[nodiscard]] const PlatformTraffic &trafficOf(const std::string &host);
--- a/Tests/Scenario/TicketCommands.cpp
+++ b/Tests/Scenario/TicketCommands.cpp
@@ -55,6 +55,27 @@
     expect(sequence == std::stoull(words[1]), "sequence " + std::to_string(sequence) + " is in force");
 }
 
+// expect same-tickets HOST HOST: both have the same state in force, down to the byte.
+void expectSameTickets(Script &script, Words words)
+{
+    const auto packed = [&](const std::string &host) {
+        return Peer::pack(script.world().host(host).host->tickets().state()->snapshot());
+    };
+    expect(packed(words[0]) == packed(words[1]), "the states differ");
+}
+
+// malformed-feed-row SEQUENCE: someone has written nonsense into the feed.
+void breakFeedRow(Script &script, Words words)
+{
+    script.world().platform().putRow("ticket-feed", Ticket::numberKey(std::stoull(words[0])), "{nonsense");
+}
+
+// expect malformed HOST: the host has counted rows that can't be read.
+void expectMalformed(Script &script, Words words)
+{
+    expect(script.world().host(words[0]).host->tickets().malformedRowCount() > 0, "none was counted");
+}
+
 }
 
 void addTicketCommands(Script &script)
@@ -62,6 +83,9 @@
     script.add("ticket", submit);
     script.add("expect ticket", expectOutcome);
     script.add("expect sequence", expectSequence);
+    script.add("expect same-tickets", expectSameTickets);
+    script.add("malformed-feed-row", breakFeedRow);
+    script.add("expect malformed", expectMalformed);
 }
 
 }
--- a/Tests/Scenario/World.cpp
+++ b/Tests/Scenario/World.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr auto InvariantPeriod = std::chrono::milliseconds(50);
+constexpr auto StopGrace = std::chrono::milliseconds(500);
 
 }
 
@@ -71,11 +72,12 @@
                            .fenceChecking = options.fenceChecking});
 }
 
-void World::addHost(const std::string &name, const std::string &zone)
+void World::addHost(const std::string &name, const std::string &zone, std::vector<Core::HostId> seeds)
 {
     auto &host = m_hosts[name];
     host.name = name;
     host.zone = zone;
+    host.seeds = std::move(seeds);
     boot(host);
 }
 
@@ -103,7 +105,8 @@
                                                                            .peerAddress = host.name,
                                                                            .callerAddress = host.name,
                                                                            .incarnation = host.ids->randomNumber()},
-                                                                .peerKey = "key"});
+                                                                .peerKey = "key",
+                                                                .coldStart = {.seeds = host.seeds}});
     host.host->start();
 }
 
@@ -120,6 +123,7 @@
     FakeHost fresh;
     fresh.name = name;
     fresh.zone = current.zone;
+    fresh.seeds = current.seeds;
     m_formerHosts.push_back(std::exchange(current, std::move(fresh)));
     boot(current);
 }
@@ -127,7 +131,7 @@
 void World::stopHost(const std::string &name)
 {
     auto &stopping = host(name);
-    stopping.host->leave([this, name] {
+    stopping.host->leave(StopGrace, [this, name] {
         host(name).hasLeft = true;
         killHost(name);
     });
@@ -165,6 +169,12 @@
             throw std::runtime_error("invariant: " + name + " evicted an adapter that was serving a request");
         }
     }
+    for (auto &[name, host] : m_hosts) {
+        const auto sequence = host.host->tickets().state()->sequence();
+        if (sequence < std::exchange(host.lastSequence, sequence)) {
+            throw std::runtime_error("invariant: " + name + " went back to an earlier ticket");
+        }
+    }
     for (const auto &[name, request] : m_requests) {
         checkAnswer(request);
     }
--- a/Tests/Scenario/World.h
+++ b/Tests/Scenario/World.h
@@ -11,6 +11,8 @@
 struct FakeHost {
     std::string name;
     std::string zone;
+    std::vector<Core::HostId> seeds; // Of the settings.
+    std::uint64_t lastSequence = 0; // Since it started.
     std::unique_ptr<ProcessScheduler> process;
     std::unique_ptr<Core::IdSource> ids;
     std::unique_ptr<Trace::Tracer> tracer;
@@ -42,7 +44,7 @@
     // Moves time forward and checks every invariant afterwards; throws std::runtime_error naming a violated one.
     void run(Core::Duration duration);
     void addEngine(const FakeEngineOptions &options);
-    void addHost(const std::string &name, const std::string &zone);
+    void addHost(const std::string &name, const std::string &zone, std::vector<Core::HostId> seeds = {});
     void killHost(const std::string &name);
     void restartHost(const std::string &name);
     void stopHost(const std::string &name);
--- a/Tests/Scenario/WorldCommands.cpp
+++ b/Tests/Scenario/WorldCommands.cpp
@@ -4,10 +4,14 @@
 
 namespace {
 
-// host NAME zone ZONE
+// host NAME zone ZONE [peer HOST]: the peer stands in the host's settings.
 void addHost(Script &script, Words words)
 {
-    script.world().addHost(words[0], option(words, "zone", "a"));
+    std::vector<Core::HostId> seeds;
+    if (const auto peer = option(words, "peer", ""); !peer.empty()) {
+        seeds.push_back({peer});
+    }
+    script.world().addHost(words[0], option(words, "zone", "a"), std::move(seeds));
 }
 
 // engine NAME zone ZONE [slots N] [load DURATION] [token DURATION] [fence checks|ignores]
