--- a/Utilities/currantbay/ListCommands.cpp
+++ b/Utilities/currantbay/ListCommands.cpp
@@ -1,5 +1,6 @@
 #include <currantbay/Commands.h>
 
+#include <LibNet/PercentEncoding.h>
 #include <iostream>
 
 namespace Client {
@@ -12,6 +13,8 @@
     const char *description;
     const char *path;
     std::vector<Column> columns;
+    bool hasShow = false; // Whether a path below gives one of the list.
+    const char *example = "";
 };
 
 const std::vector<ListCommand> &listCommands()
@@ -25,11 +28,15 @@
           {"CURRENT", "currentVersion"},
           {"VERSIONS", "versions"},
           {"RETIRED", "retired"},
-          {"TICKET", "ticket"}}},
+          {"TICKET", "ticket"}},
+         true,
+         "outline-sohar"},
         {"target",
          "Targets, their state and their owner",
          "/operator/targets",
-         {{"NAME", "name"}, {"ZONE", "zone"}, {"ROLE", "role"}, {"STATE", "state"}, {"OWNER", "owner"}}},
+         {{"NAME", "name"}, {"ZONE", "zone"}, {"ROLE", "role"}, {"STATE", "state"}, {"OWNER", "owner"}},
+         true,
+         "engine-1"},
         {"host",
          "Entry hosts and the last ticket in force at each",
          "/operator/hosts",
@@ -44,16 +51,18 @@
 
 ExitCode list(const CommonOptions &common, const ListCommand &command)
 {
-    const auto answer = ApiClient(common.connection).call("GET", command.path);
-    if (!answer.isSuccess()) {
-        return reportFailure(answer);
-    }
-    if (common.form == OutputForm::Json) {
-        std::cout << answer.body << '\n';
-    } else {
-        printTable(answer.json(), command.columns);
-    }
-    return ExitCode::Done;
+    return showList(common, ApiClient(common.connection).call("GET", command.path), command.columns);
+}
+
+ExitCode showOne(const CommonOptions &common, const ListCommand &command, const std::string &name)
+{
+    const auto answer
+        = ApiClient(common.connection).call("GET", std::string(command.path) + "/" + Net::percentEncode(name));
+    return show(common, answer, {"name"}, [](const nlohmann::json &json) {
+        for (const auto &[member, value] : json.items()) {
+            std::cout << member << ": " << (value.is_string() ? value.get<std::string>() : value.dump()) << '\n';
+        }
+    });
 }
 
 }
@@ -66,6 +75,15 @@
         noun->add_subcommand("list", "Print them all")->callback([&common, &command, &exitCode] {
             exitCode = list(common, command);
         });
+        if (command.hasShow) {
+            auto name = std::make_shared<std::string>();
+            auto *one = noun->add_subcommand("show", "Print one");
+            one->add_option("name", *name, "Its name")->required();
+            one->footer(std::string("Example: currantbay ") + command.noun + " show " + command.example);
+            one->callback([&common, &command, &exitCode, name] {
+                exitCode = showOne(common, command, *name);
+            });
+        }
     }
 }
 
--- a/Utilities/currantbay/Main.cpp
+++ b/Utilities/currantbay/Main.cpp
@@ -7,7 +7,11 @@
 {
     CLI::App app("currantbay: operate and try a currantbay system");
     app.set_version_flag("--version", CURRANTBAY_VERSION);
-    app.footer("Exit codes: 0 done; 1 refused, nothing was changed or run; 2 bad command line, file or settings;\n"
+    app.footer("Examples:\n"
+               "  currantbay ticket submit ticket-17.json && currantbay ticket wait 17\n"
+               "  currantbay adapter show outline-sohar\n"
+               "  currantbay host list --json\n"
+               "Exit codes: 0 done; 1 refused, nothing was changed or run; 2 bad command line, file or settings;\n"
                "3 no answer, or it isn't known whether it took effect.\n"
                "The address and token can also be given by CURRANTBAY_ADDRESS and CURRANTBAY_TOKEN.");
     app.require_subcommand(1);
@@ -27,7 +31,7 @@
     Client::addTicketCommands(app, common, exitCode);
     Client::addListCommands(app, common, exitCode);
     Client::addRequestCommand(app, common, exitCode);
-    Client::addSettingsCommands(app, exitCode);
+    Client::addSettingsCommands(app, common, exitCode);
     Client::addTraceCommands(app, exitCode);
     try {
         app.parse(argc, argv);
--- a/Utilities/currantbay/Output.cpp
+++ b/Utilities/currantbay/Output.cpp
@@ -55,15 +55,65 @@
         return ExitCode::Unknown;
     }
     const auto json = answer.json();
-    if (!json.is_object() || !json.contains("error")) {
+    if (!json.is_object() || !json.contains("error") || !json["error"].is_object()) {
         std::cerr << "answered with status " << answer.status << '\n';
         return ExitCode::Refused;
     }
-    const auto &error = json["error"];
-    std::cerr << error.value("code", "refused") << ": " << error.value("message", "") << '\n'
-              << "outcome: " << error.value("outcome", "unknown") << '\n'
-              << "what to do: " << error.value("advice", "") << '\n';
-    return error.value("outcome", "unknown") == "unknown" ? ExitCode::Unknown : ExitCode::Refused;
+    const auto textOf = [&json](const char *member, const char *fallback) {
+        const auto &error = json["error"];
+        return error.contains(member) && error[member].is_string() ? error[member].get<std::string>() : fallback;
+    };
+    std::cerr << textOf("code", "refused") << ": " << textOf("message", "") << '\n'
+              << "outcome: " << textOf("outcome", "unknown") << '\n'
+              << "what to do: " << textOf("advice", "") << '\n';
+    return textOf("outcome", "unknown") == "unknown" ? ExitCode::Unknown : ExitCode::Refused;
+}
+
+ExitCode reportMalformed(const ApiAnswer &answer)
+{
+    std::cerr << "answered with status " << answer.status << " and a body that can't be read\n";
+    return ExitCode::Unknown;
+}
+
+ExitCode show(const CommonOptions &common, const ApiAnswer &answer, std::initializer_list<const char *> members,
+              const std::function<void(const nlohmann::json &)> &print)
+{
+    if (!answer.isSuccess()) {
+        return reportFailure(answer);
+    }
+    const auto json = answer.json();
+    const bool isWhole = json.is_object() && std::all_of(members.begin(), members.end(), [&](const char *member) {
+                             return json.contains(member);
+                         });
+    if (!isWhole) {
+        return reportMalformed(answer);
+    }
+    if (common.form == OutputForm::Json) {
+        std::cout << answer.body << '\n';
+    } else {
+        print(json);
+    }
+    return ExitCode::Done;
+}
+
+ExitCode showList(const CommonOptions &common, const ApiAnswer &answer, std::span<const Column> columns)
+{
+    if (!answer.isSuccess()) {
+        return reportFailure(answer);
+    }
+    const auto json = answer.json();
+    const bool isWhole = json.is_array() && std::all_of(json.begin(), json.end(), [](const auto &row) {
+                             return row.is_object();
+                         });
+    if (!isWhole) {
+        return reportMalformed(answer);
+    }
+    if (common.form == OutputForm::Json) {
+        std::cout << answer.body << '\n';
+    } else {
+        printTable(json, columns);
+    }
+    return ExitCode::Done;
 }
 
 }
--- a/Utilities/currantbay/RequestCommand.cpp
+++ b/Utilities/currantbay/RequestCommand.cpp
@@ -27,17 +27,12 @@
         return answer.isSuccess() ? ExitCode::Done : reportFailure(answer);
     }
     const auto answer = client.call("POST", "/v1/completions", body.dump());
-    if (!answer.isSuccess()) {
-        return reportFailure(answer);
-    }
-    if (common.form == OutputForm::Json) {
-        std::cout << answer.body << '\n';
-        return ExitCode::Done;
-    }
-    const auto json = answer.json();
-    std::cout << "answered by: " << json.value("model", "") << " on target " << json.value("target", "") << '\n'
-              << json["choices"][0].value("text", "") << '\n';
-    return ExitCode::Done;
+    return show(common, answer, {"model", "choices"}, [](const nlohmann::json &json) {
+        std::cout << "answered by: " << json.value("model", "") << " on target " << json.value("target", "") << '\n';
+        for (const auto &choice : json["choices"]) {
+            std::cout << choice.value("text", "") << '\n';
+        }
+    });
 }
 
 }
