--- a/Libraries/LibHost/ColdStart.cpp
+++ b/Libraries/LibHost/ColdStart.cpp
@@ -16,13 +16,14 @@
 
 ColdStart::ColdStart(Core::Scheduler &scheduler, Peer::PeerRouter &router, Core::IdSource &ids,
                      Ticket::TicketFeed &feed, Platform::TargetDirectory &directory, Membership::HostLeases &leases,
-                     ColdStartOptions options)
+                     Membership::OwnershipView &ownership, ColdStartOptions options)
     : m_scheduler(scheduler)
     , m_router(router)
     , m_ids(ids)
     , m_feed(feed)
     , m_directory(directory)
     , m_leases(leases)
+    , m_ownership(ownership)
     , m_options(std::move(options))
 {
 }
@@ -128,6 +129,9 @@
     }
     for (const auto &machine : m_directory.listedIn(sender.zone)) {
         reply.machines.push_back(Platform::toJson(machine).dump());
+        if (const auto known = m_ownership.ownerOf({machine.name}); known.has_value()) {
+            reply.owners.push_back({.target = known->target, .owner = known->owner, .fence = known->fence});
+        }
     }
     m_router.send(from, reply);
 }
@@ -153,6 +157,9 @@
         if (!m_directory.isFilled()) {
             m_directory.apply(machines);
         }
+        for (const auto &[target, owner, fence] : reply.owners) {
+            (void)m_ownership.learn({.target = target, .owner = owner, .fence = fence});
+        }
         if (!m_leases.isReady()) {
             for (const auto &host : hosts) {
                 m_leases.learn(host);
--- a/Libraries/LibHost/ColdStart.h
+++ b/Libraries/LibHost/ColdStart.h
@@ -3,6 +3,7 @@
 #include <LibCore/IdSource.h>
 #include <LibHost/SnapshotMessages.h>
 #include <LibMembership/HostLeases.h>
+#include <LibMembership/OwnershipView.h>
 #include <LibPeer/PeerRouter.h>
 #include <LibPlatform/TargetDirectory.h>
 #include <LibTicket/TicketFeed.h>
@@ -26,7 +27,8 @@
 {
 public:
     ColdStart(Core::Scheduler &scheduler, Peer::PeerRouter &router, Core::IdSource &ids, Ticket::TicketFeed &feed,
-              Platform::TargetDirectory &directory, Membership::HostLeases &leases, ColdStartOptions options);
+              Platform::TargetDirectory &directory, Membership::HostLeases &leases,
+              Membership::OwnershipView &ownership, ColdStartOptions options);
 
     void start();
     // The address at which a host is reached whose row hasn't been read: a seed, or one that has asked here.
@@ -47,6 +49,7 @@
     Ticket::TicketFeed &m_feed;
     Platform::TargetDirectory &m_directory;
     Membership::HostLeases &m_leases;
+    Membership::OwnershipView &m_ownership;
     ColdStartOptions m_options;
     std::unordered_map<Core::HostId, std::string> m_addresses;
     std::vector<Core::HostId> m_peers; // As they were when the table service last answered.
--- a/Libraries/LibHost/Host.cpp
+++ b/Libraries/LibHost/Host.cpp
@@ -18,7 +18,7 @@
                {.self = options.record.id, .incarnation = options.record.incarnation, .key = options.peerKey})
     , m_directory(ports.scheduler, ports.hostList, options.listRefreshPeriod)
     , m_leases(ports.scheduler, ports.table, options.record, options.leases)
-    , m_ownership(m_leases, m_directory)
+    , m_ownership(ports.scheduler, ports.table, m_router, ports.engines, m_leases, m_directory, options.ownership)
     , m_targetNotices(m_router, m_directory, m_leases)
     , m_engines(ports.engines,
                 [this](const Core::TargetId &target, const Engine::EngineStatus &status) {
@@ -37,8 +37,13 @@
                    return spreadPeers();
                },
                {.zone = options.record.zone})
-    , m_coldStart(ports.scheduler, m_router, ports.ids, m_tickets, m_directory, m_leases, options.coldStart)
-    , m_owner(ports.scheduler, m_router, m_engines, m_ownership, m_directory, options.owner)
+    , m_coldStart(ports.scheduler, m_router, ports.ids, m_tickets, m_directory, m_leases, m_ownership,
+                  options.coldStart)
+    , m_orders(ports.scheduler, m_engines, m_ownership)
+    , m_heldGrants(m_router, m_ownership)
+    , m_issuedGrants(ports.scheduler, m_router, m_leases, m_directory, {})
+    , m_takeovers(ports.scheduler, m_router, m_ownership, m_leases, m_directory, m_issuedGrants, {})
+    , m_owner(ports.scheduler, m_router, m_orders, m_ownership, m_directory, m_issuedGrants, m_takeovers, options.owner)
 {
 }
 
@@ -46,6 +51,7 @@
 {
     m_directory.start();
     m_leases.start();
+    m_ownership.start();
     m_tickets.onChange([this](const Ticket::TicketState &state) {
         m_leases.setTicketSequence(state.sequence());
     });
@@ -53,6 +59,7 @@
     m_spread.start();
     m_coldStart.start();
     m_targetNotices.start();
+    m_heldGrants.start();
     m_owner.start();
 }
 
@@ -81,6 +88,7 @@
                                    .router = m_router,
                                    .engines = m_ports.engines,
                                    .ownership = m_ownership,
+                                   .heldGrants = m_heldGrants,
                                    .directory = m_directory,
                                    .tickets = m_tickets,
                                    .tracer = m_ports.tracer,
@@ -120,6 +128,9 @@
     m_leases.update([](Membership::HostRecord &record) {
         record.isLeaving = true;
     });
+    m_ownership.leave([this] {
+        m_isHandedOver = true;
+    });
     m_ports.scheduler.runAfter(grace, [this] {
         checkLeft();
     });
@@ -184,8 +195,8 @@
 // Other hosts' requests that wait for a target of this host's end here too, so that they are counted.
 void Host::checkLeft()
 {
-    if (m_running.empty() && m_owner.waitingCount() == 0) {
-        std::exchange(m_left, nullptr)();
+    if (m_running.empty() && m_owner.waitingCount() == 0 && m_isHandedOver) {
+        m_leases.release(std::exchange(m_left, nullptr));
         return;
     }
     m_ports.scheduler.runAfter(LeaveCheckPeriod, [this] {
--- a/Libraries/LibHost/Host.h
+++ b/Libraries/LibHost/Host.h
@@ -5,8 +5,10 @@
 #include <LibHost/ColdStart.h>
 #include <LibHost/ObservedEngines.h>
 #include <LibHost/TargetNotices.h>
-#include <LibMembership/HashedOwnership.h>
 #include <LibMembership/HostLeases.h>
+#include <LibMembership/TargetOwnership.h>
+#include <LibOwner/HeldGrants.h>
+#include <LibOwner/OrderGate.h>
 #include <LibOwner/OwnedTargets.h>
 #include <LibPeer/PeerRouter.h>
 #include <LibPlatform/TargetDirectory.h>
@@ -35,6 +37,7 @@
     std::string peerKey;
     Core::Duration listRefreshPeriod = std::chrono::milliseconds(1000);
     Membership::HostLeasesOptions leases;
+    Membership::TargetOwnershipOptions ownership;
     Ticket::TicketFeedOptions tickets;
     Ticket::TicketDeskOptions desk;
     ColdStartOptions coldStart;
@@ -82,7 +85,7 @@
     Peer::PeerRouter m_router;
     Platform::TargetDirectory m_directory;
     Membership::HostLeases m_leases;
-    Membership::HashedOwnership m_ownership;
+    Membership::TargetOwnership m_ownership;
     TargetNotices m_targetNotices;
     ObservedEngines m_engines;
     Ticket::TicketFeed m_tickets;
@@ -90,9 +93,14 @@
     Ticket::TicketArchive m_archive;
     Ticket::TicketSpread m_spread;
     ColdStart m_coldStart;
+    Owner::OrderGate m_orders;
+    Owner::HeldGrants m_heldGrants;
+    Owner::IssuedGrants m_issuedGrants;
+    Owner::TakeoverGuard m_takeovers;
     Owner::OwnedTargets m_owner;
     std::uint64_t m_lastRun = 0;
     std::map<std::uint64_t, std::shared_ptr<Front::Completion>> m_running;
+    bool m_isHandedOver = false; // Nothing of this host's is left to hand over.
     std::function<void()> m_left;
 };
 
--- a/Libraries/LibHost/SnapshotMessages.h
+++ b/Libraries/LibHost/SnapshotMessages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/Identifier.h>
 #include <LibPeer/MessageKind.h>
 #include <cstdint>
 #include <msgpack.hpp>
@@ -20,6 +21,15 @@
     MSGPACK_DEFINE(sender, sequence, isComplete)
 };
 
+// Who owns a target, as the answering host knows it.
+struct OwnerEntry {
+    Core::TargetId target;
+    Core::HostId owner;
+    std::uint64_t fence = 0;
+
+    MSGPACK_DEFINE(target, owner, fence)
+};
+
 // What a peer knows: the tickets in force there, and the hosts and targets of the asking host's zone.
 struct SnapshotReply {
     static constexpr auto Kind = Peer::MessageKind::SnapshotReply;
@@ -28,8 +38,9 @@
     std::uint64_t ticketsHash = 0;
     std::vector<std::string> hosts; // HostRecords' texts.
     std::vector<std::string> machines; // ListedMachines' JSON.
+    std::vector<OwnerEntry> owners;
 
-    MSGPACK_DEFINE(tickets, ticketsHash, hosts, machines)
+    MSGPACK_DEFINE(tickets, ticketsHash, hosts, machines, owners)
 };
 
 }
--- a/Libraries/LibPlatform/TargetDirectory.h
+++ b/Libraries/LibPlatform/TargetDirectory.h
@@ -46,6 +46,8 @@
     [[nodiscard]] const std::map<Core::TargetId, Target> &all() const;
     // The zone's targets as the list gave them.
     [[nodiscard]] std::vector<ListedMachine> listedIn(const Core::ZoneId &zone) const;
+    // True when an entry host was listed once and isn't any more.
+    [[nodiscard]] bool isHostGone(const std::string &name) const;
     // Takes a new list in place of the former one. A target that was once seen leaving stays so for that
     // incarnation, whatever an older list says.
     void apply(const std::vector<ListedMachine> &machines);
@@ -78,6 +80,7 @@
     std::map<Core::TargetId, Target> m_targets;
     std::map<Core::TargetId, Presence> m_presences;
     std::function<void(const Core::TargetId &)> m_leaving;
+    std::map<std::string, bool> m_entryHosts; // Whether each that was ever listed still is.
 };
 
 }
