--- a/Tests/Scenario/LeavingCommands.cpp
+++ b/Tests/Scenario/LeavingCommands.cpp
@@ -1,5 +1,7 @@
 #include <Tests/Scenario/Script.h>
 
+#include <iostream>
+
 namespace Scenario {
 
 namespace {
@@ -47,6 +49,8 @@
 {
     const auto &engine = script.world().engines().at(words[0]);
     const auto late = engine.lastStart - engine.leftAt;
+    std::cout << "        " << words[0] << " began its last request " << Core::toMilliseconds(late)
+              << " ms after it began to leave\n";
     expect(late <= parseDuration(words[2]),
            "a request began " + std::to_string(Core::toMilliseconds(late)) + " ms after it began to leave");
 }
