--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -272,9 +272,8 @@
     *m_isAlive = false;
     m_loop.cancel(m_timer);
     m_loop.unwatch(m_epollFd);
-    // libmicrohttpd ends the process when it is stopped with connections suspended.
-    for (auto *exchange : m_suspended) {
-        exchange->m_isSuspended = false;
+    // libmicrohttpd aborts the process when it is stopped with suspended connections.
+    for (const auto *exchange : m_suspended) {
         MHD_resume_connection(exchange->m_connection);
     }
     MHD_stop_daemon(m_daemon);
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -122,7 +122,7 @@
     bool m_isRunScheduled = false;
     bool m_isKeepAliveEnded = false;
     std::size_t m_openExchanges = 0;
-    std::set<Exchange *> m_suspended;
+    std::set<Exchange *> m_suspended; // They wait for their answer, or for its next piece.
     Core::TimerId m_timer = Core::TimerId::None;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
--- a/Libraries/LibSettings/Tests/DaemonSettingsTest.cpp
+++ b/Libraries/LibSettings/Tests/DaemonSettingsTest.cpp
@@ -16,9 +16,13 @@
             "listen": {"callers": "127.0.0.1:8080", "peers": "127.0.0.1:9080"},
             "platform": {"address": "127.0.0.1:9000"},
             "peerKey": "secret",
+            "peers": ["127.0.0.1:9081"],
+            "limits": {"leaveMilliseconds": 0},
             "callers": [{"customer": "noor", "token": "t"}]
         })");
         CPPUNIT_ASSERT_EQUAL(std::string("mct-a-1"), settings.hostId);
+        CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:9081"), settings.peers.at(0));
+        CPPUNIT_ASSERT(settings.leaveGrace == Core::Duration::zero());
         CPPUNIT_ASSERT_EQUAL(std::string("noor"), settings.callers.front().name);
     }
 
@@ -30,11 +34,12 @@
                 "listen": {"callers": "localhost", "peers": "127.0.0.1:99999"},
                 "platform": {"address": "127.0.0.1:9000"},
                 "peerKey": "secret", "colour": "red",
-                "limits": {"bodyBytes": -1}
+                "peers": ["127.0.0.1:9081", 7],
+                "limits": {"bodyBytes": -1, "leaveMilliseconds": 600001}
             })");
             CPPUNIT_FAIL("wrong settings were accepted");
         } catch (const Settings::InvalidSettings &error) {
-            CPPUNIT_ASSERT_EQUAL(std::size_t(6), error.mistakes().size());
+            CPPUNIT_ASSERT_EQUAL(std::size_t(8), error.mistakes().size());
         }
     }
 };
--- a/Libraries/LibTicket/Tests/TicketRaceTest.cpp
+++ b/Libraries/LibTicket/Tests/TicketRaceTest.cpp
@@ -202,6 +202,7 @@
     CPPUNIT_TEST(racingOperatorsAgree);
     CPPUNIT_TEST(repeatIsNotCalledSuperseded);
     CPPUNIT_TEST(sequenceNeverFalls);
+    CPPUNIT_TEST(snapshotKeepsEveryMember);
     CPPUNIT_TEST(malformedFeedRowStopsNothing);
     CPPUNIT_TEST(numbersAreReadStrictly);
     CPPUNIT_TEST(rulesDecideAsTheNaiveScanDoes);
@@ -264,6 +265,22 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), state.sequence());
     }
 
+    // JSON and snapshots are two codecs of the same objects; both give back what went in.
+    void snapshotKeepsEveryMember()
+    {
+        const auto entry = feedEntryFromText(R"({"sequence":1,"ticket":{"number":9,"objects":[
+            {"kind":"adapter","name":"a","baseModel":"b","versions":["1","2"],"currentVersion":"2","retired":true},
+            {"kind":"rule","name":"r","customers":["c"],"adapters":["a*"]},
+            {"kind":"route","name":"s","service":"seats","idempotentMethods":["GET"],"fencePath":"/attempts"}]}})");
+        TicketState state;
+        CPPUNIT_ASSERT(state.apply(entry.value()) == TicketState::ApplyOutcome::Applied);
+        const auto copy = Peer::unpack<TicketSnapshot>(Peer::pack(state.snapshot()));
+        const std::vector<ObjectState> objects {copy.adapters.at(0).object, copy.rules.at(0).object,
+                                                copy.routes.at(0).object};
+        CPPUNIT_ASSERT(objects == entry->ticket.objects);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(9), copy.routes.at(0).number);
+    }
+
     // A row that can't be read is counted and holds back what comes after it; once it is mended the feed goes on.
     void malformedFeedRowStopsNothing()
     {
