--- a/Libraries/LibHost/Host.h
+++ b/Libraries/LibHost/Host.h
@@ -2,6 +2,9 @@
 
 #include <LibCore/IdSource.h>
 #include <LibFront/Completion.h>
+#include <LibHost/ColdStart.h>
+#include <LibHost/ObservedEngines.h>
+#include <LibHost/TargetNotices.h>
 #include <LibMembership/HostLeases.h>
 #include <LibMembership/TargetOwnership.h>
 #include <LibOwner/HeldGrants.h>
@@ -9,8 +12,10 @@
 #include <LibOwner/OwnedTargets.h>
 #include <LibPeer/PeerRouter.h>
 #include <LibPlatform/TargetDirectory.h>
+#include <LibTicket/TicketArchive.h>
 #include <LibTicket/TicketDesk.h>
 #include <LibTicket/TicketFeed.h>
+#include <LibTicket/TicketSpread.h>
 #include <map>
 
 namespace Host {
@@ -34,6 +39,8 @@
     Membership::HostLeasesOptions leases;
     Membership::TargetOwnershipOptions ownership;
     Ticket::TicketFeedOptions tickets;
+    Ticket::TicketDeskOptions desk;
+    ColdStartOptions coldStart;
     Owner::OwnedTargetsOptions owner;
     Front::GrantReturnsOptions grantReturns;
     Routing::RetryBudgetOptions retryBudget;
@@ -55,9 +62,15 @@
     std::function<void()> complete(Front::CompletionRequest request, std::shared_ptr<Front::CallerAnswer> answer);
     // Accepts an operator's ticket.
     void submitTicket(Ticket::Ticket ticket, Ticket::TicketDesk::AcceptFunction done);
-    // Takes no new requests; those that run go on. The function runs when none is left.
-    void leave(std::function<void()> done);
+    // Begins a planned stop: tells the other hosts and the platform's balancer, by isReady(), that this host leaves.
+    // Requests that still arrive are served. The function runs when nothing has been running here, nor waiting for
+    // a target that this host owns, at some time after the grace period.
+    void leave(Core::Duration grace, std::function<void()> done);
     [[nodiscard]] bool isLeaving() const;
+    // True when this host knows what it needs to serve a request, also while it leaves.
+    [[nodiscard]] bool canServe() const;
+    // The address at which another host's messages arrive, when it is known.
+    [[nodiscard]] std::optional<std::string> peerAddress(const Core::HostId &host) const;
     [[nodiscard]] std::size_t runningCount() const;
 
     [[nodiscard]] Peer::PeerRouter &router();
@@ -65,11 +78,13 @@
     [[nodiscard]] const Membership::OwnershipView &ownership() const;
     [[nodiscard]] const Platform::TargetDirectory &directory() const;
     [[nodiscard]] const Ticket::TicketFeed &tickets() const;
+    [[nodiscard]] Ticket::TicketArchive &ticketArchive();
     [[nodiscard]] const Owner::OwnedTargets &owner() const;
     [[nodiscard]] const Routing::Quarantine &quarantine() const;
 
 private:
     void checkLeft();
+    [[nodiscard]] std::vector<Ticket::SpreadPeer> spreadPeers() const;
 
     HostPorts m_ports;
     HostOptions m_options;
@@ -77,8 +92,13 @@
     Platform::TargetDirectory m_directory;
     Membership::HostLeases m_leases;
     Membership::TargetOwnership m_ownership;
+    TargetNotices m_targetNotices;
+    ObservedEngines m_engines;
     Ticket::TicketFeed m_tickets;
     Ticket::TicketDesk m_desk;
+    Ticket::TicketArchive m_archive;
+    Ticket::TicketSpread m_spread;
+    ColdStart m_coldStart;
     Owner::OrderGate m_orders;
     Owner::HeldGrants m_heldGrants;
     Owner::IssuedGrants m_issuedGrants;
--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -111,6 +111,9 @@
         for (const auto &[name, value] : exchange->m_head.headers) {
             MHD_add_response_header(response, name.c_str(), value.c_str());
         }
+        if (exchange->m_server->m_isKeepAliveEnded) {
+            MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
+        }
         const auto result = MHD_queue_response(exchange->m_connection, exchange->m_head.status, response);
         MHD_destroy_response(response);
         return result;
@@ -313,6 +316,11 @@
     }
 }
 
+void HttpServer::endKeepAlive()
+{
+    m_isKeepAliveEnded = true;
+}
+
 void HttpServer::stopListening()
 {
     if (m_listenFd < 0) {
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -107,6 +107,8 @@
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
 
+    // Lets every connection end after its next answer, so that kept-alive ones move to another host.
+    void endKeepAlive();
     // Stops accepting connections; exchanges that have begun go on.
     void stopListening();
     // Exchanges whose answer hasn't ended.
@@ -129,6 +131,7 @@
     bool m_isRunScheduled = false;
     std::unordered_set<std::shared_ptr<Exchange>> m_openExchanges;
     Core::TimerId m_goneTimer = Core::TimerId::None;
+    bool m_isKeepAliveEnded = false;
     Core::TimerId m_timer = Core::TimerId::None;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
--- a/Libraries/LibSettings/Tests/DaemonSettingsTest.cpp
+++ b/Libraries/LibSettings/Tests/DaemonSettingsTest.cpp
@@ -18,9 +18,12 @@
             "platform": {"address": "127.0.0.1:9000"},
             "peerKey": "secret",
             "callers": [{"customer": "noor", "token": "t"}],
-            "limits": {"streamSilenceMilliseconds": 300}
+            "peers": ["127.0.0.1:9081"],
+            "limits": {"streamSilenceMilliseconds": 300, "leaveMilliseconds": 0}
         })");
         CPPUNIT_ASSERT_EQUAL(std::string("mct-a-1"), settings.hostId);
+        CPPUNIT_ASSERT_EQUAL(std::string("127.0.0.1:9081"), settings.peers.at(0));
+        CPPUNIT_ASSERT(settings.leaveGrace == Core::Duration::zero());
         CPPUNIT_ASSERT_EQUAL(std::string("noor"), settings.callers.front().name);
         CPPUNIT_ASSERT(settings.streamSilence == std::chrono::milliseconds(300));
     }
@@ -48,11 +51,12 @@
                 "listen": {"callers": "localhost", "peers": "127.0.0.1:99999"},
                 "platform": {"address": "127.0.0.1:9000"},
                 "peerKey": "secret", "colour": "red",
-                "limits": {"bodyBytes": -1}
+                "peers": ["127.0.0.1:9081", 7],
+                "limits": {"bodyBytes": -1, "leaveMilliseconds": 600001}
             })");
             CPPUNIT_FAIL("wrong settings were accepted");
         } catch (const Settings::InvalidSettings &error) {
-            CPPUNIT_ASSERT_EQUAL(std::size_t(6), error.mistakes().size());
+            CPPUNIT_ASSERT_EQUAL(std::size_t(8), error.mistakes().size());
         }
     }
 };
--- a/Tests/Scenario/FakeEngines.cpp
+++ b/Tests/Scenario/FakeEngines.cpp
@@ -235,6 +235,7 @@
                   Engine::StreamRefusal {.status = 404, .reason = request.adapter.toString() + " isn't resident"});
         return;
     }
+    engine.lastStart = m_engines.m_world.now();
     ++engine.startCounts[request.prompt];
     stream->isRunning = true;
     engine.onDeath.push_back([this, stream] {
--- a/Tests/Scenario/FakeEngines.h
+++ b/Tests/Scenario/FakeEngines.h
@@ -28,6 +28,8 @@
     std::string crashPrompt; // A request whose prompt holds this text ends the process.
     std::uint32_t earlierEvictionsInUse = 0; // Counted by incarnations that have ended.
     std::map<std::string, int> startCounts; // By prompt, over all incarnations.
+    Core::TimePoint lastStart {}; // When a request last began to run.
+    Core::TimePoint leftAt {}; // When a scenario let it begin to leave.
     std::vector<std::function<void()>> onDeath; // Breaks the connections that are open.
 };
 
--- a/Tests/Scenario/Script.cpp
+++ b/Tests/Scenario/Script.cpp
@@ -13,6 +13,7 @@
     addTicketCommands(*this);
     addOwnershipCommands(*this);
     addStreamCommands(*this);
+    addLeavingCommands(*this);
 }
 
 void Script::add(const std::string &name, Command command)
--- a/Tests/Scenario/Script.h
+++ b/Tests/Scenario/Script.h
@@ -61,5 +61,6 @@
 void addTicketCommands(Script &script);
 void addOwnershipCommands(Script &script);
 void addStreamCommands(Script &script);
+void addLeavingCommands(Script &script);
 
 }
