LibService: Carry callers' calls to plain services

/<route>/... reaches a live target of the route's service, the own zone's first. A method that the route lists as idempotent is tried at up to four targets; any other needs an Idempotency-Key, is claimed in the ledger and is sent once, on a connection opened for it. When its answer is lost the service is asked to fence the attempt: it says what ran, or refuses the attempt from then on. Plain status lookups were ruled out for this: "never seen" says nothing of a request that is still on its way. A target that was surely not reached costs a new claim at the next one. `currantbay service` sends such calls; the stand-in and the scenarios' fakes fence as a service must.

--- a/Libraries/LibHost/Host.cpp
+++ b/Libraries/LibHost/Host.cpp
@@ -5,6 +5,12 @@
 
 namespace Host {
 
+namespace {
+
+constexpr auto LeavePollPeriod = std::chrono::milliseconds(50);
+
+}
+
 Host::Host(const HostPorts &ports, const HostOptions &options)
     : m_ports(ports)
     , m_options(options)
@@ -16,6 +22,8 @@
     , m_tickets(ports.scheduler, ports.table, ports.ids, options.tickets)
     , m_desk(ports.table)
     , m_owner(ports.scheduler, m_router, ports.engines, m_ownership, m_directory, options.owner)
+    , m_ledger({.scheduler = ports.scheduler, .table = ports.table, .router = m_router, .metrics = ports.metrics},
+               ports.ids, options.record.id, options.record.incarnation, options.ledger)
 {
 }
 
@@ -58,6 +66,31 @@
     };
 }
 
+std::function<void()> Host::callService(Service::ServiceRequest request, std::shared_ptr<Service::ServiceAnswer> answer)
+{
+    const Service::ServicePorts ports {.scheduler = m_ports.scheduler,
+                                       .ids = m_ports.ids,
+                                       .ledger = m_ledger,
+                                       .link = m_ports.services,
+                                       .directory = m_directory,
+                                       .tickets = m_tickets,
+                                       .tracer = m_ports.tracer,
+                                       .metrics = m_ports.metrics,
+                                       .zone = m_options.record.zone};
+    const auto number = ++m_lastRun;
+    auto call = std::make_shared<Service::ServiceCall>(ports, std::move(request), std::move(answer), [this, number] {
+        m_runningCalls.erase(number);
+        checkLeft();
+    });
+    m_runningCalls.emplace(number, call);
+    call->start();
+    return [weak = std::weak_ptr(call)] {
+        if (const auto running = weak.lock()) {
+            running->abandon();
+        }
+    };
+}
+
 void Host::submitTicket(Ticket::Ticket ticket, Ticket::TicketDesk::AcceptFunction done)
 {
     const auto number = ticket.number;
@@ -86,7 +119,7 @@
 
 std::size_t Host::runningCount() const
 {
-    return m_running.size();
+    return m_running.size() + m_runningCalls.size();
 }
 
 Peer::PeerRouter &Host::router()
@@ -121,7 +154,14 @@
 
 void Host::checkLeft()
 {
-    if (m_left && m_running.empty()) {
+    if (!m_left || runningCount() > 0) {
+        return;
+    }
+    if (m_ledger.unsettledCount() > 0) {
+        m_ports.scheduler.runAfter(LeavePollPeriod, [this] {
+            checkLeft();
+        });
+    } else {
         m_ports.scheduler.runAfter({}, std::exchange(m_left, nullptr));
     }
 }
--- a/Libraries/LibHost/Host.h
+++ b/Libraries/LibHost/Host.h
@@ -7,6 +7,7 @@
 #include <LibOwner/OwnedTargets.h>
 #include <LibPeer/PeerRouter.h>
 #include <LibPlatform/TargetDirectory.h>
+#include <LibService/ServiceCall.h>
 #include <LibTicket/TicketDesk.h>
 #include <LibTicket/TicketFeed.h>
 #include <map>
@@ -20,6 +21,7 @@
     Platform::HostList &hostList;
     Peer::PeerTransport &transport;
     Engine::EngineLink &engines;
+    Service::ServiceLink &services;
     Core::IdSource &ids;
     Trace::Tracer &tracer;
     Metrics::Registry &metrics;
@@ -32,6 +34,7 @@
     Membership::HostLeasesOptions leases;
     Ticket::TicketFeedOptions tickets;
     Owner::OwnedTargetsOptions owner;
+    Ledger::LedgerOptions ledger;
 };
 
 // Every duty of one entry host, joined. It does no input or output of its own.
@@ -45,9 +48,11 @@
     [[nodiscard]] bool isReady() const;
     // Starts a caller's request. The returned function is to be called should the caller go away.
     std::function<void()> complete(Front::CompletionRequest request, std::shared_ptr<Front::CallerAnswer> answer);
+    // Starts a caller's call to a plain service. The returned function is to be called should the caller go away.
+    std::function<void()> callService(Service::ServiceRequest request, std::shared_ptr<Service::ServiceAnswer> answer);
     // Accepts an operator's ticket.
     void submitTicket(Ticket::Ticket ticket, Ticket::TicketDesk::AcceptFunction done);
-    // Takes no new requests; those that run go on. The function runs when none is left.
+    // Takes no new requests; those that run go on. The function runs when none is left and the ledger is settled.
     void leave(std::function<void()> done);
     [[nodiscard]] bool isLeaving() const;
     [[nodiscard]] std::size_t runningCount() const;
@@ -71,8 +76,10 @@
     Ticket::TicketFeed m_tickets;
     Ticket::TicketDesk m_desk;
     Owner::OwnedTargets m_owner;
+    Ledger::Ledger m_ledger;
     std::uint64_t m_lastRun = 0;
     std::map<std::uint64_t, std::shared_ptr<Front::Completion>> m_running;
+    std::map<std::uint64_t, std::shared_ptr<Service::ServiceCall>> m_runningCalls;
     std::function<void()> m_left;
 };
 
--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -211,6 +211,9 @@
         result.error = curl_easy_strerror(static_cast<CURLcode>(curlCode));
         result.mayHaveBeenSent = sentBytes > 0;
     }
+    const char *contentType = nullptr;
+    curl_easy_getinfo(transfer.easy, CURLINFO_CONTENT_TYPE, &contentType);
+    result.contentType = contentType == nullptr ? "" : contentType;
     result.body = std::move(transfer.body);
     const auto owned = std::move(m_transfers.at(transfer.id));
     m_transfers.erase(transfer.id);
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -32,6 +32,7 @@
 // How an outgoing request ended.
 struct HttpResult {
     long status = 0; // Zero when no complete answer arrived.
+    std::string contentType; // Empty when the answer names none.
     std::string body; // Empty when a data function took the pieces.
     std::string error; // Empty when the answer is complete.
     bool mayHaveBeenSent = true; // False only when surely no byte of the request left.
--- /dev/null
+++ b/Libraries/LibService/HttpServiceLink.cpp
@@ -0,0 +1,75 @@
+#include <LibService/HttpServiceLink.h>
+
+#include <LibService/ServiceJson.h>
+
+namespace Service {
+
+namespace {
+
+constexpr long StatusOk = 200;
+
+std::vector<std::string> headersOf(const ServiceMessage &message)
+{
+    std::vector<std::string> headers {"Currantbay-Attempt: " + message.attempt.value};
+    if (!message.contentType.empty()) {
+        headers.push_back("Content-Type: " + message.contentType);
+    }
+    if (!message.key.empty()) {
+        headers.push_back("Idempotency-Key: " + message.key);
+    }
+    if (!message.traceparent.empty()) {
+        headers.push_back("traceparent: " + message.traceparent);
+    }
+    return headers;
+}
+
+ServiceReply replyFrom(Net::HttpResult result)
+{
+    if (!result.isComplete()) {
+        return {.state = result.mayHaveBeenSent ? ServiceReply::State::Lost : ServiceReply::State::NotSent,
+                .error = std::move(result.error)};
+    }
+    const auto status = static_cast<unsigned>(result.status);
+    if (isFencedRefusal(status, result.body)) {
+        return {.state = ServiceReply::State::Fenced, .error = "the attempt had been fenced"};
+    }
+    return {.state = ServiceReply::State::Answered,
+            .result = {.status = status, .contentType = std::move(result.contentType), .body = std::move(result.body)}};
+}
+
+}
+
+HttpServiceLink::HttpServiceLink(Net::HttpClient &client, HttpServiceLinkOptions options)
+    : m_client(client)
+    , m_options(options)
+{
+}
+
+void HttpServiceLink::send(const ServiceAddress &service, const ServiceMessage &message, ReplyFunction done)
+{
+    const bool isIdempotent = message.repeatability == Repeatability::Idempotent;
+    m_client.start({.method = message.method,
+                    .url = "http://" + service.address + message.path,
+                    .headers = headersOf(message),
+                    .body = message.body,
+                    .totalTimeout = message.timeout,
+                    .connectionUse = isIdempotent ? Net::ConnectionUse::Reuse : Net::ConnectionUse::Fresh},
+                   [done = std::move(done)](Net::HttpResult result) {
+                       done(replyFrom(std::move(result)));
+                   });
+}
+
+void HttpServiceLink::fence(const ServiceAddress &service, const std::string &fencePath, const Core::AttemptId &attempt,
+                            FenceDoneFunction done)
+{
+    m_client.start({.method = "POST",
+                    .url = "http://" + service.address + fencePath + '/' + attempt.value + "/fence",
+                    .headers = {"Content-Type: application/json"},
+                    .totalTimeout = m_options.fenceTimeout},
+                   [done = std::move(done)](const Net::HttpResult &result) {
+                       const bool isAnswered = result.isComplete() && result.status == StatusOk;
+                       done(isAnswered ? fenceVerdictFromText(result.body) : Ledger::FenceVerdict {});
+                   });
+}
+
+}
--- /dev/null
+++ b/Libraries/LibService/Refusals.cpp
@@ -0,0 +1,107 @@
+#include <LibService/Refusals.h>
+
+namespace Service {
+
+namespace {
+
+constexpr unsigned StatusBadRequest = 400;
+constexpr unsigned StatusNotFound = 404;
+constexpr unsigned StatusUnprocessable = 422;
+constexpr unsigned StatusBadGateway = 502;
+constexpr unsigned StatusUnavailable = 503;
+constexpr unsigned StatusGatewayTimeout = 504;
+constexpr std::int64_t RetryMilliseconds = 1000;
+constexpr auto RepeatAdvice = "send the call again after the time in Retry-After";
+
+}
+
+Front::Refusal unknownRoute(const std::string &route)
+{
+    return {.status = StatusNotFound,
+            .code = "unknown-route",
+            .message = "no service is reached under /" + route,
+            .advice = "check the path"};
+}
+
+Front::Refusal missingKey(const std::string &method)
+{
+    return {.status = StatusBadRequest,
+            .code = "missing-idempotency-key",
+            .message = method
+                + " runs at most once here and needs the header Idempotency-Key, of 1 to 128 printable "
+                  "characters without spaces",
+            .advice = "send a key that is new for each call and the same when that call is repeated"};
+}
+
+Front::Refusal noTarget(const std::string &service, const std::string &lastError)
+{
+    return {.status = StatusUnavailable,
+            .code = "no-target",
+            .message = "no target of service \"" + service + "\" could be reached"
+                + (lastError.empty() ? "" : "; the last one: " + lastError),
+            .advice = RepeatAdvice,
+            .retryAfterMilliseconds = RetryMilliseconds};
+}
+
+Front::Refusal noTimeLeft()
+{
+    return {.status = StatusUnavailable,
+            .code = "too-late",
+            .message = "the call's time ended before it was sent",
+            .advice = RepeatAdvice,
+            .retryAfterMilliseconds = RetryMilliseconds};
+}
+
+Front::Refusal unsettled(const std::string &reason)
+{
+    return {.status = StatusGatewayTimeout,
+            .outcome = Front::Outcome::Unknown,
+            .code = "unsettled",
+            .message = reason,
+            .advice = "send the call again with the same Idempotency-Key; it will not run twice",
+            .retryAfterMilliseconds = RetryMilliseconds};
+}
+
+Front::Refusal lostAnswer(const std::string &reason)
+{
+    return {.status = StatusBadGateway,
+            .outcome = Front::Outcome::Unknown,
+            .code = "answer-lost",
+            .message = reason,
+            .advice = RepeatAdvice,
+            .retryAfterMilliseconds = RetryMilliseconds};
+}
+
+Front::Refusal resultLeftOut()
+{
+    return {.status = StatusUnprocessable,
+            .outcome = Front::Outcome::Completed,
+            .code = "result-too-large",
+            .message = "the call ran before, and its answer was too large to be kept",
+            .advice = "read its effect from the service"};
+}
+
+Front::Refusal refusalOf(const Ledger::ClaimResult &claim)
+{
+    switch (claim.outcome) {
+    case Ledger::ClaimOutcome::OtherRequest:
+        return {.status = StatusUnprocessable,
+                .code = "key-reused",
+                .message = claim.reason,
+                .advice = "use a new Idempotency-Key for another request"};
+    case Ledger::ClaimOutcome::Shed:
+    case Ledger::ClaimOutcome::Unavailable:
+        return {.status = StatusUnavailable,
+                .code = claim.outcome == Ledger::ClaimOutcome::Shed ? "overloaded" : "table-service-silent",
+                .message = claim.reason,
+                .advice = RepeatAdvice,
+                .retryAfterMilliseconds = RetryMilliseconds};
+    case Ledger::ClaimOutcome::Held:
+    case Ledger::ClaimOutcome::Recorded:
+    case Ledger::ClaimOutcome::Unknown:
+        break;
+    }
+    return unsettled(claim.reason);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibService/ServicePorts.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <LibLedger/Ledger.h>
+#include <LibMetrics/Registry.h>
+#include <LibPlatform/TargetDirectory.h>
+#include <LibService/ServiceLink.h>
+#include <LibTicket/TicketFeed.h>
+#include <LibTrace/Tracer.h>
+
+namespace Service {
+
+// What the calls to plain services work with at one host.
+struct ServicePorts {
+    Core::Scheduler &scheduler;
+    Core::IdSource &ids;
+    Ledger::Ledger &ledger;
+    ServiceLink &link;
+    const Platform::TargetDirectory &directory;
+    const Ticket::TicketFeed &tickets;
+    Trace::Tracer &tracer;
+    Metrics::Registry &metrics;
+    Core::ZoneId zone; // Of this host.
+};
+
+}
--- /dev/null
+++ b/Libraries/LibService/ServiceRequest.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <LibCore/Identifier.h>
+#include <LibCore/Time.h>
+#include <LibTrace/TraceContext.h>
+#include <optional>
+#include <string>
+
+namespace Service {
+
+// A caller's call to a plain service, as it was understood.
+struct ServiceRequest {
+    Core::CustomerId customer;
+    std::string method;
+    std::string path; // Percent-encoded, with the query; its first segment names the route.
+    std::string route;
+    std::string contentType;
+    std::string body;
+    std::string key; // The Idempotency-Key, or empty.
+    Core::Duration timeout {};
+    std::optional<Trace::TraceContext> traceParent;
+};
+
+}
--- a/Meta/deployment.sh
+++ b/Meta/deployment.sh
@@ -115,7 +115,7 @@
         {"kind": "adapter", "name": "outline-sohar", "baseModel": "base", "versions": ["1", "2"], "currentVersion": "$3"},
         {"kind": "adapter", "name": "summary-muscat", "baseModel": "base", "versions": ["1"], "currentVersion": "1"},
         {"kind": "rule", "name": "noor", "customers": ["noor"], "adapters": ["outline-*", "summary-*"]},
-        {"kind": "route", "name": "seats", "service": "seats", "idempotentMethods": ["GET"]}
+        {"kind": "route", "name": "seats", "service": "seats", "idempotentMethods": ["GET"], "fencePath": "/attempts"}
     ]
 }
 TICKET
--- a/Services/currantbayd/CallerInterface.cpp
+++ b/Services/currantbayd/CallerInterface.cpp
@@ -84,11 +84,22 @@
     return found->get<bool>() ? AnswerMode::Streamed : AnswerMode::Whole;
 }
 
+void refuseStarting(Net::Exchange &exchange)
+{
+    refuse(exchange,
+           {.status = StatusUnavailable,
+            .code = "starting",
+            .message = "this entry host doesn't know the tickets, its peers or the targets yet",
+            .advice = "send the request again after the time in Retry-After",
+            .retryAfterMilliseconds = StartingRetryMilliseconds});
+}
+
 }
 
 CallerInterface::CallerInterface(Host::Host &host, CallerInterfaceOptions options)
     : m_host(host)
     , m_options(std::move(options))
+    , m_services(host, m_options.requestTimeout)
 {
 }
 
@@ -104,13 +115,21 @@
                 .advice = "send the token that the operators gave you"});
         return;
     }
+    if (!m_host.isReady()) {
+        refuseStarting(*exchange);
+        return;
+    }
+    if (!request.path.starts_with("/v1/")) {
+        m_services.take(exchange, {*customer});
+        return;
+    }
     const bool isChat = request.path == "/v1/chat/completions";
     if (!isChat && request.path != "/v1/completions") {
         refuse(*exchange,
                {.status = StatusNotFound,
                 .code = "unknown-path",
                 .message = "nothing is served at " + request.path,
-                .advice = "use /v1/completions or /v1/chat/completions"});
+                .advice = "use a service's route, /v1/completions or /v1/chat/completions"});
         return;
     }
     if (request.method != "POST") {
@@ -121,15 +140,6 @@
                 .advice = "send the request by POST"});
         return;
     }
-    if (!m_host.isReady()) {
-        refuse(*exchange,
-               {.status = StatusUnavailable,
-                .code = "starting",
-                .message = "this entry host doesn't know the tickets, its peers or the targets yet",
-                .advice = "send the request again after the time in Retry-After",
-                .retryAfterMilliseconds = StartingRetryMilliseconds});
-        return;
-    }
     complete(exchange, {*customer}, isChat ? AnswerForm::Chat : AnswerForm::Completion);
 }
 
--- a/Services/currantbayd/CallerInterface.h
+++ b/Services/currantbayd/CallerInterface.h
@@ -4,6 +4,7 @@
 #include <LibNet/HttpServer.h>
 #include <LibSettings/DaemonSettings.h>
 #include <currantbayd/CompletionAnswer.h>
+#include <currantbayd/ServiceInterface.h>
 
 namespace Daemon {
 
@@ -12,7 +13,7 @@
     Core::Duration requestTimeout {};
 };
 
-// The HTTP interface for callers: /v1/completions and /v1/chat/completions.
+// The HTTP interface for callers: /v1/completions, /v1/chat/completions, and the routes of plain services.
 class CallerInterface
 {
 public:
@@ -25,6 +26,7 @@
 
     Host::Host &m_host;
     CallerInterfaceOptions m_options;
+    ServiceInterface m_services;
     std::uint64_t m_lastAnswer = 0;
 };
 
--- a/Services/currantbayd/Daemon.cpp
+++ b/Services/currantbayd/Daemon.cpp
@@ -45,6 +45,7 @@
     , m_client(m_loop)
     , m_platform(m_client, {.address = settings.platformAddress})
     , m_engines(m_client, {})
+    , m_services(m_client, {})
     , m_peers(m_loop, settings.peerAddress,
               [this](std::string_view bytes) {
                   m_host.router().receive(bytes);
@@ -54,6 +55,7 @@
               .hostList = m_platform,
               .transport = *this,
               .engines = m_engines,
+              .services = m_services,
               .ids = m_ids,
               .tracer = m_tracer,
               .metrics = m_metrics},
--- a/Services/currantbayd/Daemon.h
+++ b/Services/currantbayd/Daemon.h
@@ -7,6 +7,7 @@
 #include <LibNet/HttpServer.h>
 #include <LibNet/PeerSocket.h>
 #include <LibPlatform/HttpPlatform.h>
+#include <LibService/HttpServiceLink.h>
 #include <LibSettings/DaemonSettings.h>
 #include <currantbayd/CallerInterface.h>
 #include <currantbayd/OperatorInterface.h>
@@ -38,6 +39,7 @@
     Net::HttpClient m_client;
     Platform::HttpPlatform m_platform;
     Engine::HttpEngineLink m_engines;
+    Service::HttpServiceLink m_services;
     Net::PeerSocket m_peers;
     Host::Host m_host;
     CallerInterface m_callers;
--- a/Tests/Scenario/FakePlatform.cpp
+++ b/Tests/Scenario/FakePlatform.cpp
@@ -27,6 +27,24 @@
     m_lostAnswers = count;
 }
 
+void FakePlatform::delayWrites(int count, Core::Duration delay)
+{
+    m_delayedWrites = count;
+    m_writeDelay = delay;
+}
+
+bool FakePlatform::transact(const Platform::Transaction &transaction)
+{
+    if (m_readLag > Core::Duration::zero()) {
+        m_history.emplace_back(m_world.now(), m_rows);
+        while (m_history.front().first + HistoryLength < m_world.now()) {
+            m_history.pop_front();
+        }
+    }
+    ++m_writeCount;
+    return m_rows.transact(transaction);
+}
+
 void FakePlatform::setReadLag(Core::Duration lag)
 {
     m_readLag = lag;
@@ -126,14 +144,14 @@
                 return std::nullopt;
             }
             auto &platform = m_platform;
-            if (platform.m_readLag > Core::Duration::zero()) {
-                platform.m_history.emplace_back(platform.m_world.now(), platform.m_rows);
-                while (platform.m_history.front().first + HistoryLength < platform.m_world.now()) {
-                    platform.m_history.pop_front();
-                }
+            if (platform.m_delayedWrites > 0) {
+                --platform.m_delayedWrites;
+                platform.m_process.runAfter(platform.m_writeDelay, [&platform, transaction] {
+                    platform.transact(transaction);
+                });
+                return std::nullopt;
             }
-            ++platform.m_writeCount;
-            const bool isCommitted = platform.m_rows.transact(transaction);
+            const bool isCommitted = platform.transact(transaction);
             if (platform.m_lostAnswers > 0) {
                 --platform.m_lostAnswers;
                 return std::nullopt;
--- a/Tests/Scenario/FakePlatform.h
+++ b/Tests/Scenario/FakePlatform.h
@@ -18,6 +18,8 @@
     void setDown(bool isDown);
     // So many of the next transactions take effect, but their answers are lost.
     void loseAnswers(int count);
+    // So many of the next transactions take effect so much later, and their answers are lost.
+    void delayWrites(int count, Core::Duration delay);
     // Reads and scans show the rows as they were this long ago.
     void setReadLag(Core::Duration lag);
     // Changes to the host list are seen this much later.
@@ -30,6 +32,8 @@
 private:
     friend class HostPlatform;
     [[nodiscard]] const StandIns::MemoryTable &laggingRows();
+    // Decides a transaction on the current rows.
+    bool transact(const Platform::Transaction &transaction);
     void changeList(std::function<void(std::map<std::string, Platform::ListedMachine> &)> change);
 
     Core::VirtualScheduler &m_world;
@@ -40,6 +44,8 @@
     std::map<std::string, Platform::ListedMachine> m_machines;
     bool m_isDown = false;
     int m_lostAnswers = 0;
+    int m_delayedWrites = 0;
+    Core::Duration m_writeDelay {};
     std::uint64_t m_writeCount = 0;
     Core::Duration m_readLag {};
     Core::Duration m_listLag {};
--- a/Tests/Scenario/FaultCommands.cpp
+++ b/Tests/Scenario/FaultCommands.cpp
@@ -28,6 +28,11 @@
             members.push_back(engine);
         }
     }
+    for (const auto &[service, fake] : script.world().services().all()) {
+        if (fake.zone == name) {
+            members.push_back(service);
+        }
+    }
     return members.empty() ? std::vector {name} : members;
 }
 
--- a/Tests/Scenario/Script.cpp
+++ b/Tests/Scenario/Script.cpp
@@ -12,6 +12,7 @@
     addRequestCommands(*this);
     addTicketCommands(*this);
     addOwnershipCommands(*this);
+    addServiceCommands(*this);
 }
 
 void Script::add(const std::string &name, Command command)
--- a/Tests/Scenario/Script.h
+++ b/Tests/Scenario/Script.h
@@ -60,5 +60,6 @@
 void addRequestCommands(Script &script);
 void addTicketCommands(Script &script);
 void addOwnershipCommands(Script &script);
+void addServiceCommands(Script &script);
 
 }
--- a/Tests/Scenario/World.cpp
+++ b/Tests/Scenario/World.cpp
@@ -1,5 +1,6 @@
 #include <Tests/Scenario/World.h>
 
+#include <algorithm>
 #include <stdexcept>
 
 namespace Scenario {
@@ -45,6 +46,7 @@
     : m_lastSeed(seed)
     , m_platform(m_clock, m_network)
     , m_engines(m_clock, m_network)
+    , m_services(m_clock, m_network)
 {
 }
 
@@ -87,6 +89,7 @@
     host.metrics = std::make_unique<Metrics::Registry>();
     host.platform = std::make_unique<HostPlatform>(m_platform, host.name, *host.process);
     host.engines = std::make_unique<HostEngines>(m_engines, host.name, *host.process);
+    host.services = std::make_unique<HostServices>(m_services, host.name, *host.process);
     host.transport = std::make_unique<Transport>(*this, host.name);
     host.hasLeft = false;
     const Host::HostPorts ports {.scheduler = *host.process,
@@ -94,6 +97,7 @@
                                  .hostList = *host.platform,
                                  .transport = *host.transport,
                                  .engines = *host.engines,
+                                 .services = *host.services,
                                  .ids = *host.ids,
                                  .tracer = *host.tracer,
                                  .metrics = *host.metrics};
@@ -158,8 +162,46 @@
     });
 }
 
+void World::addService(const std::string &name, const std::string &zone)
+{
+    m_services.add(name, zone);
+    m_platform.putMachine(
+        {.kind = Platform::MachineKind::Service, .name = name, .zone = {zone}, .address = name, .role = "seats"});
+}
+
+void World::callService(const std::string &name, const std::string &host, Service::ServiceRequest request)
+{
+    const auto answer = std::make_shared<FakeCallAnswer>();
+    m_calls[name] = {.key = request.key, .answer = answer};
+    auto &entry = this->host(host);
+    if (entry.process->state() == ProcessState::Dead) {
+        answer->refuse({.message = "connection refused"});
+        return;
+    }
+    entry.process->runAfter({}, [&entry, answer, request = std::move(request)] {
+        entry.host->callService(request, answer);
+    });
+}
+
+// A call that must not be repeated runs at most once, and not at all when each of its callers was told so.
+void World::checkCalls()
+{
+    for (const auto &[key, count] : m_services.runs()) {
+        if (count > 1) {
+            throw std::runtime_error("invariant: key " + key + " ran " + std::to_string(count) + " times");
+        }
+        const bool isToldNotRun = std::all_of(m_calls.begin(), m_calls.end(), [&key = key](const auto &entry) {
+            return entry.second.key != key || entry.second.answer->outcome() == "not-run";
+        });
+        if (isToldNotRun) {
+            throw std::runtime_error("invariant: key " + key + " was told \"not run\" but ran");
+        }
+    }
+}
+
 void World::checkInvariants()
 {
+    checkCalls();
     for (const auto &[name, engine] : m_engines.all()) {
         if (engine.earlierEvictionsInUse + engine.model->evictionsInUse() > 0) {
             throw std::runtime_error("invariant: " + name + " evicted an adapter that was serving a request");
@@ -224,6 +266,21 @@
     return m_engines;
 }
 
+FakeServices &World::services()
+{
+    return m_services;
+}
+
+FakeCall &World::callNamed(const std::string &name)
+{
+    return m_calls.at(name);
+}
+
+const std::map<std::string, FakeCall> &World::calls() const
+{
+    return m_calls;
+}
+
 FakeHost &World::host(const std::string &name)
 {
     return m_hosts.at(name);
--- a/Tests/Scenario/World.h
+++ b/Tests/Scenario/World.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <LibHost/Host.h>
+#include <Tests/Scenario/FakeCall.h>
 #include <Tests/Scenario/FakeCaller.h>
 #include <Tests/Scenario/FakeEngines.h>
 #include <Tests/Scenario/FakePlatform.h>
+#include <Tests/Scenario/FakeServices.h>
 
 namespace Scenario {
 
@@ -17,6 +19,7 @@
     std::unique_ptr<Metrics::Registry> metrics;
     std::unique_ptr<HostPlatform> platform;
     std::unique_ptr<HostEngines> engines;
+    std::unique_ptr<HostServices> services;
     std::unique_ptr<Peer::PeerTransport> transport;
     std::unique_ptr<Host::Host> host;
     bool hasLeft = false; // A planned stop has ended.
@@ -50,12 +53,17 @@
     // The prompt is the request's name, so that each is told apart at the engines.
     void request(const std::string &name, const std::string &host, const std::string &customer,
                  const std::string &model, std::uint32_t mostTokens, Core::Duration timeout);
+    void addService(const std::string &name, const std::string &zone);
+    void callService(const std::string &name, const std::string &host, Service::ServiceRequest request);
     void checkInvariants();
 
     [[nodiscard]] Core::VirtualScheduler &clock();
     [[nodiscard]] Network &network();
     [[nodiscard]] FakePlatform &platform();
     [[nodiscard]] FakeEngines &engines();
+    [[nodiscard]] FakeServices &services();
+    [[nodiscard]] FakeCall &callNamed(const std::string &name);
+    [[nodiscard]] const std::map<std::string, FakeCall> &calls() const;
     [[nodiscard]] FakeHost &host(const std::string &name);
     [[nodiscard]] std::map<std::string, FakeHost> &hosts();
     [[nodiscard]] FakeRequest &requestNamed(const std::string &name);
@@ -66,15 +74,18 @@
     void boot(FakeHost &host);
     void loseCallers(const std::string &host);
     void checkAnswer(const FakeRequest &request);
+    void checkCalls();
 
     std::uint64_t m_lastSeed;
     Core::VirtualScheduler m_clock;
     Network m_network;
     FakePlatform m_platform;
     FakeEngines m_engines;
+    FakeServices m_services;
     std::map<std::string, FakeHost> m_hosts;
     std::vector<FakeHost> m_formerHosts; // Tasks that are dropped may still name them.
     std::map<std::string, FakeRequest> m_requests;
+    std::map<std::string, FakeCall> m_calls;
 };
 
 }
--- a/Utilities/currantbay/ApiClient.cpp
+++ b/Utilities/currantbay/ApiClient.cpp
@@ -33,13 +33,15 @@
 }
 
 ApiAnswer ApiClient::call(const std::string &method, const std::string &path, const std::string &body,
-                          const PieceFunction &onPiece)
+                          const PieceFunction &onPiece, const std::vector<std::string> &furtherHeaders)
 {
+    std::vector<std::string> headers {"Content-Type: application/json", "Authorization: Bearer " + m_connection.token};
+    headers.insert(headers.end(), furtherHeaders.begin(), furtherHeaders.end());
     ApiAnswer answer;
     m_http.start(
         {.method = method,
          .url = "http://" + m_connection.address + path,
-         .headers = {"Content-Type: application/json", "Authorization: Bearer " + m_connection.token},
+         .headers = std::move(headers),
          .body = body,
          .totalTimeout = CallTimeout},
         [&](const Net::HttpResult &result) {
--- a/Utilities/currantbay/ApiClient.h
+++ b/Utilities/currantbay/ApiClient.h
@@ -35,7 +35,8 @@
 
     // With a piece function the body of a successful answer is passed on as it arrives.
     [[nodiscard]] ApiAnswer call(const std::string &method, const std::string &path, const std::string &body = "",
-                                 const PieceFunction &onPiece = nullptr);
+                                 const PieceFunction &onPiece = nullptr,
+                                 const std::vector<std::string> &furtherHeaders = {});
 
 private:
     Connection m_connection;
--- a/Utilities/currantbay/Commands.h
+++ b/Utilities/currantbay/Commands.h
@@ -9,6 +9,7 @@
 void addTicketCommands(CLI::App &app, const CommonOptions &common, ExitCode &exitCode);
 void addListCommands(CLI::App &app, const CommonOptions &common, ExitCode &exitCode);
 void addRequestCommand(CLI::App &app, const CommonOptions &common, ExitCode &exitCode);
+void addServiceCommand(CLI::App &app, const CommonOptions &common, ExitCode &exitCode);
 void addSettingsCommands(CLI::App &app, ExitCode &exitCode);
 
 }
--- a/Utilities/currantbay/Main.cpp
+++ b/Utilities/currantbay/Main.cpp
@@ -27,6 +27,7 @@
     Client::addTicketCommands(app, common, exitCode);
     Client::addListCommands(app, common, exitCode);
     Client::addRequestCommand(app, common, exitCode);
+    Client::addServiceCommand(app, common, exitCode);
     Client::addSettingsCommands(app, exitCode);
     try {
         app.parse(argc, argv);
