--- a/Libraries/LibHost/Host.cpp
+++ b/Libraries/LibHost/Host.cpp
@@ -18,10 +18,14 @@
                {.self = options.record.id, .incarnation = options.record.incarnation, .key = options.peerKey})
     , m_directory(ports.scheduler, ports.hostList, options.listRefreshPeriod)
     , m_leases(ports.scheduler, ports.table, options.record, options.leases)
-    , m_ownership(m_leases, m_directory)
+    , m_ownership(ports.scheduler, ports.table, m_router, ports.engines, m_leases, m_directory, options.ownership)
     , m_tickets(ports.scheduler, ports.table, ports.ids, options.tickets)
     , m_desk(ports.table)
-    , m_owner(ports.scheduler, m_router, ports.engines, m_ownership, m_directory, options.owner)
+    , m_orders(ports.scheduler, ports.engines, m_ownership)
+    , m_heldGrants(m_router, m_ownership)
+    , m_issuedGrants(ports.scheduler, m_router, m_leases, m_directory, {})
+    , m_takeovers(ports.scheduler, m_router, m_ownership, m_leases, m_directory, m_issuedGrants, {})
+    , m_owner(ports.scheduler, m_router, m_orders, m_ownership, m_directory, m_issuedGrants, m_takeovers, options.owner)
     , m_ledger({.scheduler = ports.scheduler, .table = ports.table, .router = m_router, .metrics = ports.metrics},
                ports.ids, options.record.id, options.record.incarnation, options.ledger)
 {
@@ -31,7 +35,9 @@
 {
     m_directory.start();
     m_leases.start();
+    m_ownership.start();
     m_tickets.start();
+    m_heldGrants.start();
     m_owner.start();
 }
 
@@ -47,6 +53,7 @@
                                    .router = m_router,
                                    .engines = m_ports.engines,
                                    .ownership = m_ownership,
+                                   .heldGrants = m_heldGrants,
                                    .directory = m_directory,
                                    .tickets = m_tickets,
                                    .tracer = m_ports.tracer,
@@ -109,6 +116,10 @@
     m_leases.update([](Membership::HostRecord &record) {
         record.isLeaving = true;
     });
+    m_ownership.leave([this] {
+        m_isHandedOver = true;
+        checkLeft();
+    });
     checkLeft();
 }
 
@@ -154,7 +165,7 @@
 
 void Host::checkLeft()
 {
-    if (!m_left || runningCount() > 0) {
+    if (!m_left || runningCount() > 0 || !m_isHandedOver) {
         return;
     }
     if (m_ledger.unsettledCount() > 0) {
@@ -162,7 +173,7 @@
             checkLeft();
         });
     } else {
-        m_ports.scheduler.runAfter({}, std::exchange(m_left, nullptr));
+        m_leases.release(std::exchange(m_left, nullptr));
     }
 }
 
--- a/Libraries/LibService/ServiceCall.cpp
+++ b/Libraries/LibService/ServiceCall.cpp
@@ -11,6 +11,7 @@
 constexpr std::size_t MostTries = 4;
 constexpr std::size_t LongestKey = 128;
 constexpr auto LongestIdempotentTry = std::chrono::milliseconds(2000);
+constexpr auto ShortestTry = std::chrono::milliseconds(1); // A timeout below it would count as none.
 constexpr std::uint64_t SecondSeed = 1;
 
 bool isUsableKey(const std::string &key)
@@ -127,7 +128,7 @@
 void ServiceCall::sendIdempotent(const ServiceAddress &service)
 {
     const auto timeout = std::min<Core::Duration>(timeLeft(), LongestIdempotentTry);
-    if (timeout <= Core::Duration::zero()) {
+    if (timeout < ShortestTry) {
         refuse(lostAnswer("no target answered in time; the last one: " + m_lastError));
         return;
     }
@@ -173,7 +174,7 @@
         }
     } else if (claim.outcome != Ledger::ClaimOutcome::Held) {
         refuse(refusalOf(claim));
-    } else if (timeLeft() <= Core::Duration::zero()) {
+    } else if (timeLeft() < ShortestTry) {
         m_ports.ledger.abandon(claim.attempt);
         refuse(noTimeLeft());
     } else {
@@ -216,6 +217,7 @@
                                  const ServiceReply &reply)
 {
     const auto reason = "target " + service.target.value + ": " + reply.error;
+    m_lastError = reason + "; the attempt was fenced before it ran";
     const auto fence = fenceFunction();
     const auto left = timeLeft();
     m_ports.ledger.settle(attempt, fence, [self = shared_from_this()](const Ledger::FenceVerdict &verdict) {
--- a/Tests/Scenario/ServiceCommands.cpp
+++ b/Tests/Scenario/ServiceCommands.cpp
@@ -39,6 +39,16 @@
                                 .timeout = parseDuration(option(words, "timeout", "10s"))});
 }
 
+// calls NAME COUNT at HOST: that many calls at once, each with a key of its own, "NAME-1" and so on.
+void callMany(Script &script, Words words)
+{
+    for (int number = 1; number <= std::stoi(words[1]); ++number) {
+        const auto name = words[0] + "-" + std::to_string(number);
+        const std::vector<std::string> one {name, "at", option(words, "at", ""), "key", name};
+        call(script, one);
+    }
+}
+
 // expect call NAME waiting|completed|replayed|not-run|unknown|ran [code CODE]
 void expectCall(Script &script, Words words)
 {
@@ -109,6 +119,7 @@
     script.add("service", addService);
     script.add("route", addRoute);
     script.add("call", call);
+    script.add("calls", callMany);
     script.add("expect call", expectCall);
     script.add("expect runs", expectRuns);
     script.add("expect writes", expectWrites);
--- a/Utilities/currantbay/Commands.h
+++ b/Utilities/currantbay/Commands.h
@@ -11,5 +11,6 @@
 void addRequestCommand(CLI::App &app, const CommonOptions &common, ExitCode &exitCode);
 void addServiceCommand(CLI::App &app, const CommonOptions &common, ExitCode &exitCode);
 void addSettingsCommands(CLI::App &app, ExitCode &exitCode);
+void addTraceCommands(CLI::App &app, ExitCode &exitCode);
 
 }
--- a/Utilities/currantbay/Main.cpp
+++ b/Utilities/currantbay/Main.cpp
@@ -29,6 +29,7 @@
     Client::addRequestCommand(app, common, exitCode);
     Client::addServiceCommand(app, common, exitCode);
     Client::addSettingsCommands(app, exitCode);
+    Client::addTraceCommands(app, exitCode);
     try {
         app.parse(argc, argv);
     } catch (const CLI::Success &success) {
