--- a/Libraries/LibLog/EventCatalogue.h
+++ b/Libraries/LibLog/EventCatalogue.h
@@ -26,8 +26,8 @@
     OwnershipClaimed = 500,
     OwnershipLost = 501,
     TakeoverWithoutTable = 502,
-    AttemptAbandoned = 800,
-    AttemptUnknown = 801,
+    AttemptAbandoned = 600,
+    AttemptUnknown = 601,
 };
 
 // One line of the catalogue. docs/EVENTS.md says what an operator does about each.
