--- a/Libraries/LibTicket/TicketJson.cpp
+++ b/Libraries/LibTicket/TicketJson.cpp
@@ -128,7 +128,16 @@
         return {.name = text(json, path, "name"),
                 .service = text(json, path, "service"),
                 .idempotentMethods = texts(json, path, "idempotentMethods"),
-                .fencePath = json.contains("fencePath") ? text(json, path, "fencePath") : ""};
+                .fencePath = json.contains("fencePath") ? fencePath(json, path) : ""};
+    }
+
+    std::string fencePath(const nlohmann::json &json, const std::string &path)
+    {
+        auto value = text(json, path, "fencePath");
+        if (!value.empty() && !value.starts_with('/')) {
+            report(path + ".fencePath", "expected a path that begins with \"/\"");
+        }
+        return value;
     }
 
     std::string text(const nlohmann::json &json, const std::string &path, const char *name)
