--- a/Libraries/LibHost/Host.cpp
+++ b/Libraries/LibHost/Host.cpp
@@ -163,6 +163,11 @@
     return m_owner;
 }
 
+const Ledger::Ledger &Host::ledger() const
+{
+    return m_ledger;
+}
+
 void Host::checkLeft()
 {
     if (!m_left || runningCount() > 0 || !m_isHandedOver) {
--- a/Libraries/LibHost/Host.h
+++ b/Libraries/LibHost/Host.h
@@ -66,6 +66,7 @@
     [[nodiscard]] const Platform::TargetDirectory &directory() const;
     [[nodiscard]] const Ticket::TicketFeed &tickets() const;
     [[nodiscard]] const Owner::OwnedTargets &owner() const;
+    [[nodiscard]] const Ledger::Ledger &ledger() const;
 
 private:
     void checkLeft();
--- a/Services/currantbayd/Daemon.cpp
+++ b/Services/currantbayd/Daemon.cpp
@@ -72,6 +72,9 @@
     m_metrics.gauge("currantbay_waiting_requests", [this] {
         return static_cast<double>(m_host.owner().waitingCount());
     });
+    m_metrics.gauge("currantbay_ledger_unsettled_attempts", [this] {
+        return static_cast<double>(m_host.ledger().unsettledCount());
+    });
     m_metrics.gauge("currantbay_ticket_sequence", [this] {
         return static_cast<double>(m_host.tickets().state()->sequence());
     });
