--- a/Libraries/LibOwner/OwnedTargets.cpp
+++ b/Libraries/LibOwner/OwnedTargets.cpp
@@ -1,19 +1,21 @@
 #include <LibOwner/OwnedTargets.h>
 
-#include <LibCore/Rendezvous.h>
+#include <LibOwner/PermitMessages.h>
 #include <algorithm>
+#include <utility>
 
 namespace Owner {
 
 namespace {
 
-constexpr std::int64_t OverloadedRetryMilliseconds = 1000;
+// A load order without an answer may still take effect, so it is sent again until the engine says what became of it.
+constexpr Core::Duration UnknownLoadRetry = std::chrono::seconds(1);
 
 }
 
 OwnedTargets::OwnedTargets(Core::Scheduler &scheduler, Peer::PeerRouter &router, Engine::EngineLink &engines,
                            Membership::OwnershipView &ownership, const Platform::TargetDirectory &directory,
-                           IssuedGrants &grants, TakeoverGuard &guard, OwnedTargetsOptions options)
+                           IssuedGrants &grants, TakeoverGuard &guard, const OwnedTargetsOptions &options)
     : m_scheduler(scheduler)
     , m_router(router)
     , m_engines(engines)
@@ -22,21 +24,33 @@
     , m_grants(grants)
     , m_guard(guard)
     , m_options(options)
+    , m_dispatcher(options.dispatcher, scheduler.now())
 {
 }
 
 void OwnedTargets::start()
 {
     m_router.onCall<GrantRequest, GrantReply>(
-        [this](const Core::HostId &from, GrantRequest asked, ReplyFunction reply) {
-            if (!m_grants.admit(asked.grant, from)) {
-                return;
+        [this](const Core::HostId &from, const GrantRequest &asked, ReplyFunction reply) {
+            if (m_grants.admit(asked.grant, from)) {
+                request(asked, std::move(reply));
             }
-            request(std::move(asked), std::move(reply));
         });
     m_router.onMessage<GrantRelease>([this](const Core::HostId & /*from*/, const GrantRelease &released) {
         release(released.grant);
     });
+    m_router.onCall<PermitRequest, PermitReply>(
+        [this](const Core::HostId & /*from*/, const PermitRequest & /*asked*/, const auto &reply) {
+            reply({.isGiven = m_dispatcher.lendPermit(m_scheduler.now())});
+        });
+    m_dispatcher.setGuards({.mayPlace =
+                                [this](const Core::TargetId &target, const Core::AdapterVersion &adapter) {
+                                    return m_guard.mayPlace(target, adapter);
+                                },
+                            .mayEvict =
+                                [this](const Core::TargetId &target, const Core::AdapterVersion &adapter) {
+                                    return m_guard.mayUnload(target, adapter);
+                                }});
     watchOwnership();
     refreshStatus();
 }
@@ -54,26 +68,26 @@
     m_ownership.onLost([this](const Core::TargetId &target) {
         m_guard.end(target);
         m_grants.dropTarget(target);
-        m_tables.erase(target);
+        m_dispatcher.removeTarget(target);
     });
     m_ownership.onAllowanceChanged([this] {
-        dispatch();
+        step();
     });
 }
 
 const std::map<Core::TargetId, SlotTable> &OwnedTargets::tables() const
 {
-    return m_tables;
+    return m_dispatcher.tables();
 }
 
 std::size_t OwnedTargets::waitingCount() const
 {
-    return m_waiting.size();
+    return m_dispatcher.waiting().size();
 }
 
 std::uint64_t OwnedTargets::loadCount() const
 {
-    return m_loadCount;
+    return m_dispatcher.loadCount();
 }
 
 void OwnedTargets::refreshStatus()
@@ -81,7 +95,7 @@
     for (const auto &ownership : m_ownership.owned()) {
         askStatus(ownership.target);
     }
-    refuseExpired();
+    step();
     m_scheduler.runAfter(m_options.statusPeriod, [this] {
         refreshStatus();
     });
@@ -89,7 +103,7 @@
 
 void OwnedTargets::askStatus(const Core::TargetId &target)
 {
-    const auto fence = m_ownership.ownerOf(target).value_or(Membership::Ownership {}).fence;
+    const auto fence = fenceOf(target);
     m_engines.status(addressOf(target), [this, target, fence, askedAt = m_scheduler.now()](const auto &status) {
         const auto owned = m_ownership.ownerOf(target).value_or(Membership::Ownership {});
         if (!status.has_value() || owned.owner != m_router.self() || owned.fence != fence) {
@@ -106,257 +120,221 @@
     });
 }
 
+// Takes over which targets this host owns and which of them take new work.
+void OwnedTargets::refreshTargets()
+{
+    std::map<Core::TargetId, const Platform::Target *> owned;
+    for (const auto &ownership : m_ownership.owned()) {
+        owned[ownership.target] = m_directory.find(ownership.target);
+    }
+    for (const auto &[id, table] : m_dispatcher.tables()) {
+        const auto found = owned.find(id);
+        const auto *target = found == owned.end() ? nullptr : found->second;
+        const bool isServing = target != nullptr && target->state == Platform::MachineState::Live;
+        m_dispatcher.setServing(id, target == nullptr ? "" : target->role, isServing);
+    }
+}
+
 void OwnedTargets::takeStatus(const Core::TargetId &target, const Engine::EngineStatus &status, Core::TimePoint askedAt)
 {
-    auto &table = m_tables[target];
-    if (table.incarnation() != status.incarnation) {
-        table.resetTo(status.incarnation, status.slotCount);
-        for (const auto &slot : status.slots) {
-            table.beginLoad(slot.adapter, m_scheduler.now());
-            table.finishLoad(slot.adapter);
-        }
+    std::vector<Core::AdapterVersion> resident;
+    for (const auto &slot : status.slots) {
+        resident.push_back(slot.adapter);
     }
-    // A former owner's order may have taken an adapter away.
-    for (const auto &adapter : table.evictable()) {
-        const bool isReported = std::any_of(status.slots.begin(), status.slots.end(), [&](const auto &slot) {
-            return slot.adapter == adapter;
-        });
-        if (!isReported && table.find(adapter)->lastUsed < askedAt) {
-            table.remove(adapter);
-        }
+    if (!isCurrent(target, status.incarnation)) {
+        m_dispatcher.resetTarget(target, status.incarnation, status.slotCount, resident, m_scheduler.now());
     }
-    dispatch();
+    m_dispatcher.forgetMissing(target, resident, askedAt);
+    m_dispatcher.report(target, status.batchCapacity, status.runningRequests + status.queuedRequests);
+    step();
 }
 
-void OwnedTargets::request(GrantRequest request, ReplyFunction reply)
+void OwnedTargets::request(const GrantRequest &request, ReplyFunction reply)
 {
-    if (candidates(request).empty()) {
+    refreshTargets();
+    if (!m_dispatcher.isServed(request.baseModel)) {
         m_grants.release(request.grant);
         reply({.outcome = GrantOutcome::NotOwner, .grant = request.grant, .reason = "no owned target serves this"});
         return;
     }
-    if (m_waiting.size() >= m_options.mostWaiting) {
-        m_grants.release(request.grant);
-        reply({.outcome = GrantOutcome::Overloaded,
-               .grant = request.grant,
-               .reason = "too many requests are waiting",
-               .retryAfterMilliseconds = OverloadedRetryMilliseconds});
-        return;
-    }
-    const auto patience = std::chrono::milliseconds(request.patienceMilliseconds);
-    m_waiting.push_back(
-        {.request = std::move(request), .reply = std::move(reply), .deadline = m_scheduler.now() + patience});
-    dispatch();
+    const auto now = m_scheduler.now();
+    m_replies[request.grant] = std::move(reply);
+    m_dispatcher.request({.grant = request.grant,
+                          .adapter = request.adapter,
+                          .baseModel = request.baseModel,
+                          .customer = request.customer,
+                          .arrivedAt = now,
+                          .deadline = now + std::chrono::milliseconds(request.patienceMilliseconds)},
+                         now);
+    step();
 }
 
 void OwnedTargets::release(const Core::GrantId &grant)
 {
     m_grants.release(grant);
-    std::erase_if(m_waiting, [&](const Waiter &waiter) {
-        return waiter.request.grant == grant;
-    });
-    for (auto &[target, table] : m_tables) {
-        if (table.release(grant, m_scheduler.now())) {
-            break;
-        }
-    }
-    dispatch();
+    m_replies.erase(grant);
+    m_dispatcher.release(grant, m_scheduler.now());
+    step();
 }
 
-void OwnedTargets::dispatch()
+void OwnedTargets::step()
 {
-    std::erase_if(m_waiting, [this](const Waiter &waiter) {
-        return serve(waiter);
-    });
-    for (const auto &waiter : m_waiting) {
-        if (!startLoad(waiter)) {
-            break;
-        }
+    refreshTargets();
+    for (const auto &action : m_dispatcher.step(m_scheduler.now())) {
+        std::visit(
+            [this](const auto &chosen) {
+                act(chosen);
+            },
+            action);
+    }
+    if (m_dispatcher.wantsPermit(m_scheduler.now())) {
+        seekPermit();
     }
 }
 
-bool OwnedTargets::serve(const Waiter &waiter)
+void OwnedTargets::act(const GrantAction &action)
 {
-    for (const auto &target : candidates(waiter.request)) {
-        auto &table = m_tables.at(target);
-        const auto *slot = table.find(waiter.request.adapter);
-        if (slot != nullptr && slot->state == SlotState::Ready && m_guard.mayPlace(target, waiter.request.adapter)) {
-            m_grants.grant(waiter.request.grant, target, waiter.request.adapter);
-            table.grant(waiter.request.adapter, waiter.request.grant, m_scheduler.now());
-            waiter.reply({.outcome = GrantOutcome::Granted,
-                          .grant = waiter.request.grant,
-                          .target = target,
-                          .targetIncarnation = table.incarnation()});
-            return true;
-        }
-    }
-    return false;
+    m_grants.grant(action.request.grant, action.target, action.request.adapter);
+    answer({.outcome = GrantOutcome::Granted,
+            .grant = action.request.grant,
+            .target = action.target,
+            .targetIncarnation = m_dispatcher.tables().at(action.target).incarnation()});
 }
 
-// Returns false when no target can take a load now, so that later waiters need not be tried.
-bool OwnedTargets::startLoad(const Waiter &waiter)
+void OwnedTargets::act(const RefuseAction &action)
 {
-    auto targets = candidates(waiter.request);
-    std::erase_if(targets, [&](const Core::TargetId &target) {
-        return !m_guard.mayPlace(target, waiter.request.adapter);
-    });
-    const bool isOnItsWay = std::any_of(targets.begin(), targets.end(), [&](const auto &target) {
-        return m_tables.at(target).find(waiter.request.adapter) != nullptr;
-    });
-    if (isOnItsWay) {
-        return true;
-    }
-    for (const auto &target : targets) {
-        if (m_tables.at(target).hasFreeSlot()) {
-            orderLoad(target, waiter.request.adapter);
-            return true;
-        }
-    }
-    for (const auto &target : targets) {
-        if (const auto idle = victim(target); idle.has_value()) {
-            orderUnload(target, *idle);
-            return true;
-        }
-    }
-    return false;
+    m_grants.release(action.request.grant);
+    answer({.outcome = action.outcome,
+            .grant = action.request.grant,
+            .reason = action.reason,
+            .retryAfterMilliseconds = Core::toMilliseconds(action.retryAfter)});
 }
 
-std::optional<Core::AdapterVersion> OwnedTargets::victim(const Core::TargetId &target)
+void OwnedTargets::act(const LoadAction &action)
 {
-    for (const auto &adapter : m_tables.at(target).evictable()) {
-        if (m_guard.mayUnload(target, adapter)) {
-            return adapter;
-        }
-    }
-    return std::nullopt;
+    orderLoad(action, m_dispatcher.tables().at(action.target).incarnation());
 }
 
-void OwnedTargets::orderLoad(const Core::TargetId &target, const Core::AdapterVersion &adapter)
+void OwnedTargets::orderLoad(const LoadAction &action, const std::string &incarnation)
 {
-    auto &table = m_tables.at(target);
-    table.beginLoad(adapter, m_scheduler.now());
-    ++m_loadCount;
-    const auto fence = m_ownership.ownerOf(target).value_or(Membership::Ownership {}).fence;
-    m_engines.load(addressOf(target), {.adapter = adapter, .fence = fence},
-                   [this, target, incarnation = table.incarnation(), adapter](Engine::OrderOutcome outcome) {
-                       finishLoad(target, incarnation, adapter, outcome);
-                   });
+    const Engine::AdapterOrder order {.adapter = action.adapter, .fence = fenceOf(action.target)};
+    m_engines.load(addressOf(action.target), order, [this, action, incarnation](Engine::OrderOutcome outcome) {
+        if (outcome == Engine::OrderOutcome::Unknown) {
+            m_scheduler.runAfter(UnknownLoadRetry, [this, action, incarnation] {
+                if (isCurrent(action.target, incarnation)) {
+                    orderLoad(action, incarnation);
+                }
+            });
+            return;
+        }
+        m_dispatcher.finishLoad(action.target, incarnation, action.adapter, outcome == Engine::OrderOutcome::Done);
+        step();
+    });
 }
 
-void OwnedTargets::orderUnload(const Core::TargetId &target, const Core::AdapterVersion &adapter)
+void OwnedTargets::act(const UnloadAction &action)
 {
-    auto &table = m_tables.at(target);
-    table.beginUnload(adapter);
-    sendUnload(target, table.incarnation(), adapter);
+    sendUnload(action, m_dispatcher.tables().at(action.target).incarnation());
 }
 
-void OwnedTargets::sendUnload(const Core::TargetId &target, const std::string &incarnation,
-                              const Core::AdapterVersion &adapter)
+void OwnedTargets::sendUnload(const UnloadAction &action, const std::string &incarnation)
 {
-    const auto fence = m_ownership.ownerOf(target).value_or(Membership::Ownership {}).fence;
-    m_engines.unload(addressOf(target), {.adapter = adapter, .fence = fence},
-                     [this, target, incarnation, adapter](Engine::OrderOutcome outcome) {
-                         finishUnload(target, incarnation, adapter, outcome);
-                     });
+    const Engine::AdapterOrder order {.adapter = action.adapter, .fence = fenceOf(action.target)};
+    m_engines.unload(addressOf(action.target), order, [this, action, incarnation](Engine::OrderOutcome outcome) {
+        finishUnload(action, incarnation, outcome);
+    });
 }
 
-void OwnedTargets::finishUnload(const Core::TargetId &target, const std::string &incarnation,
-                                const Core::AdapterVersion &adapter, Engine::OrderOutcome outcome)
+void OwnedTargets::finishUnload(const UnloadAction &action, const std::string &incarnation,
+                                Engine::OrderOutcome outcome)
 {
-    const auto table = m_tables.find(target);
-    if (table == m_tables.end() || table->second.incarnation() != incarnation) {
+    const std::pair key(action.target, action.adapter);
+    if (!isCurrent(action.target, incarnation)) {
+        m_uncertainUnloads.erase(key);
         return;
     }
-    if (outcome == Engine::OrderOutcome::Done) {
-        table->second.remove(adapter);
-    } else if (outcome != Engine::OrderOutcome::Unknown && !m_uncertainUnloads.contains({target, adapter})) {
-        table->second.cancelUnload(adapter);
-    } else {
+    const bool isDone = outcome == Engine::OrderOutcome::Done;
+    const bool isUncertain = outcome == Engine::OrderOutcome::Unknown || m_uncertainUnloads.contains(key);
+    if (!isDone && isUncertain) {
         // The order may still take effect, so nothing is placed on the adapter until one has been answered.
-        m_uncertainUnloads.insert({target, adapter});
-        m_scheduler.runAfter(m_options.statusPeriod, [this, target, incarnation, adapter] {
-            retryUnload(target, incarnation, adapter);
+        m_uncertainUnloads.insert(key);
+        m_scheduler.runAfter(m_options.statusPeriod, [this, action, incarnation, key] {
+            if (isCurrent(action.target, incarnation)) {
+                sendUnload(action, incarnation);
+            } else {
+                m_uncertainUnloads.erase(key);
+            }
         });
         return;
     }
-    m_uncertainUnloads.erase({target, adapter});
-    dispatch();
+    m_uncertainUnloads.erase(key);
+    m_dispatcher.finishUnload(action.target, incarnation, action.adapter, isDone, m_scheduler.now());
+    step();
 }
 
-void OwnedTargets::retryUnload(const Core::TargetId &target, const std::string &incarnation,
-                               const Core::AdapterVersion &adapter)
+bool OwnedTargets::isCurrent(const Core::TargetId &target, const std::string &incarnation) const
 {
-    const auto table = m_tables.find(target);
-    if (table == m_tables.end() || table->second.incarnation() != incarnation) {
-        m_uncertainUnloads.erase({target, adapter});
-        return;
+    const auto found = m_dispatcher.tables().find(target);
+    return found != m_dispatcher.tables().end() && found->second.incarnation() == incarnation;
+}
+
+void OwnedTargets::answer(const GrantReply &reply)
+{
+    if (const auto node = m_replies.extract(reply.grant); !node.empty()) {
+        node.mapped()(reply);
     }
-    sendUnload(target, incarnation, adapter);
 }
 
-void OwnedTargets::finishLoad(const Core::TargetId &target, const std::string &incarnation,
-                              const Core::AdapterVersion &adapter, Engine::OrderOutcome outcome)
+// Asks one other host after the other for a permit, one question at a time.
+void OwnedTargets::seekPermit()
 {
-    const auto found = m_tables.find(target);
-    if (found == m_tables.end() || found->second.incarnation() != incarnation) {
+    if (std::exchange(m_seeksPermit, true)) {
         return;
     }
-    auto &table = found->second;
-    if (outcome == Engine::OrderOutcome::Done) {
-        table.finishLoad(adapter);
-        dispatch();
+    const auto hosts = otherOwners();
+    if (hosts.empty()) {
+        takePermit(false);
         return;
     }
-    table.remove(adapter);
-    std::vector<Waiter> failed;
-    std::erase_if(m_waiting, [&](const Waiter &waiter) {
-        const bool isFailed = waiter.request.adapter == adapter;
-        if (isFailed) {
-            failed.push_back(waiter);
-        }
-        return isFailed;
-    });
-    for (const auto &waiter : failed) {
-        waiter.reply({.outcome = GrantOutcome::LoadFailed,
-                      .grant = waiter.request.grant,
-                      .target = target,
-                      .reason = "loading " + adapter.toString() + " failed",
-                      .retryAfterMilliseconds = OverloadedRetryMilliseconds});
-    }
-    dispatch();
+    m_lastLender = (m_lastLender + 1) % hosts.size();
+    m_router.call<PermitReply>(hosts[m_lastLender], PermitRequest {.waitingAdapters = 1}, m_options.permitTimeout,
+                               [this](const std::optional<PermitReply> &reply) {
+                                   takePermit(reply.has_value() && reply->isGiven);
+                               });
 }
 
-void OwnedTargets::refuseExpired()
+void OwnedTargets::takePermit(bool isGiven)
 {
-    const auto now = m_scheduler.now();
-    std::erase_if(m_waiting, [now](const Waiter &waiter) {
-        if (waiter.deadline > now) {
-            return false;
-        }
-        waiter.reply({.outcome = GrantOutcome::Overloaded,
-                      .grant = waiter.request.grant,
-                      .reason = "no slot became free in time",
-                      .retryAfterMilliseconds = OverloadedRetryMilliseconds});
-        return true;
+    if (isGiven) {
+        m_dispatcher.receivePermit();
+        m_seeksPermit = false;
+        step();
+        return;
+    }
+    m_scheduler.runAfter(m_options.permitPause, [this] {
+        m_seeksPermit = false;
+        step();
     });
 }
 
-std::vector<Core::TargetId> OwnedTargets::candidates(const GrantRequest &request) const
+// Hosts that own targets, as far as this host knows, without itself.
+std::vector<Core::HostId> OwnedTargets::otherOwners() const
 {
-    std::vector<Core::RendezvousCandidate> owned;
-    for (const auto &ownership : m_ownership.owned()) {
-        const auto *target = m_directory.find(ownership.target);
-        const bool isServing = target != nullptr && target->role == request.baseModel
-            && target->state == Platform::MachineState::Live && m_tables.contains(ownership.target);
-        if (isServing) {
-            owned.push_back({.name = ownership.target.value});
+    std::vector<Core::HostId> hosts;
+    for (const auto &[id, target] : m_directory.all()) {
+        const auto ownership = m_ownership.ownerOf(id);
+        if (ownership.has_value() && ownership->owner != m_router.self()) {
+            hosts.push_back(ownership->owner);
         }
     }
-    std::vector<Core::TargetId> targets;
-    for (auto &name : Core::rankByRendezvous(request.adapter.toString(), owned)) {
-        targets.push_back({std::move(name)});
-    }
-    return targets;
+    std::sort(hosts.begin(), hosts.end());
+    hosts.erase(std::unique(hosts.begin(), hosts.end()), hosts.end());
+    return hosts;
+}
+
+std::uint64_t OwnedTargets::fenceOf(const Core::TargetId &target) const
+{
+    return m_ownership.ownerOf(target).value_or(Membership::Ownership {}).fence;
 }
 
 Engine::EngineAddress OwnedTargets::addressOf(const Core::TargetId &target) const
