--- a/Libraries/LibHost/Host.cpp
+++ b/Libraries/LibHost/Host.cpp
@@ -49,6 +49,8 @@
     , m_avoidance(options.avoidance)
     , m_owners(ports.scheduler, m_router, options.owners)
     , m_quarantine(ports.scheduler, m_router, m_leases, options.quarantine)
+    , m_ledger({.scheduler = ports.scheduler, .table = ports.table, .router = m_router, .metrics = ports.metrics},
+               ports.ids, options.record.id, options.record.incarnation, options.ledger)
 {
 }
 
@@ -119,6 +121,31 @@
     };
 }
 
+std::function<void()> Host::callService(Service::ServiceRequest request, std::shared_ptr<Service::ServiceAnswer> answer)
+{
+    const Service::ServicePorts ports {.scheduler = m_ports.scheduler,
+                                       .ids = m_ports.ids,
+                                       .ledger = m_ledger,
+                                       .link = m_ports.services,
+                                       .directory = m_directory,
+                                       .tickets = m_tickets,
+                                       .tracer = m_ports.tracer,
+                                       .metrics = m_ports.metrics,
+                                       .zone = m_options.record.zone};
+    const auto number = ++m_lastRun;
+    auto call = std::make_shared<Service::ServiceCall>(ports, std::move(request), std::move(answer), [this, number] {
+        m_runningCalls.erase(number);
+        checkLeft();
+    });
+    m_runningCalls.emplace(number, call);
+    call->start();
+    return [weak = std::weak_ptr(call)] {
+        if (const auto running = weak.lock()) {
+            running->abandon();
+        }
+    };
+}
+
 void Host::submitTicket(Ticket::Ticket ticket, Ticket::TicketDesk::AcceptFunction done)
 {
     const auto number = ticket.number;
@@ -155,7 +182,7 @@
 
 std::size_t Host::runningCount() const
 {
-    return m_running.size();
+    return m_running.size() + m_runningCalls.size();
 }
 
 Peer::PeerRouter &Host::router()
@@ -209,10 +236,16 @@
     return peers;
 }
 
+const Ledger::Ledger &Host::ledger() const
+{
+    return m_ledger;
+}
+
 // Other hosts' requests that wait for a target of this host's end here too, so that they are counted.
 void Host::checkLeft()
 {
-    if (m_running.empty() && m_owner.waitingCount() == 0 && m_isHandedOver) {
+    const bool isIdle = runningCount() == 0 && m_owner.waitingCount() == 0;
+    if (isIdle && m_isHandedOver && m_ledger.unsettledCount() == 0) {
         m_leases.release(std::exchange(m_left, nullptr));
         return;
     }
--- a/Libraries/LibHost/Host.h
+++ b/Libraries/LibHost/Host.h
@@ -13,6 +13,7 @@
 #include <LibPeer/PeerRouter.h>
 #include <LibPlatform/TargetDirectory.h>
 #include <LibTicket/TicketArchive.h>
+#include <LibService/ServiceCall.h>
 #include <LibTicket/TicketDesk.h>
 #include <LibTicket/TicketFeed.h>
 #include <LibTicket/TicketSpread.h>
@@ -27,6 +28,7 @@
     Platform::HostList &hostList;
     Peer::PeerTransport &transport;
     Engine::EngineLink &engines;
+    Service::ServiceLink &services;
     Core::IdSource &ids;
     Trace::Tracer &tracer;
     Metrics::Registry &metrics;
@@ -47,6 +49,7 @@
     Routing::TargetAvoidanceOptions avoidance;
     Routing::OwnerWatchOptions owners;
     Routing::QuarantineTableOptions quarantine;
+    Ledger::LedgerOptions ledger;
 };
 
 // Every duty of one entry host, joined. It does no input or output of its own.
@@ -60,11 +63,13 @@
     [[nodiscard]] bool isReady() const;
     // Starts a caller's request. The returned function is to be called should the caller go away.
     std::function<void()> complete(Front::CompletionRequest request, std::shared_ptr<Front::CallerAnswer> answer);
+    // Starts a caller's call to a plain service. The returned function is to be called should the caller go away.
+    std::function<void()> callService(Service::ServiceRequest request, std::shared_ptr<Service::ServiceAnswer> answer);
     // Accepts an operator's ticket.
     void submitTicket(Ticket::Ticket ticket, Ticket::TicketDesk::AcceptFunction done);
     // Begins a planned stop: tells the other hosts and the platform's balancer, by isReady(), that this host leaves.
     // Requests that still arrive are served. The function runs when nothing has been running here, nor waiting for
-    // a target that this host owns, at some time after the grace period.
+    // a target that this host owns, and the ledger is settled, at some time after the grace period.
     void leave(Core::Duration grace, std::function<void()> done);
     [[nodiscard]] bool isLeaving() const;
     // True when this host knows what it needs to serve a request, also while it leaves.
@@ -81,6 +86,7 @@
     [[nodiscard]] Ticket::TicketArchive &ticketArchive();
     [[nodiscard]] const Owner::OwnedTargets &owner() const;
     [[nodiscard]] const Routing::Quarantine &quarantine() const;
+    [[nodiscard]] const Ledger::Ledger &ledger() const;
 
 private:
     void checkLeft();
@@ -109,9 +115,11 @@
     Routing::TargetAvoidance m_avoidance;
     Routing::OwnerWatch m_owners;
     Routing::Quarantine m_quarantine;
+    Ledger::Ledger m_ledger;
     std::uint64_t m_lastRun = 0;
     std::map<std::uint64_t, std::shared_ptr<Front::Completion>> m_running;
     bool m_isHandedOver = false; // Nothing of this host's is left to hand over.
+    std::map<std::uint64_t, std::shared_ptr<Service::ServiceCall>> m_runningCalls;
     std::function<void()> m_left;
 };
 
--- a/Services/currantbayd/Daemon.cpp
+++ b/Services/currantbayd/Daemon.cpp
@@ -70,6 +70,7 @@
     , m_client(m_loop)
     , m_platform(m_client, {.address = settings.platformAddress})
     , m_engines(m_client, {.silenceTimeout = settings.streamSilence})
+    , m_services(m_client, {})
     , m_peers(m_loop, settings.peerAddress,
               [this](std::string_view bytes) {
                   m_host.router().receive(bytes);
@@ -79,6 +80,7 @@
               .hostList = m_platform,
               .transport = *this,
               .engines = m_engines,
+              .services = m_services,
               .ids = m_ids,
               .tracer = m_tracer,
               .metrics = m_metrics},
@@ -95,6 +97,9 @@
     m_metrics.gauge("currantbay_waiting_requests", [this] {
         return static_cast<double>(m_host.owner().waitingCount());
     });
+    m_metrics.gauge("currantbay_ledger_unsettled_attempts", [this] {
+        return static_cast<double>(m_host.ledger().unsettledCount());
+    });
     m_metrics.gauge("currantbay_ticket_sequence", [this] {
         return static_cast<double>(m_host.tickets().state()->sequence());
     });
--- a/Tests/Scenario/Script.cpp
+++ b/Tests/Scenario/Script.cpp
@@ -14,6 +14,7 @@
     addOwnershipCommands(*this);
     addStreamCommands(*this);
     addLeavingCommands(*this);
+    addServiceCommands(*this);
 }
 
 void Script::add(const std::string &name, Command command)
--- a/Tests/Scenario/Script.h
+++ b/Tests/Scenario/Script.h
@@ -62,5 +62,6 @@
 void addOwnershipCommands(Script &script);
 void addStreamCommands(Script &script);
 void addLeavingCommands(Script &script);
+void addServiceCommands(Script &script);
 
 }
--- a/Tests/Scenario/World.h
+++ b/Tests/Scenario/World.h
@@ -1,9 +1,11 @@
 #pragma once
 
 #include <LibHost/Host.h>
+#include <Tests/Scenario/FakeCall.h>
 #include <Tests/Scenario/FakeCaller.h>
 #include <Tests/Scenario/FakeEngines.h>
 #include <Tests/Scenario/FakePlatform.h>
+#include <Tests/Scenario/FakeServices.h>
 
 namespace Scenario {
 
@@ -19,6 +21,7 @@
     std::unique_ptr<Metrics::Registry> metrics;
     std::unique_ptr<HostPlatform> platform;
     std::unique_ptr<HostEngines> engines;
+    std::unique_ptr<HostServices> services;
     std::unique_ptr<Peer::PeerTransport> transport;
     std::unique_ptr<Host::Host> host;
     bool hasLeft = false; // A planned stop has ended.
@@ -56,6 +59,8 @@
     void request(const std::string &name, const std::string &host, const std::string &customer,
                  const std::string &model, std::uint32_t mostTokens, Core::Duration timeout,
                  const std::string &givenPrompt = "");
+    void addService(const std::string &name, const std::string &zone);
+    void callService(const std::string &name, const std::string &host, Service::ServiceRequest request);
     void checkInvariants();
     // How often engines have begun to run a prompt.
     [[nodiscard]] int startsOf(const std::string &prompt);
@@ -64,6 +69,9 @@
     [[nodiscard]] Network &network();
     [[nodiscard]] FakePlatform &platform();
     [[nodiscard]] FakeEngines &engines();
+    [[nodiscard]] FakeServices &services();
+    [[nodiscard]] FakeCall &callNamed(const std::string &name);
+    [[nodiscard]] const std::map<std::string, FakeCall> &calls() const;
     [[nodiscard]] FakeHost &host(const std::string &name);
     [[nodiscard]] std::map<std::string, FakeHost> &hosts();
     [[nodiscard]] FakeRequest &requestNamed(const std::string &name);
@@ -74,15 +82,18 @@
     void boot(FakeHost &host);
     void loseCallers(const std::string &host);
     void checkAnswer(const FakeRequest &request);
+    void checkCalls();
 
     std::uint64_t m_lastSeed;
     Core::VirtualScheduler m_clock;
     Network m_network;
     FakePlatform m_platform;
     FakeEngines m_engines;
+    FakeServices m_services;
     std::map<std::string, FakeHost> m_hosts;
     std::vector<FakeHost> m_formerHosts; // Tasks that are dropped may still name them.
     std::map<std::string, FakeRequest> m_requests;
+    std::map<std::string, FakeCall> m_calls;
 };
 
 }
--- a/Utilities/currantbay/Commands.h
+++ b/Utilities/currantbay/Commands.h
@@ -10,6 +10,7 @@
 void addListCommands(CLI::App &app, const CommonOptions &common, ExitCode &exitCode);
 void addRequestCommand(CLI::App &app, const CommonOptions &common, ExitCode &exitCode);
 void addSettingsCommands(CLI::App &app, const CommonOptions &common, ExitCode &exitCode);
+void addServiceCommand(CLI::App &app, const CommonOptions &common, ExitCode &exitCode);
 void addTraceCommands(CLI::App &app, ExitCode &exitCode);
 
 }
