LibHost: Be ready only once an owner of the zone's engines is known

One known owner is enough, so that an engine that is new or whose owner has died doesn't take hosts out of the balancer.

--- a/Libraries/LibHost/Host.cpp
+++ b/Libraries/LibHost/Host.cpp
@@ -1,6 +1,7 @@
 #include <LibHost/Host.h>
 
 #include <LibLog/Log.h>
+#include <algorithm>
 #include <utility>
 
 namespace Host {
@@ -35,7 +36,16 @@
 
 bool Host::isReady() const
 {
-    return !isLeaving() && m_directory.isFilled() && m_leases.isReady() && m_tickets.isReady();
+    const auto &targets = m_directory.all();
+    const auto isOfZone = [this](const auto &entry) {
+        return entry.second.zone == m_options.record.zone && entry.second.kind == Platform::MachineKind::Engine;
+    };
+    // A request that came before any owner is known would be refused.
+    const bool knowsOwner = std::none_of(targets.begin(), targets.end(), isOfZone)
+        || std::any_of(targets.begin(), targets.end(), [&](const auto &entry) {
+                                return isOfZone(entry) && m_ownership.ownerOf(entry.first).has_value();
+                            });
+    return !isLeaving() && m_directory.isFilled() && m_leases.isReady() && m_tickets.isReady() && knowsOwner;
 }
 
 std::function<void()> Host::complete(Front::CompletionRequest request, std::shared_ptr<Front::CallerAnswer> answer)
