--- a/Libraries/LibHost/Host.cpp
+++ b/Libraries/LibHost/Host.cpp
@@ -1,6 +1,7 @@
 #include <LibHost/Host.h>
 
 #include <LibLog/Log.h>
+#include <algorithm>
 #include <utility>
 
 namespace Host {
@@ -74,7 +75,7 @@
 
 bool Host::isReady() const
 {
-    return !isLeaving() && canServe();
+    return !isLeaving() && canServe() && knowsOwners();
 }
 
 bool Host::canServe() const
@@ -82,6 +83,19 @@
     return m_directory.isFilled() && m_leases.isReady() && m_tickets.isReady();
 }
 
+// A request that came before any owner is known would be refused.
+bool Host::knowsOwners() const
+{
+    const auto &targets = m_directory.all();
+    const auto isOfZone = [this](const auto &entry) {
+        return entry.second.zone == m_options.record.zone && entry.second.kind == Platform::MachineKind::Engine;
+    };
+    return std::none_of(targets.begin(), targets.end(), isOfZone)
+        || std::any_of(targets.begin(), targets.end(), [&](const auto &entry) {
+               return isOfZone(entry) && m_ownership.ownerOf(entry.first).has_value();
+           });
+}
+
 std::optional<std::string> Host::peerAddress(const Core::HostId &host) const
 {
     if (const auto peer = m_leases.find(host); peer.has_value()) {
--- a/Libraries/LibHost/Host.h
+++ b/Libraries/LibHost/Host.h
@@ -89,6 +89,7 @@
     [[nodiscard]] const Ledger::Ledger &ledger() const;
 
 private:
+    [[nodiscard]] bool knowsOwners() const;
     void checkLeft();
     [[nodiscard]] std::vector<Ticket::SpreadPeer> spreadPeers() const;
 
