--- a/Libraries/LibOwner/OrderGate.cpp
+++ b/Libraries/LibOwner/OrderGate.cpp
@@ -1,5 +1,7 @@
 #include <LibOwner/OrderGate.h>
 
+#include <algorithm>
+
 namespace Owner {
 
 OrderGate::OrderGate(Core::Scheduler &scheduler, Engine::EngineLink &engines, Membership::OwnershipView &ownership)
@@ -34,6 +36,8 @@
         [this, target = engine.target, adapter = order.adapter, done = std::move(done)](Engine::OrderOutcome outcome) {
             if (outcome != Engine::OrderOutcome::Unknown) {
                 m_ownership.endUnload(target, adapter);
+            } else {
+                m_unanswered.insert({target, adapter});
             }
             done(outcome);
         });
@@ -41,7 +45,24 @@
 
 void OrderGate::status(const Engine::EngineAddress &engine, StatusFunction done)
 {
-    m_engines.status(engine, std::move(done));
+    m_engines.status(
+        engine,
+        [this, target = engine.target, done = std::move(done)](const std::optional<Engine::EngineStatus> &status) {
+            if (status.has_value()) {
+                std::erase_if(m_unanswered, [&](const auto &unload) {
+                    const auto &slots = status->slots;
+                    const bool isGone
+                        = unload.first == target && std::none_of(slots.begin(), slots.end(), [&](const auto &slot) {
+                              return slot.adapter == unload.second;
+                          });
+                    if (isGone) {
+                        m_ownership.endUnload(target, unload.second);
+                    }
+                    return isGone;
+                });
+            }
+            done(status);
+        });
 }
 
 Engine::StreamId OrderGate::generate(const Engine::EngineAddress &engine, const Engine::GenerateRequest &request,
--- a/Libraries/LibOwner/OrderGate.h
+++ b/Libraries/LibOwner/OrderGate.h
@@ -3,11 +3,13 @@
 #include <LibCore/Scheduler.h>
 #include <LibEngine/EngineLink.h>
 #include <LibMembership/OwnershipView.h>
+#include <set>
 
 namespace Owner {
 
 // The last check before an order leaves: passes an unload only while it can do no harm however late it arrives, and
-// keeps count of the unloads that are on their way. A refused unload answers Busy.
+// keeps count of the unloads that are on their way. A refused unload answers Busy. An unload without an answer has
+// ended when the target no longer reports the adapter.
 class OrderGate final : public Engine::EngineLink
 {
 public:
@@ -24,6 +26,7 @@
     Core::Scheduler &m_scheduler;
     Engine::EngineLink &m_engines;
     Membership::OwnershipView &m_ownership;
+    std::set<std::pair<Core::TargetId, Core::AdapterVersion>> m_unanswered;
 };
 
 }
