--- a/Libraries/LibHost/Host.h
+++ b/Libraries/LibHost/Host.h
@@ -12,8 +12,8 @@
 #include <LibOwner/OwnedTargets.h>
 #include <LibPeer/PeerRouter.h>
 #include <LibPlatform/TargetDirectory.h>
-#include <LibTicket/TicketArchive.h>
 #include <LibService/ServiceCall.h>
+#include <LibTicket/TicketArchive.h>
 #include <LibTicket/TicketDesk.h>
 #include <LibTicket/TicketFeed.h>
 #include <LibTicket/TicketSpread.h>
--- a/Utilities/measure/path/Main.cpp
+++ b/Utilities/measure/path/Main.cpp
@@ -81,8 +81,9 @@
                 "tokens a second per core\n",
                 frontTime, ownerTime, options.count, options.tokens, perCore, perCore * options.tokens);
 
-    const auto [directLatencies, throughLatencies]
-        = load.runSideBySide(direct, through, perSecond * LoadShare, options.count);
+    const auto latencies = load.runSideBySide(direct, through, perSecond * LoadShare, options.count);
+    const auto &directLatencies = latencies.first;
+    const auto &throughLatencies = latencies.second;
     std::printf("at %.0f requests/s of each kind, side by side:\n%-10s %8s %8s %10s %10s\n", perSecond * LoadShare,
                 "call", "ended", "failed", "p50 ms", "p99 ms");
     printRow("direct", directLatencies);
