LibPeer: Bound a message's claimed lengths by its size

Cause: a damaged array or map header claimed 1.6 thousand million elements and msgpack allocated them; std::bad_alloc ended the process. Ruled out: catching bad_alloc, since smaller claims would still take gigabytes.

--- a/Libraries/LibPeer/Envelope.h
+++ b/Libraries/LibPeer/Envelope.h
@@ -32,7 +32,11 @@
 // Unpacks a message; throws msgpack::unpack_error or msgpack::type_error when the bytes don't hold one.
 template<typename Message> [[nodiscard]] Message unpack(std::string_view bytes)
 {
-    return msgpack::unpack(bytes.data(), bytes.size()).get().as<Message>();
+    constexpr std::size_t DeepestNesting = 32;
+    // No part can have more elements than the whole has bytes; without this a damaged length claims gigabytes.
+    const auto most = bytes.size();
+    const msgpack::unpack_limit limit(most, most, most, most, most, DeepestNesting);
+    return msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr, limit).get().as<Message>();
 }
 
 }
--- a/Libraries/LibPeer/Tests/PeerRouterTest.cpp
+++ b/Libraries/LibPeer/Tests/PeerRouterTest.cpp
@@ -67,6 +67,7 @@
     CPPUNIT_TEST(silenceEndsACallAndReconnects);
     CPPUNIT_TEST(aWrongKeyIsRefused);
     CPPUNIT_TEST(malformedBytesAreRefused);
+    CPPUNIT_TEST(aLengthBeyondTheMessageIsRefused);
     CPPUNIT_TEST_SUITE_END();
 
     void aCallGetsItsReplyOnce()
@@ -130,6 +131,17 @@
         });
         CPPUNIT_ASSERT(isSound);
     }
+
+    // Array, map, text and binary headers of 32 bits that claim more than a gigabyte.
+    void aLengthBeyondTheMessageIsRefused()
+    {
+        Pair pair;
+        for (const auto *bytes :
+             {"\xDD\x61\x61\x61\x61", "\xDF\x61\x61\x61\x61", "\xDB\x61\x61\x61\x61", "\xC6\x61\x61\x61\x61"}) {
+            pair.b.receive(bytes);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(4), pair.b.refusedMessages());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PeerRouterTest);
