LibOwner: Ignore results of orders from an earlier ownership

Cause: a target that was lost and owned again under the same incarnation got a new slot table, and the late answer to a load of the former one ended a load that had not begun: VERIFY in LoadBudget stopped the process. Ruled out: dropping the VERIFY, which was right.

--- a/Libraries/LibOwner/Dispatcher.cpp
+++ b/Libraries/LibOwner/Dispatcher.cpp
@@ -123,6 +123,10 @@
     if (found == m_tables.end() || found->second.incarnation() != incarnation) {
         return;
     }
+    // A load that was ordered before the target was lost and owned again is no longer waited for.
+    if (const auto *slot = found->second.find(adapter); slot == nullptr || slot->state != SlotState::Loading) {
+        return;
+    }
     m_budget.endLoad();
     if (isLoaded) {
         m_failures.erase(adapter);
@@ -152,6 +156,9 @@
     if (found == m_tables.end() || found->second.incarnation() != incarnation) {
         return;
     }
+    if (const auto *slot = found->second.find(adapter); slot == nullptr || slot->state != SlotState::Unloading) {
+        return;
+    }
     auto &reservations = m_reservations[target];
     const auto reservation = std::find_if(reservations.begin(), reservations.end(), [&](const Reservation &candidate) {
         return candidate.victim == adapter;
--- a/Libraries/LibOwner/Tests/DispatcherTest.cpp
+++ b/Libraries/LibOwner/Tests/DispatcherTest.cpp
@@ -156,6 +156,7 @@
     CPPUNIT_TEST(everyVersionKeepsTheRules);
     CPPUNIT_TEST(aRareAdapterIsServedWithinItsBound);
     CPPUNIT_TEST(aRequestThatWaitsTooLongIsRefused);
+    CPPUNIT_TEST(aResultFromAnEarlierOwnershipIsIgnored);
     CPPUNIT_TEST_SUITE_END();
 
     void everyVersionKeepsTheRules()
@@ -243,6 +244,27 @@
         CPPUNIT_ASSERT(std::get<Owner::RefuseAction>(actions.front()).outcome == Owner::GrantOutcome::Overloaded);
         CPPUNIT_ASSERT(dispatcher.waiting().size() == 0);
     }
+
+    // The target is lost and owned again, under the same incarnation, while a load is on its way.
+    void aResultFromAnEarlierOwnershipIsIgnored()
+    {
+        const Core::AdapterVersion adapter {"outline", "1"};
+        Owner::Dispatcher dispatcher({}, {});
+        const auto gain = [&] {
+            dispatcher.resetTarget({"a"}, "1", Slots, {}, {});
+            dispatcher.setServing({"a"}, "base", true);
+            dispatcher.report({"a"}, Batch, 0);
+        };
+        gain();
+        dispatcher.request({.grant = {"g"}, .adapter = adapter, .baseModel = "base", .deadline = Core::TimePoint(60s)},
+                           {});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), dispatcher.step({}).size());
+        dispatcher.removeTarget({"a"});
+        gain();
+        dispatcher.finishLoad({"a"}, "1", adapter, true);
+        dispatcher.finishUnload({"a"}, "1", adapter, true, {});
+        CPPUNIT_ASSERT(dispatcher.tables().at({"a"}).find(adapter) == nullptr);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DispatcherTest);
