--- a/Libraries/LibEngine/HttpEngineLink.cpp
+++ b/Libraries/LibEngine/HttpEngineLink.cpp
@@ -1,5 +1,6 @@
 #include <LibEngine/HttpEngineLink.h>
 
+#include <LibCore/HttpStatus.h>
 #include <LibEngine/EngineJson.h>
 #include <LibEngine/LineBuffer.h>
 
@@ -7,10 +8,6 @@
 
 namespace {
 
-constexpr long StatusOk = 200;
-constexpr long StatusConflict = 409;
-constexpr long StatusTooEarly = 425;
-
 StreamEvent parseLine(std::string_view line)
 {
     try {
@@ -45,7 +42,7 @@
     void takeBytes(long status, std::string_view bytes)
     {
         const bool isFit = lines.append(bytes, [&](std::string_view line) {
-            if (status == StatusOk && !line.empty() && !hasEnded) {
+            if (status == Core::HttpStatus::Ok && !line.empty() && !hasEnded) {
                 hasStarted = true;
                 pass(parseLine(line));
             }
@@ -57,7 +54,7 @@
 
     void takeResult(const Net::HttpResult &result)
     {
-        if (result.isComplete() && result.status != StatusOk) {
+        if (result.isComplete() && result.status != Core::HttpStatus::Ok) {
             pass(StreamRefusal {.status = result.status, .reason = lines.rest()});
             return;
         }
@@ -94,12 +91,13 @@
                    [done = std::move(done)](const Net::HttpResult &result) {
                        if (!result.isComplete()) {
                            done(result.mayHaveBeenSent ? OrderOutcome::Unknown : OrderOutcome::Failed);
-                       } else if (result.status == StatusOk) {
+                       } else if (result.status == Core::HttpStatus::Ok) {
                            done(OrderOutcome::Done);
-                       } else if (result.status == StatusConflict) {
+                       } else if (result.status == Core::HttpStatus::Conflict) {
                            done(OrderOutcome::StaleFence);
                        } else {
-                           done(result.status == StatusTooEarly ? OrderOutcome::Busy : OrderOutcome::Failed);
+                           done(result.status == Core::HttpStatus::TooEarly ? OrderOutcome::Busy
+                                                                            : OrderOutcome::Failed);
                        }
                    });
 }
@@ -109,7 +107,7 @@
     m_client.start({.url = "http://" + engine.address + "/v1/status", .totalTimeout = m_options.statusTimeout},
                    [done = std::move(done)](const Net::HttpResult &result) {
                        std::optional<EngineStatus> status;
-                       if (result.isComplete() && result.status == StatusOk) {
+                       if (result.isComplete() && result.status == Core::HttpStatus::Ok) {
                            try {
                                status = statusFromJson(nlohmann::json::parse(result.body));
                            } catch (const nlohmann::json::exception &) {
--- a/Libraries/LibFront/EngineAttempt.cpp
+++ b/Libraries/LibFront/EngineAttempt.cpp
@@ -1,5 +1,6 @@
 #include <LibFront/EngineAttempt.h>
 
+#include <LibCore/HttpStatus.h>
 #include <LibLog/Log.h>
 
 namespace Front {
@@ -7,7 +8,6 @@
 namespace {
 
 constexpr long FirstServerError = 500;
-constexpr long StatusUnavailable = 503;
 
 std::string_view describe(StreamFault fault)
 {
@@ -125,7 +125,7 @@
 
 void EngineAttempt::takeRefusal(const Engine::StreamRefusal &refusal)
 {
-    const bool isCertain = refusal.status < FirstServerError || refusal.status == StatusUnavailable;
+    const bool isCertain = refusal.status < FirstServerError || refusal.status == Core::HttpStatus::ServiceUnavailable;
     const bool hasSurelyNotRun = isCertain && !m_hasHead;
     fail(hasSurelyNotRun ? Routing::Failure::TargetRefused : Routing::Failure::StreamBroken, refusal.reason);
 }
--- a/Libraries/LibFront/Refusals.cpp
+++ b/Libraries/LibFront/Refusals.cpp
@@ -1,13 +1,11 @@
 #include <LibFront/Refusals.h>
 
+#include <LibCore/HttpStatus.h>
+
 namespace Front {
 
 namespace {
 
-constexpr unsigned StatusForbidden = 403;
-constexpr unsigned StatusNotFound = 404;
-constexpr unsigned StatusGone = 410;
-constexpr unsigned StatusUnprocessable = 422;
 constexpr std::int64_t DefaultRetryMilliseconds = 1000;
 
 }
@@ -16,22 +14,22 @@
 {
     switch (reason) {
     case Ticket::ResolveRefusal::UnknownAdapter:
-        return {.status = StatusNotFound,
+        return {.status = Core::HttpStatus::NotFound,
                 .code = "unknown-adapter",
                 .message = "no adapter \"" + model + "\" exists",
                 .advice = "check the model's name"};
     case Ticket::ResolveRefusal::UnknownVersion:
-        return {.status = StatusNotFound,
+        return {.status = Core::HttpStatus::NotFound,
                 .code = "unknown-version",
                 .message = "\"" + model + "\" names a version that the adapter doesn't have",
                 .advice = "name another version, or none for the current one"};
     case Ticket::ResolveRefusal::NotAllowed:
-        return {.status = StatusForbidden,
+        return {.status = Core::HttpStatus::Forbidden,
                 .code = "not-allowed",
                 .message = "no rule lets you reach \"" + model + "\"",
                 .advice = "ask an operator for a rule"};
     case Ticket::ResolveRefusal::Retired:
-        return {.status = StatusGone,
+        return {.status = Core::HttpStatus::Gone,
                 .code = "retired-adapter",
                 .message = "\"" + model + "\" is retired",
                 .advice = "name another adapter"};
@@ -61,7 +59,7 @@
 
 Refusal describeQuarantine(Outcome outcome)
 {
-    return {.status = StatusUnprocessable,
+    return {.status = Core::HttpStatus::UnprocessableContent,
             .outcome = outcome,
             .code = "crashes-targets",
             .message = "several targets died while they ran this request; it is refused for some minutes",
--- a/Libraries/LibPlatform/HttpPlatform.cpp
+++ b/Libraries/LibPlatform/HttpPlatform.cpp
@@ -1,5 +1,6 @@
 #include <LibPlatform/HttpPlatform.h>
 
+#include <LibCore/HttpStatus.h>
 #include <LibNet/PercentEncoding.h>
 #include <LibPlatform/PlatformJson.h>
 
@@ -7,10 +8,6 @@
 
 namespace {
 
-constexpr long StatusOk = 200;
-constexpr long StatusNotFound = 404;
-constexpr long StatusConflict = 409;
-
 std::string describeFailure(const Net::HttpResult &result)
 {
     return result.isComplete() ? "answered with status " + std::to_string(result.status) : result.error;
@@ -37,9 +34,9 @@
     auto outgoing = request("POST", "/v1/transact");
     outgoing.body = toJson(transaction).dump();
     m_client.start(std::move(outgoing), [done = std::move(done)](const Net::HttpResult &result) {
-        if (result.isComplete() && result.status == StatusOk) {
+        if (result.isComplete() && result.status == Core::HttpStatus::Ok) {
             done({.outcome = TransactionOutcome::Committed});
-        } else if (result.isComplete() && result.status == StatusConflict) {
+        } else if (result.isComplete() && result.status == Core::HttpStatus::Conflict) {
             done({.outcome = TransactionOutcome::Conflicted});
         } else if (!result.isComplete() && !result.mayHaveBeenSent) {
             done({.outcome = TransactionOutcome::NotSent, .error = result.error});
@@ -53,12 +50,12 @@
 {
     m_client.start(request("GET", "/v1/row?table=" + Net::percentEncode(table) + "&key=" + Net::percentEncode(key)),
                    [done = std::move(done)](const Net::HttpResult &result) {
-                       if (result.isComplete() && result.status == StatusNotFound) {
+                       if (result.isComplete() && result.status == Core::HttpStatus::NotFound) {
                            done({.isAvailable = true});
                            return;
                        }
                        const auto json = nlohmann::json::parse(result.body, nullptr, false);
-                       if (!result.isComplete() || result.status != StatusOk || json.is_discarded()) {
+                       if (!result.isComplete() || result.status != Core::HttpStatus::Ok || json.is_discarded()) {
                            done({.error = describeFailure(result)});
                            return;
                        }
@@ -76,7 +73,7 @@
         + "&most=" + std::to_string(most);
     m_client.start(request("GET", path), [done = std::move(done)](const Net::HttpResult &result) {
         const auto json = nlohmann::json::parse(result.body, nullptr, false);
-        if (!result.isComplete() || result.status != StatusOk || !json.is_array()) {
+        if (!result.isComplete() || result.status != Core::HttpStatus::Ok || !json.is_array()) {
             done({.error = describeFailure(result)});
             return;
         }
@@ -96,7 +93,7 @@
 {
     m_client.start(request("GET", "/v1/hosts"), [done = std::move(done)](const Net::HttpResult &result) {
         const auto json = nlohmann::json::parse(result.body, nullptr, false);
-        if (!result.isComplete() || result.status != StatusOk || !json.is_array()) {
+        if (!result.isComplete() || result.status != Core::HttpStatus::Ok || !json.is_array()) {
             done(std::nullopt);
             return;
         }
--- a/Libraries/LibService/HttpServiceLink.cpp
+++ b/Libraries/LibService/HttpServiceLink.cpp
@@ -1,13 +1,12 @@
 #include <LibService/HttpServiceLink.h>
 
+#include <LibCore/HttpStatus.h>
 #include <LibService/ServiceJson.h>
 
 namespace Service {
 
 namespace {
 
-constexpr long StatusOk = 200;
-
 std::vector<std::string> headersOf(const ServiceMessage &message)
 {
     std::vector<std::string> headers {"Currantbay-Attempt: " + message.attempt.value};
@@ -67,7 +66,7 @@
                     .headers = {"Content-Type: application/json"},
                     .totalTimeout = m_options.fenceTimeout},
                    [done = std::move(done)](const Net::HttpResult &result) {
-                       const bool isAnswered = result.isComplete() && result.status == StatusOk;
+                       const bool isAnswered = result.isComplete() && result.status == Core::HttpStatus::Ok;
                        done(isAnswered ? fenceVerdictFromText(result.body) : Ledger::FenceVerdict {});
                    });
 }
--- a/Libraries/LibService/Refusals.cpp
+++ b/Libraries/LibService/Refusals.cpp
@@ -1,15 +1,11 @@
 #include <LibService/Refusals.h>
 
+#include <LibCore/HttpStatus.h>
+
 namespace Service {
 
 namespace {
 
-constexpr unsigned StatusBadRequest = 400;
-constexpr unsigned StatusNotFound = 404;
-constexpr unsigned StatusUnprocessable = 422;
-constexpr unsigned StatusBadGateway = 502;
-constexpr unsigned StatusUnavailable = 503;
-constexpr unsigned StatusGatewayTimeout = 504;
 constexpr std::int64_t RetryMilliseconds = 1000;
 constexpr auto RepeatAdvice = "send the call again after the time in Retry-After";
 
@@ -17,7 +13,7 @@
 
 Front::Refusal unknownRoute(const std::string &route)
 {
-    return {.status = StatusNotFound,
+    return {.status = Core::HttpStatus::NotFound,
             .code = "unknown-route",
             .message = "no service is reached under /" + route,
             .advice = "check the path"};
@@ -25,7 +21,7 @@
 
 Front::Refusal missingKey(const std::string &method)
 {
-    return {.status = StatusBadRequest,
+    return {.status = Core::HttpStatus::BadRequest,
             .code = "missing-idempotency-key",
             .message = method
                 + " runs at most once here and needs the header Idempotency-Key, of 1 to 128 printable "
@@ -35,7 +31,7 @@
 
 Front::Refusal noTarget(const std::string &service, const std::string &lastError)
 {
-    return {.status = StatusUnavailable,
+    return {.status = Core::HttpStatus::ServiceUnavailable,
             .code = "no-target",
             .message = "no target of service \"" + service + "\" could be reached"
                 + (lastError.empty() ? "" : "; the last one: " + lastError),
@@ -45,7 +41,7 @@
 
 Front::Refusal noTimeLeft()
 {
-    return {.status = StatusUnavailable,
+    return {.status = Core::HttpStatus::ServiceUnavailable,
             .code = "too-late",
             .message = "the call's time ended before it was sent",
             .advice = RepeatAdvice,
@@ -54,7 +50,7 @@
 
 Front::Refusal unsettled(const std::string &reason)
 {
-    return {.status = StatusGatewayTimeout,
+    return {.status = Core::HttpStatus::GatewayTimeout,
             .outcome = Front::Outcome::Unknown,
             .code = "unsettled",
             .message = reason,
@@ -64,7 +60,7 @@
 
 Front::Refusal lostAnswer(const std::string &reason)
 {
-    return {.status = StatusBadGateway,
+    return {.status = Core::HttpStatus::BadGateway,
             .outcome = Front::Outcome::Unknown,
             .code = "answer-lost",
             .message = reason,
@@ -74,7 +70,7 @@
 
 Front::Refusal resultLeftOut()
 {
-    return {.status = StatusUnprocessable,
+    return {.status = Core::HttpStatus::UnprocessableContent,
             .outcome = Front::Outcome::Completed,
             .code = "result-too-large",
             .message = "the call ran before, and its answer was too large to be kept",
@@ -85,13 +81,13 @@
 {
     switch (claim.outcome) {
     case Ledger::ClaimOutcome::OtherRequest:
-        return {.status = StatusUnprocessable,
+        return {.status = Core::HttpStatus::UnprocessableContent,
                 .code = "key-reused",
                 .message = claim.reason,
                 .advice = "use a new Idempotency-Key for another request"};
     case Ledger::ClaimOutcome::Shed:
     case Ledger::ClaimOutcome::Unavailable:
-        return {.status = StatusUnavailable,
+        return {.status = Core::HttpStatus::ServiceUnavailable,
                 .code = claim.outcome == Ledger::ClaimOutcome::Shed ? "overloaded" : "table-service-silent",
                 .message = claim.reason,
                 .advice = RepeatAdvice,
--- a/Services/currantbayd/CallerInterface.cpp
+++ b/Services/currantbayd/CallerInterface.cpp
@@ -1,5 +1,6 @@
 #include <currantbayd/CallerInterface.h>
 
+#include <LibCore/HttpStatus.h>
 #include <currantbayd/HttpRefusal.h>
 #include <currantbayd/TokenTable.h>
 
@@ -7,11 +8,6 @@
 
 namespace {
 
-constexpr unsigned StatusBadRequest = 400;
-constexpr unsigned StatusUnauthorized = 401;
-constexpr unsigned StatusNotFound = 404;
-constexpr unsigned StatusMethodNotAllowed = 405;
-constexpr unsigned StatusUnavailable = 503;
 constexpr std::int64_t StartingRetryMilliseconds = 1000;
 constexpr std::uint32_t DefaultMostTokens = 16;
 constexpr std::uint32_t LargestMostTokens = 32768;
@@ -87,7 +83,7 @@
 void refuseStarting(Net::Exchange &exchange)
 {
     refuse(exchange,
-           {.status = StatusUnavailable,
+           {.status = Core::HttpStatus::ServiceUnavailable,
             .code = "starting",
             .message = "this entry host doesn't know the tickets, its peers or the targets yet",
             .advice = "send the request again after the time in Retry-After",
@@ -109,7 +105,7 @@
     const auto customer = findTokenHolder(request, m_options.callers);
     if (!customer.has_value()) {
         refuse(*exchange,
-               {.status = StatusUnauthorized,
+               {.status = Core::HttpStatus::Unauthorized,
                 .code = "unknown-token",
                 .message = "the header \"Authorization: Bearer\" carries no known token",
                 .advice = "send the token that the operators gave you"});
@@ -126,7 +122,7 @@
     const bool isChat = request.path == "/v1/chat/completions";
     if (!isChat && request.path != "/v1/completions") {
         refuse(*exchange,
-               {.status = StatusNotFound,
+               {.status = Core::HttpStatus::NotFound,
                 .code = "unknown-path",
                 .message = "nothing is served at " + request.path,
                 .advice = "use a service's route, /v1/completions or /v1/chat/completions"});
@@ -134,7 +130,7 @@
     }
     if (request.method != "POST") {
         refuse(*exchange,
-               {.status = StatusMethodNotAllowed,
+               {.status = Core::HttpStatus::MethodNotAllowed,
                 .code = "wrong-method",
                 .message = request.path + " takes POST",
                 .advice = "send the request by POST"});
@@ -159,14 +155,16 @@
         exchange->onClosed(m_host.complete(std::move(request), std::move(answer)));
     } catch (const nlohmann::json::exception &error) {
         refuse(*exchange,
-               {.status = StatusBadRequest,
+               {.status = Core::HttpStatus::BadRequest,
                 .code = "malformed-body",
                 .message = error.what(),
                 .advice = "correct the JSON body"});
     } catch (const BadBody &error) {
-        refuse(
-            *exchange,
-            {.status = StatusBadRequest, .code = "bad-body", .message = error.what(), .advice = "correct the request"});
+        refuse(*exchange,
+               {.status = Core::HttpStatus::BadRequest,
+                .code = "bad-body",
+                .message = error.what(),
+                .advice = "correct the request"});
     }
 }
 
--- a/Services/currantbayd/OperatorInterface.cpp
+++ b/Services/currantbayd/OperatorInterface.cpp
@@ -1,5 +1,6 @@
 #include <currantbayd/OperatorInterface.h>
 
+#include <LibCore/HttpStatus.h>
 #include <LibTicket/TicketJson.h>
 #include <LibTicket/TicketTables.h>
 #include <algorithm>
@@ -10,12 +11,6 @@
 
 namespace {
 
-constexpr unsigned StatusBadRequest = 400;
-constexpr unsigned StatusUnauthorized = 401;
-constexpr unsigned StatusNotFound = 404;
-constexpr unsigned StatusMethodNotAllowed = 405;
-constexpr unsigned StatusConflict = 409;
-constexpr unsigned StatusUnavailable = 503;
 constexpr std::uint64_t DefaultListedTickets = 20;
 constexpr std::uint64_t MostListedTickets = 500;
 
@@ -27,7 +22,7 @@
 void refuseUnknownName(Net::Exchange &exchange, const std::string &what, const std::string &command)
 {
     refuse(exchange,
-           {.status = StatusNotFound,
+           {.status = Core::HttpStatus::NotFound,
             .code = "not-found",
             .message = "there is no " + what,
             .advice = "see currantbay " + command});
@@ -36,7 +31,7 @@
 void refuseBadNumber(Net::Exchange &exchange, const std::string &found)
 {
     refuse(exchange,
-           {.status = StatusBadRequest,
+           {.status = Core::HttpStatus::BadRequest,
             .code = "bad-number",
             .message = "found \"" + found + "\" where a whole number in range is expected",
             .advice = "correct the number"});
@@ -45,7 +40,7 @@
 void refuseSilentTable(Net::Exchange &exchange, const std::string &error)
 {
     refuse(exchange,
-           {.status = StatusUnavailable,
+           {.status = Core::HttpStatus::ServiceUnavailable,
             .code = "table-service-silent",
             .message = "the table service: " + error,
             .advice = "try again; nothing was changed"});
@@ -93,14 +88,14 @@
     case Ticket::AcceptOutcome::NumberTaken:
     case Ticket::AcceptOutcome::Superseded:
         refuse(exchange,
-               {.status = StatusConflict,
+               {.status = Core::HttpStatus::Conflict,
                 .code = result.outcome == Ticket::AcceptOutcome::NumberTaken ? "number-taken" : "superseded",
                 .message = result.reason,
                 .advice = "look at the ticket that is in force, then submit a new one with a higher number"});
         return;
     case Ticket::AcceptOutcome::Unknown:
         refuse(exchange,
-               {.status = StatusUnavailable,
+               {.status = Core::HttpStatus::ServiceUnavailable,
                 .outcome = Front::Outcome::Unknown,
                 .code = "table-service-silent",
                 .message = result.reason,
@@ -123,7 +118,7 @@
     const auto operatorName = findTokenHolder(request, m_operators);
     if (!operatorName.has_value()) {
         refuse(*exchange,
-               {.status = StatusUnauthorized,
+               {.status = Core::HttpStatus::Unauthorized,
                 .code = "unknown-token",
                 .message = "the header \"Authorization: Bearer\" carries no operator's token",
                 .advice = "use an operator's token"});
@@ -141,7 +136,7 @@
         }
     }
     refuse(*exchange,
-           {.status = isPathKnown ? StatusMethodNotAllowed : StatusNotFound,
+           {.status = isPathKnown ? Core::HttpStatus::MethodNotAllowed : Core::HttpStatus::NotFound,
             .code = isPathKnown ? "wrong-method" : "unknown-path",
             .message
             = isPathKnown ? request.path + " doesn't take " + request.method : "nothing is served at " + request.path,
@@ -171,7 +166,7 @@
         });
     } catch (const std::exception &error) {
         refuse(*exchange,
-               {.status = StatusBadRequest,
+               {.status = Core::HttpStatus::BadRequest,
                 .code = "invalid-ticket",
                 .message = error.what(),
                 .advice = "correct the ticket; nothing was changed"});
--- a/Services/currantbayd/ServiceInterface.cpp
+++ b/Services/currantbayd/ServiceInterface.cpp
@@ -1,5 +1,6 @@
 #include <currantbayd/ServiceInterface.h>
 
+#include <LibCore/HttpStatus.h>
 #include <currantbayd/HttpRefusal.h>
 #include <optional>
 
@@ -7,7 +8,6 @@
 
 namespace {
 
-constexpr unsigned StatusBadRequest = 400;
 constexpr unsigned FirstStatus = 200;
 constexpr auto UntypedContent = "application/octet-stream";
 
@@ -86,7 +86,7 @@
     auto path = encodePath(incoming);
     if (!path.has_value()) {
         refuse(*exchange,
-               {.status = StatusBadRequest,
+               {.status = Core::HttpStatus::BadRequest,
                 .code = "bad-path",
                 .message = "the path holds \".\" or \"..\" segments",
                 .advice = "send the path without them"});
--- a/StandIns/EngineStandIn.cpp
+++ b/StandIns/EngineStandIn.cpp
@@ -1,5 +1,6 @@
 #include <StandIns/StandIn.h>
 
+#include <LibCore/HttpStatus.h>
 #include <LibEngine/EngineJson.h>
 #include <StandIns/EngineModel.h>
 #include <random>
@@ -8,12 +9,6 @@
 
 namespace {
 
-constexpr unsigned StatusBadRequest = 400;
-constexpr unsigned StatusNotFound = 404;
-constexpr unsigned StatusConflict = 409;
-constexpr unsigned StatusTooEarly = 425;
-constexpr unsigned StatusUnavailable = 503;
-
 // One stream that is being generated.
 struct RunningStream {
     Engine::GenerateRequest request;
@@ -40,7 +35,7 @@
             try {
                 serve(exchange);
             } catch (const nlohmann::json::exception &error) {
-                exchange->respond({.status = StatusBadRequest}, error.what());
+                exchange->respond({.status = Core::HttpStatus::BadRequest}, error.what());
             }
         })
     {
@@ -56,7 +51,8 @@
             load(exchange, Engine::orderFromJson(nlohmann::json::parse(request.body)));
         } else if (request.path == "/v1/adapters/unload") {
             const auto outcome = m_model.unload(Engine::orderFromJson(nlohmann::json::parse(request.body)));
-            exchange->respond({.status = outcome == Engine::OrderOutcome::Done ? 200 : StatusConflict}, "{}");
+            exchange->respond({.status = outcome == Engine::OrderOutcome::Done ? 200 : Core::HttpStatus::Conflict},
+                              "{}");
         } else if (request.path == "/v1/generate") {
             generate(exchange, Engine::generateFromJson(nlohmann::json::parse(request.body)));
         } else if (request.path == "/fault") {
@@ -70,7 +66,7 @@
                                               {"started", m_started}}
                                   .dump());
         } else {
-            exchange->respond({.status = StatusNotFound}, "{}");
+            exchange->respond({.status = Core::HttpStatus::NotFound}, "{}");
         }
     }
 
@@ -79,12 +75,12 @@
         const bool wasResident = isResident(order.adapter);
         switch (m_model.beginLoad(order)) {
         case Engine::OrderOutcome::StaleFence:
-            exchange->respond({.status = StatusConflict}, "{}");
+            exchange->respond({.status = Core::HttpStatus::Conflict}, "{}");
             return;
         case Engine::OrderOutcome::Done:
             break;
         default:
-            exchange->respond({.status = StatusTooEarly}, "{}");
+            exchange->respond({.status = Core::HttpStatus::TooEarly}, "{}");
             return;
         }
         if (wasResident) {
@@ -95,7 +91,7 @@
             const auto failures = m_faults.value("failLoads", 0);
             m_faults["failLoads"] = std::max(0, failures - 1);
             m_model.finishLoad(order.adapter, failures == 0);
-            exchange->respond({.status = failures == 0 ? 200 : StatusUnavailable}, "{}");
+            exchange->respond({.status = failures == 0 ? 200 : Core::HttpStatus::ServiceUnavailable}, "{}");
         });
     }
 
@@ -106,7 +102,8 @@
             std::_Exit(1);
         }
         if (!m_model.beginRequest(request.adapter)) {
-            exchange->respond({.status = StatusNotFound}, "adapter " + request.adapter.toString() + " isn't resident");
+            exchange->respond({.status = Core::HttpStatus::NotFound},
+                              "adapter " + request.adapter.toString() + " isn't resident");
             return;
         }
         ++m_started;
--- a/StandIns/PlatformStandIn.cpp
+++ b/StandIns/PlatformStandIn.cpp
@@ -1,5 +1,6 @@
 #include <StandIns/StandIn.h>
 
+#include <LibCore/HttpStatus.h>
 #include <LibCore/StepError.h>
 #include <LibPlatform/PlatformJson.h>
 #include <StandIns/MemoryTable.h>
@@ -9,10 +10,6 @@
 
 namespace {
 
-constexpr unsigned StatusBadRequest = 400;
-constexpr unsigned StatusNotFound = 404;
-constexpr unsigned StatusConflict = 409;
-
 // Serves the table and the host list. Faults are set by POST /fault: "outage" leaves every call without an
 // answer, "lostAnswers" leaves that many transactions without an answer after they took effect, "delay" is in
 // milliseconds.
@@ -46,7 +43,7 @@
             try {
                 serve(exchange);
             } catch (const std::exception &error) {
-                exchange->respond({.status = StatusBadRequest}, error.what());
+                exchange->respond({.status = Core::HttpStatus::BadRequest}, error.what());
             }
         });
     }
@@ -55,7 +52,7 @@
     {
         const auto faults = nlohmann::json::parse(exchange->request().body, nullptr, false);
         if (!faults.is_object()) {
-            exchange->respond({.status = StatusBadRequest}, "expected an object of faults");
+            exchange->respond({.status = Core::HttpStatus::BadRequest}, "expected an object of faults");
             return;
         }
         m_isDown = faults.value("outage", m_isDown);
@@ -75,11 +72,11 @@
                 --m_lostAnswers;
                 return;
             }
-            exchange->respond({.status = isCommitted ? 200 : StatusConflict}, "{}");
+            exchange->respond({.status = isCommitted ? 200 : Core::HttpStatus::Conflict}, "{}");
         } else if (request.path == "/v1/row") {
             ++m_reads;
             const auto row = m_table.read(request.query.at("table"), request.query.at("key"));
-            exchange->respond({.status = row.has_value() ? 200 : StatusNotFound},
+            exchange->respond({.status = row.has_value() ? 200 : Core::HttpStatus::NotFound},
                               row.has_value() ? Platform::toJson(*row).dump() : "{}");
         } else if (request.path == "/v1/rows") {
             ++m_reads;
@@ -94,7 +91,7 @@
         } else if (request.path == "/counts") {
             exchange->respond({}, nlohmann::json {{"writes", m_writes}, {"reads", m_reads}}.dump());
         } else {
-            exchange->respond({.status = StatusNotFound}, "{}");
+            exchange->respond({.status = Core::HttpStatus::NotFound}, "{}");
         }
     }
 
--- a/StandIns/ServiceStandIn.cpp
+++ b/StandIns/ServiceStandIn.cpp
@@ -1,5 +1,6 @@
 #include <StandIns/StandIn.h>
 
+#include <LibCore/HttpStatus.h>
 #include <LibService/ServiceJson.h>
 #include <map>
 
@@ -7,8 +8,6 @@
 
 namespace {
 
-constexpr unsigned StatusOk = 200;
-
 using VerdictState = Ledger::FenceVerdict::State;
 
 // An application service that runs each call and counts how often each idempotency key ran. It keeps what became
@@ -92,8 +91,9 @@
             {"body", request.body},
             {"run",
              count}}.dump();
-        m_attempts[attempt] = {.state = VerdictState::Ran,
-                               .result = {.status = StatusOk, .contentType = "application/json", .body = body}};
+        m_attempts[attempt]
+            = {.state = VerdictState::Ran,
+               .result = {.status = Core::HttpStatus::Ok, .contentType = "application/json", .body = body}};
         if (m_lostAnswers > 0) {
             --m_lostAnswers;
             return;
--- a/Tests/Scenario/FakeServices.cpp
+++ b/Tests/Scenario/FakeServices.cpp
@@ -1,5 +1,7 @@
 #include <Tests/Scenario/FakeServices.h>
 
+#include <LibCore/HttpStatus.h>
+
 namespace Scenario {
 
 namespace {
@@ -8,7 +10,6 @@
 using ReplyState = Service::ServiceReply::State;
 
 constexpr auto FenceTimeout = std::chrono::milliseconds(1000);
-constexpr unsigned StatusOk = 200;
 
 }
 
@@ -75,10 +76,10 @@
         const bool isIdempotent = message.repeatability == Service::Repeatability::Idempotent;
         const auto run = isIdempotent ? ++m_idempotentRuns : ++m_runs[message.key];
         auto &ended = service.attempts[message.attempt.value];
-        ended = {
-            .state = VerdictState::Ran,
-            .result
-            = {.status = StatusOk, .contentType = "text/plain", .body = message.body + " run " + std::to_string(run)}};
+        ended = {.state = VerdictState::Ran,
+                 .result = {.status = Core::HttpStatus::Ok,
+                            .contentType = "text/plain",
+                            .body = message.body + " run " + std::to_string(run)}};
         if (service.answersToLose > 0) {
             --service.answersToLose;
             return;
--- a/Utilities/measure/path/LoadGenerator.cpp
+++ b/Utilities/measure/path/LoadGenerator.cpp
@@ -1,15 +1,10 @@
 #include <measure/path/LoadGenerator.h>
 
+#include <LibCore/HttpStatus.h>
 #include <algorithm>
 
 namespace Measure {
 
-namespace {
-
-constexpr long StatusOk = 200;
-
-}
-
 std::chrono::microseconds Latencies::quantile(double share) const
 {
     if (values.empty()) {
@@ -80,7 +75,7 @@
 void LoadGenerator::send(const RequestFunction &make, Latencies &latencies, const std::function<void()> &ended)
 {
     m_client.start(make(), [this, &latencies, ended, begin = m_loop.now()](const Net::HttpResult &result) {
-        if (result.isComplete() && result.status == StatusOk) {
+        if (result.isComplete() && result.status == Core::HttpStatus::Ok) {
             latencies.values.push_back(m_loop.now() - begin);
         } else {
             ++latencies.failures;
