--- a/Libraries/LibFront/Completion.cpp
+++ b/Libraries/LibFront/Completion.cpp
@@ -153,6 +153,7 @@
                                      .adapter = m_resolved.adapter,
                                      .baseModel = m_resolved.baseModel,
                                      .customer = m_request.customer,
+                                     .traceparent = span.context.toHeader(),
                                      .patienceMilliseconds = Core::toMilliseconds(timeLeft()),
                                      .avoid = m_ports.avoidance.avoided(m_ports.scheduler.now()),
                                      .isSuspect
@@ -218,6 +219,8 @@
         return;
     }
     m_grantState = GrantState::InUse;
+    m_attemptSpan = m_ports.tracer.begin("engine.attempt", m_span.context);
+    m_attemptSpan->set("currantbay.target", target->id.value);
     m_attempt = std::make_shared<EngineAttempt>(m_ports.engines, m_assembly, attemptEvents());
     m_attempt->start({.target = target->id, .address = target->address},
                      {.attempt = {m_ports.ids.next("attempt")},
@@ -227,10 +230,19 @@
                       .offset = m_assembly.resumeOffset(),
                       .patienceMilliseconds = Core::toMilliseconds(timeLeft()),
                       .connection = connection,
-                      .traceparent = m_span.context.toHeader()},
+                      .traceparent = m_attemptSpan->context.toHeader()},
                      m_granted.targetIncarnation);
 }
 
+void Completion::endAttemptSpan(std::string_view result)
+{
+    if (m_attemptSpan.has_value()) {
+        m_attemptSpan->set("currantbay.result", std::string(result));
+        m_ports.tracer.end(*m_attemptSpan);
+        m_attemptSpan.reset();
+    }
+}
+
 EngineAttempt::Events Completion::attemptEvents()
 {
     const auto weak = weak_from_this();
@@ -279,6 +291,7 @@
     }
     m_ports.avoidance.noteSuccess(m_granted.target);
     m_ports.quarantine.noteWhole(m_fingerprint);
+    endAttemptSpan("whole");
     m_answer->finish(m_assembly.delivered());
     finish(Outcome::Completed);
 }
@@ -288,6 +301,7 @@
     const auto &rule = Routing::ruleFor(failure.failure);
     const bool hasSurelyNotRun = rule.runClass == Routing::RunClass::SurelyNotRun;
     m_lastFailure = failure;
+    endAttemptSpan("failed");
     m_mayHaveRun = m_mayHaveRun || !hasSurelyNotRun;
     if (m_grantState == GrantState::InUse && hasSurelyNotRun && !m_hasResumedHere) {
         m_grantState = GrantState::Held;
--- a/Libraries/LibFront/Completion.h
+++ b/Libraries/LibFront/Completion.h
@@ -52,6 +52,7 @@
     void askOwnersAnew();
     void startAttempt(Engine::StreamConnection connection);
     [[nodiscard]] EngineAttempt::Events attemptEvents();
+    void endAttemptSpan(std::string_view result);
     void takeHead();
     void takeWhole();
     void takeFailure(const AttemptFailure &failure);
@@ -75,6 +76,7 @@
     std::shared_ptr<CallerAnswer> m_answer;
     DoneFunction m_done;
     Trace::Span m_span;
+    std::optional<Trace::Span> m_attemptSpan;
     Core::TimePoint m_startedAt {};
     Core::TimerId m_deadline = Core::TimerId::None;
 
--- a/Libraries/LibOwner/OwnedTargets.cpp
+++ b/Libraries/LibOwner/OwnedTargets.cpp
@@ -15,7 +15,8 @@
 
 OwnedTargets::OwnedTargets(Core::Scheduler &scheduler, Peer::PeerRouter &router, Engine::EngineLink &engines,
                            Membership::OwnershipView &ownership, const Platform::TargetDirectory &directory,
-                           IssuedGrants &grants, TakeoverGuard &guard, const OwnedTargetsOptions &options)
+                           IssuedGrants &grants, TakeoverGuard &guard, Trace::Tracer &tracer,
+                           const OwnedTargetsOptions &options)
     : m_scheduler(scheduler)
     , m_router(router)
     , m_engines(engines)
@@ -23,6 +24,7 @@
     , m_directory(directory)
     , m_grants(grants)
     , m_guard(guard)
+    , m_tracer(tracer)
     , m_options(options)
     , m_dispatcher(options.dispatcher, scheduler.now())
 {
@@ -150,8 +152,20 @@
     step();
 }
 
+OwnedTargets::ReplyFunction OwnedTargets::traced(const GrantRequest &request, ReplyFunction reply)
+{
+    auto span = m_tracer.begin("owner.decision", Trace::TraceContext::fromHeader(request.traceparent));
+    span.set("currantbay.adapter", request.adapter.toString());
+    return [this, span = std::move(span), reply = std::move(reply)](const GrantReply &decided) mutable {
+        span.set("currantbay.target", decided.target.value);
+        m_tracer.end(span);
+        reply(decided);
+    };
+}
+
 void OwnedTargets::request(const GrantRequest &request, ReplyFunction reply)
 {
+    reply = traced(request, std::move(reply));
     refreshTargets();
     if (!m_dispatcher.isServed(request.baseModel)) {
         m_grants.release(request.grant);
--- a/Libraries/LibOwner/OwnedTargets.h
+++ b/Libraries/LibOwner/OwnedTargets.h
@@ -8,6 +8,7 @@
 #include <LibOwner/TakeoverGuard.h>
 #include <LibPeer/PeerRouter.h>
 #include <LibPlatform/TargetDirectory.h>
+#include <LibTrace/Tracer.h>
 #include <functional>
 #include <set>
 
@@ -26,7 +27,7 @@
 public:
     OwnedTargets(Core::Scheduler &scheduler, Peer::PeerRouter &router, Engine::EngineLink &engines,
                  Membership::OwnershipView &ownership, const Platform::TargetDirectory &directory, IssuedGrants &grants,
-                 TakeoverGuard &guard, const OwnedTargetsOptions &options);
+                 TakeoverGuard &guard, Trace::Tracer &tracer, const OwnedTargetsOptions &options);
 
     void start();
     // The slots of each owned target that has reported, by target.
@@ -45,6 +46,8 @@
     void refreshTargets();
     void takeStatus(const Core::TargetId &target, const Engine::EngineStatus &status, Core::TimePoint askedAt);
     void request(const GrantRequest &request, ReplyFunction reply);
+    // The same reply, which also ends a span of this host's decision.
+    [[nodiscard]] ReplyFunction traced(const GrantRequest &request, ReplyFunction reply);
     void release(const Core::GrantId &grant);
     void step();
     void act(const GrantAction &action);
@@ -69,6 +72,7 @@
     const Platform::TargetDirectory &m_directory;
     IssuedGrants &m_grants;
     TakeoverGuard &m_guard;
+    Trace::Tracer &m_tracer;
     OwnedTargetsOptions m_options;
     Dispatcher m_dispatcher;
     std::map<Core::GrantId, ReplyFunction> m_replies; // Of the requests that wait.
