--- /dev/null
+++ b/Libraries/LibFleet/ReplicaSet.cpp
@@ -0,0 +1,88 @@
+#include <LibFleet/ReplicaSet.h>
+
+#include <set>
+
+namespace Fleet {
+
+namespace {
+
+// The entry of a live replica is back about two seconds after the list has returned.
+constexpr auto EntryReturnTime = std::chrono::milliseconds(2000);
+
+}
+
+void ReplicaSet::apply(const ReplicaChanges &changes, bool isWhole, Core::TimePoint now,
+                       std::optional<Core::TimePoint> healthySince)
+{
+    std::set<Core::TargetId> present;
+    for (const auto &replica : changes.present) {
+        present.insert(replica.id);
+        m_missing.erase(replica.id);
+        m_replicas[replica.id] = replica;
+    }
+    for (const auto &id : changes.removed) {
+        remove(id, now, healthySince);
+    }
+    if (!isWhole) {
+        return;
+    }
+    std::vector<Core::TargetId> unlisted;
+    for (const auto &[id, replica] : m_replicas) {
+        if (!present.contains(id)) {
+            unlisted.push_back(id);
+        }
+    }
+    for (const auto &id : unlisted) {
+        remove(id, now, healthySince);
+    }
+}
+
+void ReplicaSet::remove(const Core::TargetId &id, Core::TimePoint now, std::optional<Core::TimePoint> healthySince)
+{
+    const auto found = m_replicas.find(id);
+    if (found == m_replicas.end()) {
+        return;
+    }
+    const bool isAroundOutage = !healthySince.has_value() || now - *healthySince < EntryReturnTime;
+    if (isAroundOutage && !found->second.isDraining) {
+        m_missing.emplace(id, now);
+        return;
+    }
+    m_missing.erase(id);
+    m_replicas.erase(found);
+}
+
+void ReplicaSet::settle(Core::TimePoint now, std::optional<Core::TimePoint> healthySince)
+{
+    if (!healthySince.has_value() || now - *healthySince < EntryReturnTime) {
+        return;
+    }
+    for (const auto &[id, since] : m_missing) {
+        m_replicas.erase(id);
+    }
+    m_missing.clear();
+}
+
+const Replica *ReplicaSet::find(const Core::TargetId &id) const
+{
+    const auto found = m_replicas.find(id);
+    return found == m_replicas.end() ? nullptr : &found->second;
+}
+
+std::vector<const Replica *> ReplicaSet::available(const std::string &service) const
+{
+    std::vector<const Replica *> replicas;
+    for (const auto &[id, replica] : m_replicas) {
+        if (replica.service == service && !replica.isDraining) {
+            replicas.push_back(&replica);
+        }
+    }
+    return replicas;
+}
+
+const std::map<Core::TargetId, Replica> &ReplicaSet::all() const
+{
+    return m_replicas;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/FleetView.cpp
@@ -0,0 +1,219 @@
+#include <LibGateway/FleetView.h>
+
+#include <algorithm>
+
+namespace Gateway {
+
+namespace {
+
+// A holder's notice is newer than the list for this long.
+constexpr auto NoticeLifetime = std::chrono::milliseconds(1500);
+// What this host learnt itself about an adapter is newer than a notice or an entry for this long.
+constexpr auto OwnKnowledgeLifetime = std::chrono::milliseconds(500);
+
+}
+
+FleetView::FleetView(const Fleet::ReplicaSet &replicas, Placement::ReplicaChooserOptions chooser)
+    : m_replicas(replicas)
+    , m_chooser(std::move(chooser))
+{
+}
+
+std::string FleetView::adapterName(const CallerRequest &request)
+{
+    return request.adapter.empty() ? std::string() : request.model + '/' + request.adapter;
+}
+
+void FleetView::replaceResident(View &view, const std::map<std::string, std::uint64_t> &resident, Core::TimePoint asOf)
+{
+    std::erase_if(view.changedAt, [asOf](const auto &change) {
+        return asOf - change.second > OwnKnowledgeLifetime;
+    });
+    auto fresh = resident;
+    for (const auto &[name, at] : view.changedAt) {
+        if (const auto known = view.resident.find(name); known != view.resident.end()) {
+            fresh[name] = known->second;
+        } else {
+            fresh.erase(name);
+        }
+    }
+    view.resident = std::move(fresh);
+}
+
+void FleetView::refresh(Core::TimePoint now)
+{
+    std::erase_if(m_views, [this](const auto &view) {
+        if (m_replicas.find(view.first) != nullptr || view.second.active > 0) {
+            return false;
+        }
+        m_health.forget(view.first);
+        return true;
+    });
+    for (const auto &[id, replica] : m_replicas.all()) {
+        auto &view = m_views[id];
+        if (view.startedAt != replica.startedAt) {
+            view.startedAt = replica.startedAt;
+            view.resident.clear();
+            view.changedAt.clear();
+            view.noticedAt = {};
+        }
+        if (now - view.noticedAt < NoticeLifetime) {
+            continue;
+        }
+        view.noticedActive = 0;
+        view.noticedTokens = 0;
+        std::map<std::string, std::uint64_t> listed;
+        for (const auto &model : replica.models) {
+            for (const auto &adapter : model.adapters) {
+                listed[model.model + '/' + adapter.adapter] = adapter.version;
+            }
+        }
+        replaceResident(view, listed, now);
+    }
+}
+
+void FleetView::note(const Holding::ReplicaLoad &load, Core::TimePoint now)
+{
+    auto &view = m_views[load.replica];
+    view.noticedAt = now;
+    view.noticedActive = load.active - std::min(load.active, view.reportedActive);
+    view.noticedTokens = load.waitingTokens - std::min(load.waitingTokens, view.reportedTokens);
+    std::map<std::string, std::uint64_t> resident;
+    for (const auto &adapter : load.adapters) {
+        resident[adapter.adapter] = adapter.version;
+    }
+    replaceResident(view, resident, now);
+}
+
+void FleetView::release(const Fleet::AdapterRelease &release)
+{
+    auto &newest = m_releases[release.model + '/' + release.adapter];
+    newest = std::max(newest, release.version);
+}
+
+std::uint64_t FleetView::newestVersion(const std::string &name) const
+{
+    const auto found = m_releases.find(name);
+    return found == m_releases.end() ? 0 : found->second;
+}
+
+void FleetView::setResident(const Core::TargetId &replica, const std::string &name, std::uint64_t version,
+                            Core::TimePoint now)
+{
+    auto &view = m_views[replica];
+    view.resident[name] = version;
+    view.changedAt[name] = now;
+}
+
+void FleetView::setAbsent(const Core::TargetId &replica, const std::string &name, Core::TimePoint now)
+{
+    auto &view = m_views[replica];
+    view.resident.erase(name);
+    view.changedAt[name] = now;
+}
+
+std::optional<std::uint64_t> FleetView::residentVersion(const Core::TargetId &replica, const std::string &name) const
+{
+    const auto view = m_views.find(replica);
+    if (view == m_views.end()) {
+        return std::nullopt;
+    }
+    const auto found = view->second.resident.find(name);
+    if (found == view->second.resident.end() || found->second < newestVersion(name)) {
+        return std::nullopt;
+    }
+    return found->second;
+}
+
+Placement::Candidate FleetView::candidate(const Fleet::Replica &replica, const CallerRequest &request,
+                                          Core::TimePoint now) const
+{
+    Placement::Candidate candidate {.replica = replica.id,
+                                    .home = replica.address,
+                                    .zone = replica.zone,
+                                    .slots = replica.slots,
+                                    .penalty = m_health.penalty(replica.id, now),
+                                    .isBlocked = m_health.isBlocked(replica.id, replica.zone, now)};
+    if (!request.adapter.empty() && !residentVersion(replica.id, adapterName(request)).has_value()) {
+        candidate.residency = Placement::Residency::Absent;
+    }
+    if (const auto view = m_views.find(replica.id); view != m_views.end()) {
+        candidate.active = view->second.active + view->second.noticedActive;
+        candidate.waitingTokens = view->second.waitingTokens + view->second.noticedTokens;
+    }
+    return candidate;
+}
+
+const Fleet::Replica *FleetView::choose(const CallerRequest &request, const std::string &service,
+                                        const std::set<Core::TargetId> &excluded, Core::TimePoint now) const
+{
+    std::vector<const Fleet::Replica *> usable;
+    std::vector<Placement::Candidate> candidates;
+    for (const auto *replica : m_replicas.available(service)) {
+        const bool hasModel = request.model.empty() || replica->find(request.model) != nullptr;
+        if (hasModel && !excluded.contains(replica->id)) {
+            usable.push_back(replica);
+            candidates.push_back(candidate(*replica, request, now));
+        }
+    }
+    const auto best = m_chooser.choose(request.adapter.empty() ? request.attemptId : adapterName(request), candidates);
+    return best.has_value() ? usable[*best] : nullptr;
+}
+
+void FleetView::begin(const Core::TargetId &replica, const CallerRequest &request)
+{
+    auto &view = m_views[replica];
+    ++view.active;
+    view.waitingTokens += request.promptTokens;
+    if (!request.adapter.empty()) {
+        ++view.running[adapterName(request)];
+    }
+}
+
+void FleetView::firstAnswer(const Core::TargetId &replica, const CallerRequest &request)
+{
+    auto &view = m_views[replica];
+    view.waitingTokens -= std::min(view.waitingTokens, request.promptTokens);
+}
+
+void FleetView::end(const Core::TargetId &replica, const CallerRequest &request, bool isAnswered)
+{
+    if (!isAnswered) {
+        firstAnswer(replica, request);
+    }
+    auto &view = m_views[replica];
+    view.active -= std::min(view.active, 1U);
+    const auto name = adapterName(request);
+    if (const auto running = view.running.find(name); running != view.running.end() && --running->second == 0) {
+        view.running.erase(running);
+        view.usedSince.insert(name);
+    }
+}
+
+std::vector<Holding::ReplicaUse> FleetView::takeUse()
+{
+    std::vector<Holding::ReplicaUse> uses;
+    for (auto &[id, view] : m_views) {
+        Holding::ReplicaUse use {.replica = id, .active = view.active, .waitingTokens = view.waitingTokens};
+        for (const auto &[name, count] : view.running) {
+            use.adapters.push_back(name);
+        }
+        use.adapters.insert(use.adapters.end(), view.usedSince.begin(), view.usedSince.end());
+        view.usedSince.clear();
+        view.reportedActive = view.active;
+        view.reportedTokens = view.waitingTokens;
+        const bool isUsed = use.active > 0 || !use.adapters.empty();
+        if (isUsed || view.wasReported) {
+            uses.push_back(std::move(use));
+        }
+        view.wasReported = isUsed;
+    }
+    return uses;
+}
+
+Placement::ReplicaHealth &FleetView::health()
+{
+    return m_health;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/FleetView.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <LibFleet/ReplicaSet.h>
+#include <LibGateway/CallerRequest.h>
+#include <LibHolding/HoldingMessages.h>
+#include <LibPlacement/ReplicaChooser.h>
+#include <LibPlacement/ReplicaHealth.h>
+#include <map>
+#include <set>
+
+namespace Gateway {
+
+// What this host knows of the replicas: their entries, what their holders say of them, and what it runs there itself.
+class FleetView
+{
+public:
+    FleetView(const Fleet::ReplicaSet &replicas, Placement::ReplicaChooserOptions chooser);
+
+    // Takes the entries of the list after a change.
+    void refresh(Core::TimePoint now);
+    // Takes what a holder says of a replica.
+    void note(const Holding::ReplicaLoad &load, Core::TimePoint now);
+    // Takes a newer version of an adapter; older ones aren't used any more.
+    void release(const Fleet::AdapterRelease &release);
+    // The adapter is in the replica's memory, as its holder or an answer has shown, or isn't.
+    void setResident(const Core::TargetId &replica, const std::string &name, std::uint64_t version, Core::TimePoint now);
+    void setAbsent(const Core::TargetId &replica, const std::string &name, Core::TimePoint now);
+
+    // The best replica of the service for the request that isn't among the excluded.
+    [[nodiscard]] const Fleet::Replica *choose(const CallerRequest &request, const std::string &service,
+                                               const std::set<Core::TargetId> &excluded, Core::TimePoint now) const;
+    // The version of the adapter that the replica has in memory and that may be used; without a value there is none.
+    [[nodiscard]] std::optional<std::uint64_t> residentVersion(const Core::TargetId &replica,
+                                                               const std::string &name) const;
+    // The newest released version of an adapter, zero if none was.
+    [[nodiscard]] std::uint64_t newestVersion(const std::string &name) const;
+
+    // A request was sent to the replica; its prompt waits to be read.
+    void begin(const Core::TargetId &replica, const CallerRequest &request);
+    // The replica has begun to answer.
+    void firstAnswer(const Core::TargetId &replica, const CallerRequest &request);
+    void end(const Core::TargetId &replica, const CallerRequest &request, bool isAnswered);
+    // What this host has used since the last call, by replica.
+    [[nodiscard]] std::vector<Holding::ReplicaUse> takeUse();
+
+    [[nodiscard]] Placement::ReplicaHealth &health();
+
+    // "model/adapter".
+    [[nodiscard]] static std::string adapterName(const CallerRequest &request);
+
+private:
+    struct View {
+        std::map<std::string, std::uint64_t> resident; // Version by "model/adapter".
+        std::map<std::string, Core::TimePoint> changedAt; // By what this host learnt itself.
+        Core::TimePoint noticedAt {};
+        std::uint64_t startedAt = 0;
+        unsigned noticedActive = 0;
+        std::uint64_t noticedTokens = 0;
+        unsigned reportedActive = 0; // Of this host, as its holder was told last.
+        std::uint64_t reportedTokens = 0;
+        unsigned active = 0; // Of this host.
+        std::uint64_t waitingTokens = 0;
+        std::map<std::string, unsigned> running; // Of this host, by "model/adapter".
+        std::set<std::string> usedSince; // Adapters whose requests have ended since the last notice.
+        bool wasReported = false; // The last notice showed some use.
+    };
+
+    static void replaceResident(View &view, const std::map<std::string, std::uint64_t> &resident, Core::TimePoint asOf);
+    [[nodiscard]] Placement::Candidate candidate(const Fleet::Replica &replica, const CallerRequest &request,
+                                                 Core::TimePoint now) const;
+
+    const Fleet::ReplicaSet &m_replicas;
+    Placement::ReplicaChooser m_chooser;
+    Placement::ReplicaHealth m_health;
+    std::map<Core::TargetId, View> m_views;
+    std::map<std::string, std::uint64_t> m_releases;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/Framing.cpp
@@ -0,0 +1,52 @@
+#include <LibGateway/Framing.h>
+
+#include <algorithm>
+#include <strings.h>
+
+namespace Gateway {
+
+namespace {
+
+constexpr std::string_view TokenCharacters
+    = "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz";
+
+bool isNamed(const std::pair<std::string, std::string> &field, const char *name)
+{
+    return strcasecmp(field.first.c_str(), name) == 0;
+}
+
+}
+
+std::optional<std::string_view> framingFault(const Net::HttpFields &fields)
+{
+    const auto count = [&fields](const char *name) {
+        return std::count_if(fields.begin(), fields.end(), [name](const auto &field) {
+            return isNamed(field, name);
+        });
+    };
+    if (count("Host") != 1) {
+        return "it must have one Host header";
+    }
+    if (count("Content-Length") > 1) {
+        return "it has more than one Content-Length";
+    }
+    if (count("Transfer-Encoding") > 1 || (count("Transfer-Encoding") == 1 && count("Content-Length") == 1)) {
+        return "its body is framed in two ways";
+    }
+    for (const auto &field : fields) {
+        if (field.first.empty() || field.first.find_first_not_of(TokenCharacters) != std::string::npos) {
+            return "a header's name isn't one";
+        }
+        if (isNamed(field, "Transfer-Encoding") && strcasecmp(field.second.c_str(), "chunked") != 0) {
+            return "its Transfer-Encoding isn't known";
+        }
+        const bool isNumber
+            = !field.second.empty() && field.second.find_first_not_of("0123456789") == std::string::npos;
+        if (isNamed(field, "Content-Length") && !isNumber) {
+            return "its Content-Length isn't a number";
+        }
+    }
+    return std::nullopt;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -0,0 +1,351 @@
+#include <LibGateway/Gateway.h>
+
+#include <LibCore/HttpStatus.h>
+#include <LibGateway/Framing.h>
+#include <LibLog/Log.h>
+#include <nlohmann/json.hpp>
+
+namespace Gateway {
+
+namespace {
+
+// The operators' rows change rarely, the replicas' entries all the time; hosts' rows with each renewal.
+constexpr auto ConfigurationPace = std::chrono::milliseconds(20);
+constexpr auto ReplicaPace = std::chrono::milliseconds(500);
+constexpr auto HolderPace = std::chrono::milliseconds(1000);
+// A host that has said nothing for this long isn't sent notices any more.
+constexpr auto UserLifetime = std::chrono::seconds(2);
+constexpr auto RetryAfterStart = std::chrono::milliseconds(500);
+
+void refuse(Net::Exchange &exchange, unsigned status, std::string_view reason, bool isTemporary)
+{
+    const nlohmann::json body {{"error", {{"message", "the request did not run: " + std::string(reason)}}}};
+    Net::ResponseHead head {.status = status};
+    if (isTemporary) {
+        const auto seconds = std::chrono::duration<double>(RetryAfterStart).count();
+        head.headers.emplace_back("Retry-After", std::to_string(seconds));
+    }
+    exchange.respond(std::move(head), body.dump());
+}
+
+}
+
+Gateway::Gateway(GatewayPorts ports, GatewayOptions options)
+    : m_ports(ports)
+    , m_options(std::move(options))
+    , m_router(m_ports.scheduler, m_ports.transport,
+               {.self = m_options.holding.self.host,
+                .incarnation = m_options.holding.self.incarnation,
+                .key = m_options.peerKey})
+    , m_fleet(m_replicas, {.ownZone = m_options.holding.self.zone})
+    , m_allowance(m_options.retries)
+    , m_holders(m_ports.scheduler, m_ports.table, m_options.holding,
+                [this] {
+                    return holdableReplicas();
+                })
+    , m_replicaFeed(
+          m_ports.scheduler, {.name = "replicas", .pace = ReplicaPace},
+          [this](auto done) {
+              m_ports.deployment.readReplicas(std::move(done));
+          },
+          [this](auto after, auto wait, auto done) {
+              m_ports.deployment.followReplicas(after, wait, std::move(done));
+          },
+          [this](auto &&changes, auto extent) {
+              takeReplicas(changes, extent == decltype(m_replicaFeed)::Extent::Whole);
+          })
+    , m_configurationFeed(
+          m_ports.scheduler, {.name = "configuration", .pace = ConfigurationPace},
+          [this](auto done) {
+              m_ports.deployment.readConfiguration(std::move(done));
+          },
+          [this](auto after, auto wait, auto done) {
+              m_ports.deployment.followConfiguration(after, wait, std::move(done));
+          },
+          [this](auto &&changes, auto /*extent*/) {
+              takeConfiguration(std::move(changes));
+          })
+    , m_holderFeed(
+          m_ports.scheduler, {.name = "holders", .pace = HolderPace},
+          [this](auto done) {
+              m_ports.rows.readTable(Holding::HolderTable::Table, std::move(done));
+          },
+          [this](auto after, auto wait, auto done) {
+              m_ports.rows.follow(Holding::HolderTable::Table, after, wait, std::move(done));
+          },
+          [this](auto &&changes, auto extent) {
+              m_holders.apply(changes, extent == decltype(m_holderFeed)::Extent::Whole);
+          })
+{
+    m_router.onCall<Holding::AdapterRequest, Holding::AdapterReply>(
+        [this](const Core::HostId & /*from*/, const Holding::AdapterRequest &request,
+               const std::function<void(const Holding::AdapterReply &)> &reply) {
+            serveAdapterRequest(request, reply);
+        });
+    m_router.onMessage<Holding::UseNotice>([this](const Core::HostId &from, const Holding::UseNotice &notice) {
+        takeUse(from, notice);
+    });
+    m_router.onMessage<Holding::LoadNotice>([this](const Core::HostId & /*from*/, const Holding::LoadNotice &notice) {
+        for (const auto &load : notice.loads) {
+            m_fleet.note(load, m_ports.scheduler.now());
+        }
+    });
+}
+
+void Gateway::start()
+{
+    m_configurationFeed.start();
+    m_replicaFeed.start();
+    m_holderFeed.start();
+    m_holders.start();
+    tick();
+}
+
+bool Gateway::isReady() const
+{
+    return !m_isLeaving && m_routes.current() != nullptr && m_replicaFeed.isFilled();
+}
+
+Peer::PeerRouter &Gateway::router()
+{
+    return m_router;
+}
+
+const Holding::HolderTable &Gateway::holders() const
+{
+    return m_holders;
+}
+
+void Gateway::leave(std::function<void()> done)
+{
+    m_isLeaving = true;
+    m_holders.leave(std::move(done));
+}
+
+void Gateway::take(const std::shared_ptr<Net::Exchange> &exchange)
+{
+    if (const auto fault = framingFault(exchange->request().fields); fault.has_value()) {
+        refuse(*exchange, Core::HttpStatus::BadRequest, *fault, false);
+        return;
+    }
+    if (m_routes.current() == nullptr || !m_replicaFeed.isFilled()) {
+        refuse(*exchange, Core::HttpStatus::ServiceUnavailable, "this host is starting", true);
+        return;
+    }
+    auto request = m_ports.protocol.readRequest(exchange->request());
+    auto route = m_routes.find(request.host, request.target);
+    if (route.route == nullptr) {
+        refuse(*exchange, Core::HttpStatus::NotFound, "no route matches its host and path", false);
+        return;
+    }
+    std::make_shared<Passage>(
+        PassagePorts {.scheduler = m_ports.scheduler,
+                      .client = m_ports.client,
+                      .protocol = m_ports.protocol,
+                      .fleet = m_fleet,
+                      .allowance = m_allowance,
+                      .metrics = m_ports.metrics,
+                      .loadAdapter =
+                          [this](const auto &wanted, auto done) {
+                              loadAdapter(wanted, std::move(done));
+                          },
+                      .hostCount =
+                          [this] {
+                              return m_holders.liveHosts().size();
+                          }},
+        exchange, std::move(request), std::move(route))
+        ->start();
+}
+
+void Gateway::takeReplicas(const Fleet::ReplicaChanges &changes, bool isWhole)
+{
+    const auto now = m_ports.scheduler.now();
+    for (const auto &replica : changes.present) {
+        const auto *known = m_replicas.find(replica.id);
+        if (known == nullptr || known->isDraining != replica.isDraining || known->startedAt != replica.startedAt) {
+            Log::write(Log::Event::ReplicaSeen,
+                       {{"replica", replica.id.value},
+                        {"service", replica.service},
+                        {"address", replica.address},
+                        {"zone", replica.zone.value},
+                        {"state", replica.isDraining ? "draining" : "ready"}});
+        }
+    }
+    for (const auto &id : changes.removed) {
+        if (m_replicas.find(id) != nullptr) {
+            Log::write(Log::Event::ReplicaGone, {{"replica", id.value}});
+        }
+    }
+    m_replicas.apply(changes, isWhole, now, m_replicaFeed.healthySince());
+    m_fleet.refresh(now);
+    updateControllers();
+}
+
+void Gateway::takeConfiguration(Fleet::ConfigurationChanges &&changes)
+{
+    if (changes.configuration.has_value()) {
+        const auto version = changes.configuration->version;
+        const auto routeCount = changes.configuration->routes.size();
+        if (m_routes.replace(std::move(*changes.configuration))) {
+            Log::write(Log::Event::ConfigurationApplied,
+                       {{"version", std::to_string(version)}, {"routes", std::to_string(routeCount)}});
+            updateControllers();
+        }
+    }
+    for (const auto &release : changes.releases) {
+        auto &known = m_releases[release.model + '/' + release.adapter];
+        if (release.version <= known.version) {
+            continue;
+        }
+        known = release;
+        m_fleet.release(release);
+        for (const auto &[id, controller] : m_controllers) {
+            controller->release(release);
+            controller->tick();
+        }
+        Log::write(Log::Event::ReleaseSeen,
+                   {{"adapter", release.model + '/' + release.adapter}, {"version", std::to_string(release.version)}});
+    }
+}
+
+std::vector<Holding::HoldableReplica> Gateway::holdableReplicas() const
+{
+    std::vector<Holding::HoldableReplica> holdable;
+    const auto &configuration = m_routes.current();
+    if (configuration == nullptr) {
+        return holdable;
+    }
+    for (const auto &[id, replica] : m_replicas.all()) {
+        const auto *service = configuration->findService(replica.service);
+        if (service != nullptr && service->engine.has_value()) {
+            holdable.push_back({.replica = id, .zone = replica.zone});
+        }
+    }
+    return holdable;
+}
+
+void Gateway::updateControllers()
+{
+    const auto &configuration = m_routes.current();
+    if (configuration == nullptr) {
+        return;
+    }
+    const auto held = m_holders.held();
+    std::erase_if(m_controllers, [&held](const auto &entry) {
+        return std::find(held.begin(), held.end(), entry.first) == held.end();
+    });
+    for (const auto &id : held) {
+        const auto *replica = m_replicas.find(id);
+        const auto *service = replica == nullptr ? nullptr : configuration->findService(replica->service);
+        if (service == nullptr || !service->engine.has_value()) {
+            m_controllers.erase(id);
+            continue;
+        }
+        if (const auto found = m_controllers.find(id); found != m_controllers.end()) {
+            found->second->update(*replica, *service->engine);
+            continue;
+        }
+        auto controller = std::make_unique<Holding::ReplicaController>(
+            m_ports.scheduler, m_ports.orders, Holding::ReplicaControllerOptions {.self = m_options.holding.self.host},
+            [this](const Core::TargetId &target) {
+                return m_holders.orderFence(target);
+            },
+            *replica, *service->engine);
+        for (const auto &[name, release] : m_releases) {
+            controller->release(release);
+        }
+        m_controllers.emplace(id, std::move(controller));
+    }
+}
+
+void Gateway::tick()
+{
+    const auto now = m_ports.scheduler.now();
+    m_replicas.settle(now, m_replicaFeed.healthySince());
+    updateControllers();
+    for (const auto &[id, controller] : m_controllers) {
+        controller->tick();
+    }
+    if (now >= m_nextNotice) {
+        m_nextNotice = now + m_options.noticePeriod;
+        sendNotices();
+    }
+    m_ports.scheduler.runAfter(m_options.tickPeriod, [this] {
+        tick();
+    });
+}
+
+void Gateway::sendNotices()
+{
+    const auto now = m_ports.scheduler.now();
+    std::map<Core::HostId, Holding::UseNotice> notices;
+    for (auto &use : m_fleet.takeUse()) {
+        if (const auto holder = m_holders.holderOf(use.replica); holder.has_value()) {
+            notices[*holder].uses.push_back(std::move(use));
+        }
+    }
+    for (const auto &[holder, notice] : notices) {
+        if (holder == m_options.holding.self.host) {
+            takeUse(holder, notice);
+        } else {
+            m_router.send(holder, notice);
+        }
+    }
+    std::erase_if(m_users, [now](const auto &user) {
+        return now - user.second > UserLifetime;
+    });
+    Holding::LoadNotice loads;
+    for (const auto &[id, controller] : m_controllers) {
+        loads.loads.push_back(controller->load());
+    }
+    for (const auto &[user, at] : m_users) {
+        if (user != m_options.holding.self.host) {
+            m_router.send(user, loads);
+        }
+    }
+    for (const auto &load : loads.loads) {
+        m_fleet.note(load, now);
+    }
+}
+
+void Gateway::takeUse(const Core::HostId &from, const Holding::UseNotice &notice)
+{
+    m_users[from] = m_ports.scheduler.now();
+    for (const auto &use : notice.uses) {
+        if (const auto controller = m_controllers.find(use.replica); controller != m_controllers.end()) {
+            controller->second->noteUse(from, use);
+        }
+    }
+}
+
+void Gateway::loadAdapter(const Holding::AdapterRequest &request,
+                          std::function<void(const Holding::AdapterReply &)> done)
+{
+    const Holding::AdapterReply unavailable {.outcome
+                                             = static_cast<std::uint8_t>(Holding::AdapterOutcome::Unavailable)};
+    const auto holder = m_holders.holderOf(request.replica);
+    if (!holder.has_value()) {
+        done(unavailable);
+        return;
+    }
+    if (*holder == m_options.holding.self.host) {
+        serveAdapterRequest(request, done);
+        return;
+    }
+    m_router.call<Holding::AdapterReply>(*holder, request, m_options.adapterTimeout,
+                                         [done = std::move(done), unavailable](const auto &reply) {
+                                             done(reply.value_or(unavailable));
+                                         });
+}
+
+void Gateway::serveAdapterRequest(const Holding::AdapterRequest &request,
+                                  const std::function<void(const Holding::AdapterReply &)> &reply)
+{
+    if (const auto controller = m_controllers.find(request.replica); controller != m_controllers.end()) {
+        controller->second->request(request, reply);
+        return;
+    }
+    reply({.outcome = static_cast<std::uint8_t>(Holding::AdapterOutcome::Unavailable)});
+}
+
+}
--- /dev/null
+++ b/Libraries/LibGateway/Gateway.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <LibFleet/Feed.h>
+#include <LibFleet/OrderLink.h>
+#include <LibGateway/Passage.h>
+#include <LibHolding/HolderTable.h>
+#include <LibHolding/ReplicaController.h>
+#include <LibPeer/PeerRouter.h>
+
+namespace Gateway {
+
+struct GatewayOptions {
+    Holding::HolderTableOptions holding;
+    RetryAllowanceOptions retries;
+    std::string peerKey; // Shared by all hosts of the system.
+    Core::Duration noticePeriod = std::chrono::milliseconds(200); // Between notices of use to holders, and their replies.
+    Core::Duration tickPeriod = std::chrono::milliseconds(100); // Of the replicas' controllers.
+    Core::Duration adapterTimeout = std::chrono::milliseconds(1500); // Of a request to a holder.
+};
+
+struct GatewayPorts {
+    Core::Scheduler &scheduler;
+    Net::HttpClient &client;
+    Fleet::DeploymentSource &deployment;
+    Platform::TableService &table;
+    Platform::RowFeed &rows;
+    Fleet::OrderLink &orders;
+    const Protocol &protocol;
+    Peer::PeerTransport &transport;
+    Metrics::Registry &metrics;
+};
+
+// An entry host that passes requests on to replicas of services: follows the configuration, the replicas and the other
+// hosts, gives orders to the replicas that it holds, and carries callers' requests.
+class Gateway
+{
+public:
+    Gateway(GatewayPorts ports, GatewayOptions options);
+
+    void start();
+    // Takes a caller's request.
+    void take(const std::shared_ptr<Net::Exchange> &exchange);
+    // True when the host knows a configuration and the replicas, and isn't leaving.
+    [[nodiscard]] bool isReady() const;
+    // Gives up the replicas that it holds; requests that still arrive are served.
+    void leave(std::function<void()> done);
+    [[nodiscard]] Peer::PeerRouter &router();
+    [[nodiscard]] const Holding::HolderTable &holders() const;
+
+private:
+    void takeReplicas(const Fleet::ReplicaChanges &changes, bool isWhole);
+    void takeConfiguration(Fleet::ConfigurationChanges &&changes);
+    void tick();
+    void updateControllers();
+    void sendNotices();
+    void loadAdapter(const Holding::AdapterRequest &request,
+                     std::function<void(const Holding::AdapterReply &)> done);
+    void serveAdapterRequest(const Holding::AdapterRequest &request,
+                             const std::function<void(const Holding::AdapterReply &)> &reply);
+    void takeUse(const Core::HostId &from, const Holding::UseNotice &notice);
+    [[nodiscard]] std::vector<Holding::HoldableReplica> holdableReplicas() const;
+
+    GatewayPorts m_ports;
+    GatewayOptions m_options;
+    Peer::PeerRouter m_router;
+    Routes::RouteTable m_routes;
+    Fleet::ReplicaSet m_replicas;
+    FleetView m_fleet;
+    RetryAllowance m_allowance;
+    Holding::HolderTable m_holders;
+    Fleet::Feed<Fleet::ReplicaChanges> m_replicaFeed;
+    Fleet::Feed<Fleet::ConfigurationChanges> m_configurationFeed;
+    Fleet::Feed<Platform::FeedResult> m_holderFeed;
+    std::map<Core::TargetId, std::unique_ptr<Holding::ReplicaController>> m_controllers;
+    std::map<std::string, Fleet::AdapterRelease> m_releases; // By "model/adapter".
+    std::map<Core::HostId, Core::TimePoint> m_users; // Hosts that use replicas held here, and when they last said so.
+    Core::TimePoint m_nextNotice {};
+    bool m_isLeaving = false;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibHolding/ReplicaController.h
@@ -0,0 +1,126 @@
+#pragma once
+
+#include <LibCore/Scheduler.h>
+#include <LibFleet/OrderLink.h>
+#include <LibHolding/HoldingMessages.h>
+#include <LibRoutes/RouteConfiguration.h>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace Holding {
+
+struct ReplicaControllerOptions {
+    Core::HostId self;
+    Core::Duration reportPeriod = std::chrono::milliseconds(1000);
+    // A report shows the state of some hundred milliseconds ago; what changed here since isn't corrected by it.
+    Core::Duration reportLag = std::chrono::milliseconds(700);
+    // Load times of an adapter: from the replica's own memory, and from the weight store.
+    Core::Duration warmLoad = std::chrono::milliseconds(30);
+    Core::Duration coldLoad = std::chrono::milliseconds(270);
+    // Waited for once more when the replica says that a load isn't complete yet.
+    Core::Duration loadOverrun = std::chrono::milliseconds(60);
+    Core::Duration mostWait = std::chrono::milliseconds(3000); // Of a request for an adapter.
+    Core::Duration idleBeforeEviction = std::chrono::milliseconds(400);
+    Core::Duration useNoticeLifetime = std::chrono::milliseconds(1500);
+    std::size_t mostInTransit = 4; // Adapters that a replica loads at a time.
+    std::size_t mostWaiting = 64; // Requests for adapters that wait for an order.
+};
+
+// Gives orders to one replica, which only this host does: decides which adapters it has in memory, one order at a
+// time, and never more than fit. An order without an answer counts as carried out and as not carried out, whichever is
+// worse, until a later order or a report settles it.
+class ReplicaController
+{
+public:
+    using FenceFunction = std::function<std::optional<std::uint64_t>(const Core::TargetId &)>;
+    using ReplyFunction = std::function<void(const AdapterReply &)>;
+
+    ReplicaController(Core::Scheduler &scheduler, Fleet::OrderLink &link, ReplicaControllerOptions options,
+                      FenceFunction fence, Fleet::Replica replica, Routes::EngineSettings engine);
+    ~ReplicaController();
+    ReplicaController(const ReplicaController &) = delete;
+    ReplicaController &operator=(const ReplicaController &) = delete;
+
+    // Takes the replica's newest entry and its service's settings.
+    void update(const Fleet::Replica &replica, const Routes::EngineSettings &engine);
+    // Has an adapter loaded unless it is there already. The reply comes once, perhaps inside the call.
+    void request(const AdapterRequest &request, ReplyFunction reply);
+    // Takes a newer version of an adapter, which replaces an older one.
+    void release(const Fleet::AdapterRelease &release);
+    // Takes what a host runs there.
+    void noteUse(const Core::HostId &host, const ReplicaUse &use);
+    // Reads reports and moves orders on; called regularly.
+    void tick();
+
+    [[nodiscard]] ReplicaLoad load() const;
+    [[nodiscard]] const Fleet::Replica &replica() const;
+
+private:
+    enum class SlotState { Resident, Loading, Replacing, Unloading };
+    struct Slot {
+        std::uint64_t version = 0;
+        SlotState state = SlotState::Resident;
+        // The count of orders that the order named which would bring or drop it, while that order had no answer.
+        std::optional<std::uint64_t> uncertainAt;
+        Core::TimePoint changedAt {};
+        Core::TimePoint lastUsed {};
+        Core::TimePoint readyAt {};
+    };
+    struct Waiter {
+        AdapterRequest request;
+        ReplyFunction reply;
+        Core::TimePoint until {};
+    };
+    struct HostUse {
+        ReplicaUse use;
+        Core::TimePoint at {};
+    };
+
+    void pump();
+    void serveWaiters();
+    [[nodiscard]] bool isServable(const Waiter &waiter) const;
+    void orderLoad(const std::string &model, const std::string &adapter, std::uint64_t version);
+    void orderUnload(const std::string &name);
+    void sendOrder(Fleet::ReplicaOrder order, const std::string &name);
+    void takeOutcome(const Fleet::ReplicaOrder &order, const std::string &name, Fleet::OrderOutcome outcome,
+                     const std::string &detail);
+    void settleUncertain(std::uint64_t acceptedAt);
+    void readReport();
+    void takeReport(const Fleet::ReplicaReport &report, Core::TimePoint askedAt);
+    void ripenLoads();
+    [[nodiscard]] bool loadMissingModel();
+    [[nodiscard]] bool replaceOutdated();
+    [[nodiscard]] std::size_t capacity() const;
+    [[nodiscard]] std::size_t inTransit() const;
+    [[nodiscard]] std::optional<std::string> victim() const;
+    [[nodiscard]] bool isInUse(const std::string &name) const;
+    [[nodiscard]] std::uint64_t newestVersion(const std::string &name) const;
+    [[nodiscard]] Core::Duration expectedLoadTime(const std::string &name, std::uint64_t version) const;
+
+    Core::Scheduler &m_scheduler;
+    Fleet::OrderLink &m_link;
+    ReplicaControllerOptions m_options;
+    FenceFunction m_fence;
+    Fleet::Replica m_replica;
+    Routes::EngineSettings m_engine;
+    std::map<std::string, Slot> m_slots; // By "model/adapter".
+    std::set<std::string> m_models; // In memory.
+    std::map<std::string, std::uint64_t> m_releases; // Newest version by "model/adapter".
+    std::set<std::string> m_atHand; // Adapters that load fast, as "model/adapter@version".
+    std::deque<Waiter> m_waiters;
+    std::map<Core::HostId, HostUse> m_uses;
+    std::optional<std::uint64_t> m_orderCount; // Orders that the replica has accepted; unknown before a report.
+    Core::TimePoint m_countAsOf {};
+    Core::TimePoint m_noOrderBefore {};
+    bool m_isOrdering = false;
+    bool m_isReporting = false;
+    bool m_isModelLoading = false;
+    Core::TimePoint m_nextReport {};
+    Core::TimerId m_timer = Core::TimerId::None;
+    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
+};
+
+}
--- a/Libraries/LibNet/EventLoop.cpp
+++ b/Libraries/LibNet/EventLoop.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <ctime>
 
 namespace Net {
 
@@ -60,7 +61,10 @@
 
 Core::TimePoint EventLoop::now() const
 {
-    return Core::Clock::now();
+    // Unlike the steady clock it counts the time for which the machine was suspended, as leases and deadlines must.
+    timespec time {};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return Core::TimePoint(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
 }
 
 Core::TimerId EventLoop::runAfter(Core::Duration delay, Task task)
--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -1,10 +1,14 @@
 #include <LibNet/HttpClient.h>
 
 #include <LibCore/StepError.h>
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstring>
 #include <curl/curl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <strings.h>
 #include <sys/epoll.h>
 #include <unistd.h>
 
@@ -15,6 +19,18 @@
 // An idle connection older than this isn't used again: what lies between may have forgotten it.
 constexpr long LongestIdleSeconds = 15;
 
+// A connection whose peer acknowledges nothing for this long, sent data or keep-alive probes, is given up.
+constexpr int DeadPeerMilliseconds = 2500;
+// Statuses below this one are followed by another head.
+constexpr long FirstFinalStatus = 200;
+// TCP keep-alive: seconds of silence before the first probe, seconds between probes, and probes that may be lost.
+constexpr int KeepAliveIdleSeconds = 1;
+constexpr int KeepAliveIntervalSeconds = 1;
+constexpr int KeepAliveProbes = 2;
+// curl's smallest upload buffer, and a receive buffer that holds any head that is met.
+constexpr long UploadBufferBytes = 16 * 1024;
+constexpr long ReceiveBufferBytes = 16 * 1024;
+
 }
 
 struct HttpClient::Transfer {
@@ -25,6 +41,9 @@
     HttpRequest request;
     DoneFunction done;
     DataFunction data;
+    HeadFunction head;
+    std::size_t sentBodyBytes = 0;
+    HttpFields fields;
     std::string body;
     Core::TimePoint lastActivity {};
     Core::TimerId silenceTimer = Core::TimerId::None;
@@ -63,6 +82,54 @@
         return 0;
     }
 
+    // Notices a peer that has gone without a word; an idle connection may be forgotten by what lies between.
+    static int onSocketOpened(void * /*context*/, curl_socket_t socket, curlsocktype /*purpose*/)
+    {
+        const int isOn = 1;
+        setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &isOn, sizeof isOn);
+        setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &KeepAliveIdleSeconds, sizeof KeepAliveIdleSeconds);
+        setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &KeepAliveIntervalSeconds, sizeof KeepAliveIntervalSeconds);
+        setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &KeepAliveProbes, sizeof KeepAliveProbes);
+        setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &DeadPeerMilliseconds, sizeof DeadPeerMilliseconds);
+        return CURL_SOCKOPT_OK;
+    }
+
+    // Hands curl the body. There is no way back to its start, so curl can't send it a second time.
+    static std::size_t onBodyWanted(char *bytes, std::size_t size, std::size_t count, void *context)
+    {
+        auto *transfer = static_cast<Transfer *>(context);
+        const auto &body = transfer->request.body;
+        const auto piece = std::min(size * count, body.size() - transfer->sentBodyBytes);
+        std::memcpy(bytes, body.data() + transfer->sentBodyBytes, piece);
+        transfer->sentBodyBytes += piece;
+        return piece;
+    }
+
+    static std::size_t onHeader(char *bytes, std::size_t size, std::size_t count, void *context)
+    {
+        auto *transfer = static_cast<Transfer *>(context);
+        const auto length = size * count;
+        std::string_view line(bytes, length);
+        transfer->lastActivity = transfer->client->m_loop.now();
+        while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) {
+            line.remove_suffix(1);
+        }
+        if (line.starts_with("HTTP/")) {
+            transfer->fields.clear();
+        } else if (const auto colon = line.find(':'); colon != std::string_view::npos) {
+            auto value = line.substr(colon + 1);
+            value.remove_prefix(std::min(value.find_first_not_of(" \t"), value.size()));
+            transfer->fields.emplace_back(line.substr(0, colon), value);
+        } else if (line.empty() && transfer->head && !transfer->isCancelled) {
+            long status = 0;
+            curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
+            if (status >= FirstFinalStatus) {
+                transfer->head(status, transfer->fields);
+            }
+        }
+        return length;
+    }
+
     static std::size_t onData(char *bytes, std::size_t size, std::size_t count, void *context)
     {
         auto *transfer = static_cast<Transfer *>(context);
@@ -116,7 +183,7 @@
     close(m_epollFd);
 }
 
-HttpRequestId HttpClient::start(HttpRequest request, DoneFunction done, DataFunction data)
+HttpRequestId HttpClient::start(HttpRequest request, DoneFunction done, DataFunction data, HeadFunction head)
 {
     auto transfer = std::make_unique<Transfer>();
     transfer->client = this;
@@ -125,40 +192,74 @@
     transfer->request = std::move(request);
     transfer->done = std::move(done);
     transfer->data = std::move(data);
+    transfer->head = std::move(head);
     transfer->lastActivity = m_loop.now();
-    const auto &wanted = transfer->request;
-    auto *easy = transfer->easy;
+    configure(*transfer);
+    const auto id = transfer->id;
+    auto &kept = *m_transfers.emplace(id, std::move(transfer)).first->second;
+    watchForSilence(kept);
+    curl_multi_add_handle(m_multi, kept.easy);
+    return HttpRequestId(id);
+}
+
+void HttpClient::configure(Transfer &transfer)
+{
+    const auto &wanted = transfer.request;
+    auto *easy = transfer.easy;
     for (const auto &header : wanted.headers) {
-        transfer->headers = curl_slist_append(transfer->headers, header.c_str());
+        transfer.headers = curl_slist_append(transfer.headers, header.c_str());
+    }
+    if (wanted.headerDefaults == HeaderDefaults::Left) {
+        const auto isNamed = [&wanted](std::string_view name) {
+            return std::any_of(wanted.headers.begin(), wanted.headers.end(), [name](const auto &header) {
+                return header.size() > name.size() && strncasecmp(header.data(), name.data(), name.size()) == 0
+                    && header[name.size()] == ':';
+            });
+        };
+        for (const auto *name : {"Accept", "Content-Type"}) {
+            if (!isNamed(name)) {
+                transfer.headers = curl_slist_append(transfer.headers, (std::string(name) + ':').c_str());
+            }
+        }
     }
     // Waiting for "100 Continue" would add a round trip to every larger request.
-    transfer->headers = curl_slist_append(transfer->headers, "Expect:");
+    transfer.headers = curl_slist_append(transfer.headers, "Expect:");
     curl_easy_setopt(easy, CURLOPT_URL, wanted.url.c_str());
+    if (!wanted.target.empty()) {
+        curl_easy_setopt(easy, CURLOPT_REQUEST_TARGET, wanted.target.c_str());
+    }
     curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
     curl_easy_setopt(easy, CURLOPT_PROXY, "");
     curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
     curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
-    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, wanted.method.c_str());
-    if (!wanted.body.empty() || wanted.method != "GET") {
-        curl_easy_setopt(easy, CURLOPT_POSTFIELDS, wanted.body.data());
-        curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(wanted.body.size()));
+    curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, ReceiveBufferBytes);
+    curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &CurlCallbacks::onSocketOpened);
+    const bool hasBody = !wanted.body.empty() || (wanted.method != "GET" && wanted.method != "HEAD");
+    if (hasBody) {
+        curl_easy_setopt(easy, CURLOPT_UPLOAD, 1L);
+        curl_easy_setopt(easy, CURLOPT_UPLOAD_BUFFERSIZE, UploadBufferBytes);
+        curl_easy_setopt(easy, CURLOPT_READFUNCTION, &CurlCallbacks::onBodyWanted);
+        curl_easy_setopt(easy, CURLOPT_READDATA, &transfer);
+        curl_easy_setopt(easy, CURLOPT_INFILESIZE_LARGE, static_cast<curl_off_t>(wanted.body.size()));
     }
-    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->headers);
+    if (wanted.method == "HEAD") {
+        curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+    }
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, wanted.method.c_str());
+    curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer.headers);
     curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(Core::toMilliseconds(wanted.connectTimeout)));
     curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, static_cast<long>(Core::toMilliseconds(wanted.totalTimeout)));
     curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, LongestIdleSeconds);
-    if (wanted.connectionUse == ConnectionUse::Fresh) {
+    const bool isRepeatedByCurl = wanted.body.empty() && wanted.method != "GET" && wanted.method != "HEAD";
+    if (wanted.connectionUse == ConnectionUse::Fresh || isRepeatedByCurl) {
         curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
         curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
     }
+    curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &CurlCallbacks::onHeader);
+    curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &CurlCallbacks::onData);
-    curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
-    curl_easy_setopt(easy, CURLOPT_PRIVATE, transfer.get());
-    const auto id = transfer->id;
-    auto &kept = *m_transfers.emplace(id, std::move(transfer)).first->second;
-    watchForSilence(kept);
-    curl_multi_add_handle(m_multi, easy);
-    return HttpRequestId(id);
+    curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
+    curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
 }
 
 void HttpClient::cancel(HttpRequestId id)
@@ -235,6 +336,7 @@
     const char *contentType = nullptr;
     curl_easy_getinfo(transfer.easy, CURLINFO_CONTENT_TYPE, &contentType);
     result.contentType = contentType == nullptr ? "" : contentType;
+    result.fields = std::move(transfer.fields);
     result.body = std::move(transfer.body);
     const auto owned = std::move(m_transfers.at(transfer.id));
     m_transfers.erase(transfer.id);
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -11,6 +11,9 @@
 
 namespace Net {
 
+// Which connection carries a request. curl by itself sends a request again on a new connection when a reused one is
+// closed before the answer. The client prevents that for every request that may change something: its body can't be
+// rewound, and without a body it gets a connection of its own.
 enum class ConnectionUse {
     // An idle connection may be used again.
     Reuse,
@@ -18,10 +21,23 @@
     Fresh,
 };
 
+// The lines of a message's head, in order, with names as they were sent.
+using HttpFields = std::vector<std::pair<std::string, std::string>>;
+
+// Which headers a request carries beside those that are given.
+enum class HeaderDefaults {
+    // Those that curl adds by itself, such as Accept.
+    Added,
+    // Only Host and those that frame the body.
+    Left,
+};
+
 // One outgoing HTTP request.
 struct HttpRequest {
     std::string method = "GET";
     std::string url;
+    std::string target; // The path and query exactly as they are to be sent; empty for those of the URL.
+    HeaderDefaults headerDefaults = HeaderDefaults::Added;
     std::vector<std::string> headers; // Each in the form "Name: value".
     std::string body;
     Core::Duration connectTimeout = std::chrono::milliseconds(500);
@@ -34,6 +50,7 @@
 struct HttpResult {
     long status = 0; // Zero when no complete answer arrived.
     std::string contentType; // Empty when the answer names none.
+    HttpFields fields; // Every header line of the answer.
     std::string body; // Empty when a data function took the pieces.
     std::string error; // Empty when the answer is complete.
     bool isTimedOut = false; // A time limit ended it, or silence did.
@@ -53,6 +70,8 @@
 public:
     using DataFunction = std::function<void(long status, std::string_view data)>;
     using DoneFunction = std::function<void(HttpResult)>;
+    // Takes the final head of an answer, before its body.
+    using HeadFunction = std::function<void(long status, const HttpFields &fields)>;
 
     explicit HttpClient(EventLoop &loop);
     ~HttpClient();
@@ -61,7 +80,8 @@
 
     // Starts a request. The done function runs exactly once, never inside this call, unless cancelled.
     // With a data function the answer's body is passed piece by piece and isn't kept.
-    HttpRequestId start(HttpRequest request, DoneFunction done, DataFunction data = nullptr);
+    HttpRequestId start(HttpRequest request, DoneFunction done, DataFunction data = nullptr,
+                        HeadFunction head = nullptr);
     // Drops a request and closes its connection. None of its functions runs afterwards.
     void cancel(HttpRequestId id);
 
@@ -69,6 +89,7 @@
     struct Transfer;
     struct CurlCallbacks;
 
+    static void configure(Transfer &transfer);
     void serveSockets();
     void serveTimeout();
     void takeFinished();
--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -30,6 +30,7 @@
     auto &request = *static_cast<ServerRequest *>(context);
     if (kind == MHD_HEADER_KIND) {
         request.headers[toLower(name)] = value == nullptr ? "" : value;
+        request.fields.emplace_back(name, value == nullptr ? "" : value);
     } else {
         request.query[name] = value == nullptr ? "" : value;
     }
@@ -40,12 +41,20 @@
 
 // libmicrohttpd's C callbacks.
 struct ServerCallbacks {
+    // Runs before a request's headers are read; what it returns is the state of the request's other callbacks.
+    static void *onTarget(void * /*context*/, const char *target, MHD_Connection * /*connection*/)
+    {
+        auto exchange = std::make_shared<Exchange>();
+        exchange->m_request.target = target;
+        return new std::shared_ptr<Exchange>(std::move(exchange));
+    }
+
     static MHD_Result onRequest(void *context, MHD_Connection *connection, const char *url, const char *method,
                                 const char * /*version*/, const char *data, std::size_t *size, void **state)
     {
         auto *server = static_cast<HttpServer *>(context);
-        if (*state == nullptr) {
-            auto exchange = std::make_shared<Exchange>();
+        const auto exchange = *static_cast<std::shared_ptr<Exchange> *>(*state);
+        if (exchange->m_server == nullptr) {
             exchange->m_server = server;
             exchange->m_connection = connection;
             exchange->m_request.method = method;
@@ -53,10 +62,8 @@
             MHD_get_connection_values(connection, MHD_HEADER_KIND, &collectValue, &exchange->m_request);
             MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &collectValue, &exchange->m_request);
             server->m_openExchanges.insert(exchange);
-            *state = new std::shared_ptr<Exchange>(std::move(exchange));
             return MHD_YES;
         }
-        const auto exchange = *static_cast<std::shared_ptr<Exchange> *>(*state);
         if (*size > 0) {
             if (exchange->m_request.body.size() + *size > server->m_options.largestBody) {
                 exchange->m_isTooLarge = true;
@@ -107,7 +114,9 @@
             response = MHD_create_response_from_buffer(exchange->m_pending.size(), exchange->m_pending.data(),
                                                        MHD_RESPMEM_MUST_COPY);
         }
-        MHD_add_response_header(response, "Content-Type", exchange->m_head.contentType.c_str());
+        if (!exchange->m_head.contentType.empty()) {
+            MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE, exchange->m_head.contentType.c_str());
+        }
         for (const auto &[name, value] : exchange->m_head.headers) {
             MHD_add_response_header(response, name.c_str(), value.c_str());
         }
@@ -287,8 +296,9 @@
     m_daemon = MHD_start_daemon(
         MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, m_options.port, nullptr, nullptr, &ServerCallbacks::onRequest, this,
         MHD_OPTION_SOCK_ADDR, reinterpret_cast<sockaddr *>(&address), MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
-        MHD_OPTION_NOTIFY_COMPLETED, &ServerCallbacks::onCompleted, this, MHD_OPTION_CONNECTION_LIMIT,
-        m_options.mostConnections, MHD_OPTION_CONNECTION_TIMEOUT, m_options.idleTimeoutSeconds, MHD_OPTION_END);
+        MHD_OPTION_URI_LOG_CALLBACK, &ServerCallbacks::onTarget, this, MHD_OPTION_NOTIFY_COMPLETED,
+        &ServerCallbacks::onCompleted, this, MHD_OPTION_CONNECTION_MEMORY_LIMIT, m_options.connectionMemory,
+        MHD_OPTION_CONNECTION_LIMIT, m_options.mostConnections, MHD_OPTION_CONNECTION_TIMEOUT, m_options.idleTimeoutSeconds, MHD_OPTION_END);
     if (m_daemon == nullptr) {
         throw Core::StepError("listen for HTTP", place, std::strerror(errno));
     }
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -17,7 +17,9 @@
 // One request from a caller, complete with its body.
 struct ServerRequest {
     std::string method;
-    std::string path; // Without the query.
+    std::string path; // Decoded and without the query.
+    std::string target; // The path and query exactly as they were sent.
+    std::vector<std::pair<std::string, std::string>> fields; // Every header line in order, names as they were sent.
     std::map<std::string, std::string> query;
     std::map<std::string, std::string> headers; // Names in lower case.
     std::string body;
@@ -29,7 +31,7 @@
 // The head of an answer.
 struct ResponseHead {
     unsigned status = 200;
-    std::string contentType = "application/json";
+    std::string contentType = "application/json"; // Empty when the headers name it or there is none.
     std::vector<std::pair<std::string, std::string>> headers;
 };
 
@@ -91,6 +93,7 @@
     std::size_t largestBody = 1U << 20U; // Bytes.
     unsigned mostConnections = 1000;
     unsigned idleTimeoutSeconds = 30;
+    std::size_t connectionMemory = 32 * 1024; // Bytes for one connection's header and buffers.
     std::size_t mostUnsent = 1U << 20U; // Bytes that one caller's stream may have waiting.
     Core::Duration goneCheckPeriod = std::chrono::milliseconds(500);
 };
--- a/Libraries/LibPeer/MessageKind.h
+++ b/Libraries/LibPeer/MessageKind.h
@@ -25,6 +25,10 @@
     // LibRouting, 60 to 69.
     QuarantineNotice = 60,
     OwnerProbe = 61,
+    // LibHolding, 70 to 79.
+    AdapterRequest = 70,
+    UseNotice = 71,
+    LoadNotice = 72,
 };
 
 }
--- /dev/null
+++ b/Libraries/LibPlacement/ReplicaChooser.cpp
@@ -0,0 +1,70 @@
+#include <LibPlacement/ReplicaChooser.h>
+
+#include <LibCore/Rendezvous.h>
+#include <algorithm>
+#include <numeric>
+
+namespace Placement {
+
+ReplicaChooser::ReplicaChooser(ReplicaChooserOptions options)
+    : m_options(std::move(options))
+{
+}
+
+Core::Duration ReplicaChooser::cost(const Candidate &candidate, std::size_t rank) const
+{
+    using Milliseconds = std::chrono::duration<double, std::milli>;
+    const Milliseconds reading(static_cast<double>(candidate.waitingTokens) / m_options.promptTokensPerMillisecond);
+    auto cost = std::chrono::duration_cast<Core::Duration>(reading) + candidate.penalty
+        + m_options.perActive * static_cast<int>(candidate.active)
+        + m_options.perRank * static_cast<int>(rank);
+    if (candidate.zone != m_options.ownZone) {
+        cost += m_options.otherZone;
+    }
+    if (candidate.slots > 0 && candidate.active >= candidate.slots) {
+        cost += m_options.perQueued * static_cast<int>(candidate.active - candidate.slots + 1);
+    }
+    if (candidate.residency == Residency::Absent) {
+        cost += m_options.load + m_options.furtherHome * static_cast<int>(rank);
+    }
+    if (candidate.isBlocked) {
+        cost += m_options.blocked;
+    }
+    return cost;
+}
+
+std::optional<std::size_t> ReplicaChooser::choose(std::string_view key, std::span<const Candidate> candidates) const
+{
+    if (candidates.empty()) {
+        return std::nullopt;
+    }
+    std::vector<std::size_t> ranks(candidates.size(), 0);
+    if (!key.empty()) {
+        // Only the order of the hashes matters, so the weights of the hashing are all alike.
+        const auto keyHash = Core::stableHash(key);
+        std::vector<std::size_t> order(candidates.size());
+        std::iota(order.begin(), order.end(), 0);
+        std::vector<std::uint64_t> scores(candidates.size());
+        std::transform(candidates.begin(), candidates.end(), scores.begin(), [keyHash](const auto &candidate) {
+            return Core::stableHash(candidate.home, keyHash);
+        });
+        std::sort(order.begin(), order.end(), [&scores](auto left, auto right) {
+            return scores[left] > scores[right];
+        });
+        for (std::size_t rank = 0; rank < order.size(); ++rank) {
+            ranks[order[rank]] = rank;
+        }
+    }
+    std::optional<std::size_t> best;
+    Core::Duration lowest {};
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const auto expected = cost(candidates[i], ranks[i]);
+        if (!best.has_value() || expected < lowest) {
+            best = i;
+            lowest = expected;
+        }
+    }
+    return best;
+}
+
+}
--- a/Libraries/LibPlatform/TableService.h
+++ b/Libraries/LibPlatform/TableService.h
@@ -54,6 +54,7 @@
 
 struct TransactionResult {
     TransactionOutcome outcome = TransactionOutcome::Unknown;
+    std::uint64_t version = 0; // That a committed transaction gave its rows; zero when the service names none.
     std::string error; // Why there was no answer.
 };
 
--- a/Libraries/LibSettings/DaemonSettings.cpp
+++ b/Libraries/LibSettings/DaemonSettings.cpp
@@ -99,7 +99,7 @@
     return settings;
 }
 
-DaemonSettings loadDaemonSettings(const std::string &path)
+std::string readSettingsFile(const std::string &path)
 {
     std::ifstream file(path);
     if (!file) {
@@ -107,7 +107,12 @@
     }
     std::ostringstream text;
     text << file.rdbuf();
-    return parseDaemonSettings(text.str());
+    return text.str();
+}
+
+DaemonSettings loadDaemonSettings(const std::string &path)
+{
+    return parseDaemonSettings(readSettingsFile(path));
 }
 
 }
--- a/Libraries/LibSettings/DaemonSettings.h
+++ b/Libraries/LibSettings/DaemonSettings.h
@@ -40,6 +40,8 @@
 
 // Reads settings in JSON with comments. Throws InvalidSettings naming every mistake.
 [[nodiscard]] DaemonSettings parseDaemonSettings(std::string_view text);
+// The text of a settings file. Throws StepError when it can't be read.
+[[nodiscard]] std::string readSettingsFile(const std::string &path);
 // Reads a settings file. Throws StepError when it can't be read, InvalidSettings when it can't be used.
 [[nodiscard]] DaemonSettings loadDaemonSettings(const std::string &path);
 
--- /dev/null
+++ b/Libraries/LibSettings/GatewaySettings.cpp
@@ -0,0 +1,84 @@
+#include <LibSettings/GatewaySettings.h>
+
+namespace Settings {
+
+namespace {
+
+constexpr long long DefaultBodyBytes = 8 << 20; // Twice what deployments allow callers to send today.
+constexpr long long LargestBodyBytes = 64 << 20;
+constexpr long long DefaultConnections = 2000;
+constexpr long long MostConnections = 60000;
+constexpr long long DefaultGraceSeconds = 8;
+constexpr long long LongestGraceSeconds = 3600;
+constexpr long long DefaultGapMilliseconds = 3000;
+constexpr long long LongestGapMilliseconds = 60000;
+constexpr long long DefaultWindowSeconds = 10;
+constexpr long long LongestWindowSeconds = 3600;
+constexpr double DefaultRetryRatio = 0.2;
+constexpr double DefaultRetryExtra = 50;
+constexpr double MostRetryExtra = 1000000;
+
+nlohmann::json parseJson(std::string_view text)
+{
+    try {
+        return nlohmann::json::parse(text, nullptr, true, true);
+    } catch (const nlohmann::json::parse_error &error) {
+        throw InvalidSettings({std::string("settings: found text that isn't JSON with comments: ") + error.what()});
+    }
+}
+
+}
+
+bool isGatewaySettings(std::string_view text)
+{
+    const auto json = parseJson(text);
+    return json.is_object() && json.contains("mode") && json["mode"] == "gateway";
+}
+
+GatewaySettings parseGatewaySettings(std::string_view text)
+{
+    const auto json = parseJson(text);
+    std::vector<std::string> mistakes;
+    SettingsReader root(json, "", mistakes);
+    GatewaySettings settings;
+    (void)root.choice("mode", "gateway", {"gateway"});
+    auto host = root.object("host");
+    settings.hostId = host.text("id");
+    settings.zone = host.text("zone");
+    host.finish();
+    auto listen = root.object("listen");
+    settings.callerAddress = listen.address("callers");
+    settings.readinessAddress = listen.address("readiness");
+    settings.peerAddress = listen.address("peers");
+    settings.metricsAddress = listen.text("metrics", "");
+    listen.finish();
+    auto platform = root.object("platform");
+    settings.platformAddress = platform.address("address");
+    platform.finish();
+    settings.peerKey = root.text("peerKey");
+    auto limits = root.object("limits");
+    settings.largestBodyBytes
+        = static_cast<std::size_t>(limits.number("bodyBytes", DefaultBodyBytes, 1, LargestBodyBytes));
+    settings.mostConnections
+        = static_cast<unsigned>(limits.number("connections", DefaultConnections, 1, MostConnections));
+    settings.stopGrace
+        = std::chrono::seconds(limits.number("stopGraceSeconds", DefaultGraceSeconds, 1, LongestGraceSeconds));
+    limits.finish();
+    auto orders = root.object("orders");
+    settings.orderGap = std::chrono::milliseconds(
+        orders.number("gapMilliseconds", DefaultGapMilliseconds, 0, LongestGapMilliseconds));
+    orders.finish();
+    auto retries = root.object("retries");
+    settings.retryRatio = retries.fraction("ratio", DefaultRetryRatio, 0, 1);
+    settings.retryExtra = retries.fraction("extra", DefaultRetryExtra, 0, MostRetryExtra);
+    settings.retryWindow
+        = std::chrono::seconds(retries.number("windowSeconds", DefaultWindowSeconds, 1, LongestWindowSeconds));
+    retries.finish();
+    root.finish();
+    if (!mistakes.empty()) {
+        throw InvalidSettings(std::move(mistakes));
+    }
+    return settings;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibSettings/GatewaySettings.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <LibCore/Time.h>
+#include <LibSettings/SettingsReader.h>
+#include <string>
+#include <string_view>
+
+namespace Settings {
+
+// What an entry host that passes requests on to replicas is told at its start ("mode": "gateway").
+struct GatewaySettings {
+    std::string hostId;
+    std::string zone;
+    std::string callerAddress; // "host:port" to listen on for callers.
+    std::string readinessAddress; // "host:port" at which the balancer asks whether this host takes requests.
+    std::string peerAddress; // "host:port" to listen on for the system's other hosts.
+    std::string metricsAddress; // "host:port" to serve metrics on; empty for none.
+    std::string platformAddress; // "host:port" of the platform's store.
+    std::string peerKey; // Shared by all hosts of the system.
+    std::size_t largestBodyBytes = 0;
+    unsigned mostConnections = 0;
+    Core::Duration stopGrace {}; // The platform kills the process so long after SIGTERM.
+    Core::Duration orderGap {}; // Between the orders of two holders of a replica.
+    double retryRatio = 0; // Repeats for each request, over all hosts together.
+    double retryExtra = 0; // Repeats in a window whatever the number of requests, over all hosts together.
+    Core::Duration retryWindow {};
+};
+
+// True when the settings are those of a gateway. Throws InvalidSettings for text that isn't JSON with comments.
+[[nodiscard]] bool isGatewaySettings(std::string_view text);
+// Reads settings in JSON with comments. Throws InvalidSettings naming every mistake.
+[[nodiscard]] GatewaySettings parseGatewaySettings(std::string_view text);
+
+}
--- a/Libraries/LibSettings/SettingsReader.cpp
+++ b/Libraries/LibSettings/SettingsReader.cpp
@@ -118,6 +118,19 @@
     return value->get<long long>();
 }
 
+double SettingsReader::fraction(const char *name, double fallback, double least, double most)
+{
+    const auto *value = find(name);
+    if (value == nullptr) {
+        return fallback;
+    }
+    if (!value->is_number() || value->get<double>() < least || value->get<double>() > most) {
+        report(name, value->dump(), "a number from " + std::to_string(least) + " to " + std::to_string(most));
+        return fallback;
+    }
+    return value->get<double>();
+}
+
 std::string SettingsReader::choice(const char *name, std::string fallback, const std::vector<std::string> &allowed)
 {
     const auto *value = find(name);
--- a/Libraries/LibSettings/SettingsReader.h
+++ b/Libraries/LibSettings/SettingsReader.h
@@ -34,6 +34,8 @@
     // A list of such addresses, which may be missing.
     [[nodiscard]] std::vector<std::string> addresses(const char *name);
     [[nodiscard]] long long number(const char *name, long long fallback, long long least, long long most);
+    // A number that needn't be whole.
+    [[nodiscard]] double fraction(const char *name, double fallback, double least, double most);
     [[nodiscard]] std::string choice(const char *name, std::string fallback, const std::vector<std::string> &allowed);
     // Members of an object, which may be missing when it isn't required.
     [[nodiscard]] SettingsReader object(const char *name);
--- a/Services/currantbayd/Main.cpp
+++ b/Services/currantbayd/Main.cpp
@@ -1,4 +1,5 @@
 #include <currantbayd/Daemon.h>
+#include <currantbayd/GatewayDaemon.h>
 
 #include <CLI/CLI.hpp>
 #include <LibLog/Log.h>
@@ -9,6 +10,23 @@
 constexpr int ExitFailed = 1;
 constexpr int ExitBadSettings = 2;
 
+int reportNoMistakes(const std::string &settingsFile)
+{
+    std::cout << settingsFile << ": no mistakes\n";
+    return 0;
+}
+
+int runGateway(const std::string &text, const std::string &settingsFile, bool isCheckOnly)
+{
+    const auto settings = Settings::parseGatewaySettings(text);
+    if (isCheckOnly) {
+        return reportNoMistakes(settingsFile);
+    }
+    Log::start({.host = settings.hostId});
+    Daemon::GatewayDaemon(settings, settingsFile).run();
+    return 0;
+}
+
 }
 
 // Runs one entry host.
@@ -23,10 +41,13 @@
     app.add_flag("--check", isCheckOnly, "Check the settings, print every mistake, and exit");
     CLI11_PARSE(app, argc, argv);
     try {
-        const auto settings = Settings::loadDaemonSettings(settingsFile);
+        const auto text = Settings::readSettingsFile(settingsFile);
+        if (Settings::isGatewaySettings(text)) {
+            return runGateway(text, settingsFile, isCheckOnly);
+        }
+        const auto settings = Settings::parseDaemonSettings(text);
         if (isCheckOnly) {
-            std::cout << settingsFile << ": no mistakes\n";
-            return 0;
+            return reportNoMistakes(settingsFile);
         }
         Log::start({.host = settings.hostId});
         Daemon::Daemon(settings).run();
