LibHolding: Confirm loads, replace only idle adapters, hold until the process exits

Ruled out: the store's rate (loads took 0.11 s at the median). A trial showed that a repeated load order is answered 202 while the adapter is on its way, 200 when it is there, and isn't counted either way.

--- a/Libraries/LibGateway/FleetView.cpp
+++ b/Libraries/LibGateway/FleetView.cpp
@@ -8,14 +8,17 @@
 
 // A holder's notice is newer than the list for this long.
 constexpr auto NoticeLifetime = std::chrono::milliseconds(1500);
+// After its holder's refusal a replica isn't asked for loads for this long, about that of a few runs.
+constexpr auto UnloadableTime = std::chrono::milliseconds(300);
 // What this host learnt itself about an adapter is newer than a notice or an entry for this long.
 constexpr auto OwnKnowledgeLifetime = std::chrono::milliseconds(500);
 
 }
 
-FleetView::FleetView(const Fleet::ReplicaSet &replicas, Placement::ReplicaChooserOptions chooser)
+FleetView::FleetView(const Fleet::ReplicaSet &replicas, Placement::ReplicaChooserOptions chooser, IsHeldFunction isHeld)
     : m_replicas(replicas)
     , m_chooser(std::move(chooser))
+    , m_isHeld(std::move(isHeld))
 {
 }
 
@@ -112,6 +115,11 @@
     view.changedAt[name] = now;
 }
 
+void FleetView::setUnloadable(const Core::TargetId &replica, Core::TimePoint now)
+{
+    m_views[replica].unloadableUntil = now + UnloadableTime;
+}
+
 std::optional<std::uint64_t> FleetView::residentVersion(const Core::TargetId &replica, const std::string &name) const
 {
     const auto view = m_views.find(replica);
@@ -135,7 +143,10 @@
                                     .penalty = m_health.penalty(replica.id, now),
                                     .isBlocked = m_health.isBlocked(replica.id, replica.zone, now)};
     if (!request.adapter.empty() && !residentVersion(replica.id, adapterName(request)).has_value()) {
-        candidate.residency = Placement::Residency::Absent;
+        const auto view = m_views.find(replica.id);
+        const bool isRefusing = view != m_views.end() && now < view->second.unloadableUntil;
+        candidate.residency = isRefusing || !m_isHeld(replica.id) ? Placement::Residency::Unloadable
+                                                                  : Placement::Residency::Absent;
     }
     if (const auto view = m_views.find(replica.id); view != m_views.end()) {
         candidate.active = view->second.active + view->second.noticedActive;
--- a/Libraries/LibGateway/FleetView.h
+++ b/Libraries/LibGateway/FleetView.h
@@ -5,6 +5,7 @@
 #include <LibHolding/HoldingMessages.h>
 #include <LibPlacement/ReplicaChooser.h>
 #include <LibPlacement/ReplicaHealth.h>
+#include <functional>
 #include <map>
 #include <set>
 
@@ -14,7 +15,10 @@
 class FleetView
 {
 public:
-    FleetView(const Fleet::ReplicaSet &replicas, Placement::ReplicaChooserOptions chooser);
+    // Tells whether a live host gives orders to the replica.
+    using IsHeldFunction = std::function<bool(const Core::TargetId &)>;
+
+    FleetView(const Fleet::ReplicaSet &replicas, Placement::ReplicaChooserOptions chooser, IsHeldFunction isHeld);
 
     // Takes the entries of the list after a change.
     void refresh(Core::TimePoint now);
@@ -25,6 +29,8 @@
     // The adapter is in the replica's memory, as its holder or an answer has shown, or isn't.
     void setResident(const Core::TargetId &replica, const std::string &name, std::uint64_t version, Core::TimePoint now);
     void setAbsent(const Core::TargetId &replica, const std::string &name, Core::TimePoint now);
+    // The replica's holder can't have an adapter loaded there now.
+    void setUnloadable(const Core::TargetId &replica, Core::TimePoint now);
 
     // The best replica of the service for the request that isn't among the excluded.
     [[nodiscard]] const Fleet::Replica *choose(const CallerRequest &request, const std::string &service,
@@ -53,6 +59,7 @@
         std::map<std::string, std::uint64_t> resident; // Version by "model/adapter".
         std::map<std::string, Core::TimePoint> changedAt; // By what this host learnt itself.
         Core::TimePoint noticedAt {};
+        Core::TimePoint unloadableUntil {};
         std::uint64_t startedAt = 0;
         unsigned noticedActive = 0;
         std::uint64_t noticedTokens = 0;
@@ -71,6 +78,7 @@
 
     const Fleet::ReplicaSet &m_replicas;
     Placement::ReplicaChooser m_chooser;
+    IsHeldFunction m_isHeld;
     Placement::ReplicaHealth m_health;
     std::map<Core::TargetId, View> m_views;
     std::map<std::string, std::uint64_t> m_releases;
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -15,7 +15,7 @@
 constexpr auto HolderPace = std::chrono::milliseconds(1000);
 // A host that has said nothing for this long isn't sent notices any more.
 constexpr auto UserLifetime = std::chrono::seconds(2);
-constexpr auto RetryAfterStart = std::chrono::milliseconds(500);
+constexpr auto RetryAfterStart = std::chrono::milliseconds(100);
 
 void refuse(Net::Exchange &exchange, unsigned status, std::string_view reason, bool isTemporary)
 {
@@ -37,7 +37,10 @@
                {.self = m_options.holding.self.host,
                 .incarnation = m_options.holding.self.incarnation,
                 .key = m_options.peerKey})
-    , m_fleet(m_replicas, {.ownZone = m_options.holding.self.zone})
+    , m_fleet(m_replicas, {.ownZone = m_options.holding.self.zone},
+              [this](const Core::TargetId &replica) {
+                  return m_holders.holderOf(replica).has_value();
+              })
     , m_allowance(m_options.retries)
     , m_holders(m_ports.scheduler, m_ports.table, m_options.holding,
                 [this] {
@@ -116,9 +119,18 @@
     return m_holders;
 }
 
-void Gateway::leave(std::function<void()> done)
+void Gateway::beginLeaving()
 {
     m_isLeaving = true;
+}
+
+void Gateway::refuseNewRequests()
+{
+    m_isRefusing = true;
+}
+
+void Gateway::giveUpReplicas(std::function<void()> done)
+{
     m_holders.leave(std::move(done));
 }
 
@@ -132,6 +144,10 @@
         refuse(*exchange, Core::HttpStatus::ServiceUnavailable, "this host is starting", true);
         return;
     }
+    if (m_isRefusing) {
+        refuse(*exchange, Core::HttpStatus::ServiceUnavailable, "this host is stopping", true);
+        return;
+    }
     auto request = m_ports.protocol.readRequest(exchange->request());
     auto route = m_routes.find(request.host, request.target);
     if (route.route == nullptr) {
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -15,7 +15,7 @@
     std::string peerKey; // Shared by all hosts of the system.
     Core::Duration noticePeriod = std::chrono::milliseconds(200); // Between notices of use to holders, and their replies.
     Core::Duration tickPeriod = std::chrono::milliseconds(100); // Of the replicas' controllers.
-    Core::Duration adapterTimeout = std::chrono::milliseconds(1500); // Of a request to a holder.
+    Core::Duration adapterTimeout = std::chrono::milliseconds(1100); // Of a request to a holder.
 };
 
 struct GatewayPorts {
@@ -42,8 +42,12 @@
     void take(const std::shared_ptr<Net::Exchange> &exchange);
     // True when the host knows a configuration and the replicas, and isn't leaving.
     [[nodiscard]] bool isReady() const;
-    // Gives up the replicas that it holds; requests that still arrive are served.
-    void leave(std::function<void()> done);
+    // Begins a planned stop: the host isn't ready any more; requests that still arrive are served.
+    void beginLeaving();
+    // Refuses requests that arrive from now on, since there is no time left to serve them.
+    void refuseNewRequests();
+    // Lets other hosts give orders to the replicas that this one holds; the last step of a planned stop.
+    void giveUpReplicas(std::function<void()> done);
     [[nodiscard]] Peer::PeerRouter &router();
     [[nodiscard]] const Holding::HolderTable &holders() const;
 
@@ -76,6 +80,7 @@
     std::map<Core::HostId, Core::TimePoint> m_users; // Hosts that use replicas held here, and when they last said so.
     Core::TimePoint m_nextNotice {};
     bool m_isLeaving = false;
+    bool m_isRefusing = false;
 };
 
 }
--- a/Libraries/LibGateway/Passage.cpp
+++ b/Libraries/LibGateway/Passage.cpp
@@ -15,7 +15,9 @@
 // Arrivals of one request at replicas, rejected ones included.
 constexpr unsigned MostSends = 4;
 // Requests to holders for one request's adapter.
-constexpr unsigned MostLoads = 4;
+constexpr unsigned MostLoads = 3;
+// A request whose adapter isn't there after one and a half times its objective, and at least this, is refused.
+constexpr auto LeastLoadWait = std::chrono::milliseconds(900);
 // A request that may run again is taken from a silent replica after so many times its objective.
 constexpr int SilenceObjectives = 2;
 // And a resumable stream after this silence between two events.
@@ -117,7 +119,9 @@
 
 void Passage::loadAdapter(const Fleet::Replica &replica)
 {
-    if (m_loads >= MostLoads) {
+    const auto waited = m_ports.scheduler.now() - m_startedAt;
+    const auto most = std::max<Core::Duration>(LeastLoadWait, m_route.route->objective * 3 / 2);
+    if (m_loads >= MostLoads || (m_loads > 0 && waited > most)) {
         refuse("its adapter can't be loaded now", RetryAfterNoReplica);
         return;
     }
@@ -141,6 +145,7 @@
     m_isRefuted = false;
     if (reply.outcome != static_cast<std::uint8_t>(Holding::AdapterOutcome::Ready)) {
         m_excluded.insert(m_replica.id);
+        m_ports.fleet.setUnloadable(m_replica.id, m_ports.scheduler.now());
         proceed();
         return;
     }
--- a/Libraries/LibHolding/HolderTable.cpp
+++ b/Libraries/LibHolding/HolderTable.cpp
@@ -106,7 +106,9 @@
     if (row.version < seen.version) {
         return;
     }
-    seen = {.row = *holder, .version = row.version};
+    if (row.version > seen.version) {
+        seen = {.row = *holder, .version = row.version, .changedAt = m_scheduler.now()};
+    }
     if (isOwn(*holder)) {
         hold(*holder, row.version);
     } else if (const auto held = m_holds.find(holder->replica);
@@ -203,9 +205,13 @@
         return true;
     }
     const auto &holder = found->second.row.holder;
-    if (holder.isEmpty() || holder == m_options.self.host) {
+    if (holder == m_options.self.host) {
         return true;
     }
+    if (holder.isEmpty()) {
+        return found->second.row.formerHolder == m_options.self.host
+            || m_scheduler.now() - found->second.changedAt >= m_options.returnTime;
+    }
     // A holder that renews while the claim is on its way makes the claim fail.
     const auto host = m_hosts.find(holder);
     conditions.push_back({.table = std::string(Table),
@@ -233,7 +239,7 @@
         if (result.outcome == Platform::TransactionOutcome::Committed && !m_isLeaving) {
             auto &seen = m_holders[row.replica];
             if (result.version > seen.version) {
-                seen = {.row = row, .version = result.version};
+                seen = {.row = row, .version = result.version, .changedAt = m_scheduler.now()};
             }
             hold(row, result.version);
         } else if (result.outcome != Platform::TransactionOutcome::Unknown) {
--- a/Libraries/LibHolding/HolderTable.h
+++ b/Libraries/LibHolding/HolderTable.h
@@ -23,6 +23,8 @@
     Core::Duration tickPeriod = std::chrono::milliseconds(500);
     Core::Duration retryDelay = std::chrono::milliseconds(300); // After a renewal that failed.
     std::size_t claimsPerTick = 8;
+    // How long a replica that was given up is left to its last holder, which needs no gap should it start again.
+    Core::Duration returnTime = std::chrono::milliseconds(2500);
 };
 
 // A replica that wants a holder.
@@ -70,6 +72,7 @@
     struct SeenHolder {
         HolderRow row;
         std::uint64_t version = 0;
+        Core::TimePoint changedAt {};
     };
     struct Hold {
         std::uint64_t fence = 0;
--- a/Libraries/LibHolding/ReplicaController.cpp
+++ b/Libraries/LibHolding/ReplicaController.cpp
@@ -2,6 +2,7 @@
 
 #include <LibLog/Log.h>
 #include <algorithm>
+#include <utility>
 
 namespace Holding {
 
@@ -70,14 +71,14 @@
     const auto now = m_scheduler.now();
     const auto name = nameOf(request.model, request.adapter);
     if (const auto slot = m_slots.find(name); slot != m_slots.end()) {
-        slot->second.lastUsed = now;
-        const bool isAnswerNewer = now - slot->second.changedAt > m_options.loadOverrun / 2;
-        if (request.isRefuted && slot->second.state == SlotState::Resident && isAnswerNewer) {
-            // The load takes longer than expected, or the adapter is gone; the next report tells.
+        if (slot->second.version >= request.version) {
+            slot->second.lastUsed = now;
+        }
+        if (request.isRefuted && slot->second.state == SlotState::Resident) {
+            // The adapter may be gone after all; the replica's answer to a repeated order tells.
             slot->second.state = SlotState::Loading;
-            slot->second.readyAt = now + m_options.loadOverrun;
+            slot->second.readyAt = now;
             slot->second.changedAt = now;
-            m_nextReport = std::min(m_nextReport, now + m_options.loadOverrun);
         }
     }
     if (m_waiters.size() >= m_options.mostWaiting || m_replica.isDraining || !m_models.contains(request.model)
@@ -181,7 +182,8 @@
     }
     for (const auto &[name, version] : reported) {
         if (!m_slots.contains(name) && (!m_orderCount.has_value() || m_countAsOf < settledBefore)) {
-            m_slots[name] = {.version = version, .changedAt = settledBefore, .lastUsed = settledBefore};
+            // Requests may run on it that other hosts haven't told of yet.
+            m_slots[name] = {.version = version, .changedAt = settledBefore, .lastUsed = m_scheduler.now()};
         }
     }
     for (const auto &[name, version] : coming) {
@@ -237,14 +239,17 @@
     return found == m_releases.end() ? 0 : found->second;
 }
 
+bool ReplicaController::isIdle(const std::pair<const std::string, Slot> &slot) const
+{
+    return slot.second.state == SlotState::Resident && !slot.second.uncertainAt.has_value()
+        && m_scheduler.now() - slot.second.lastUsed >= m_options.idleBeforeEviction && !isInUse(slot.first);
+}
+
 std::optional<std::string> ReplicaController::victim() const
 {
-    const auto now = m_scheduler.now();
     const std::pair<const std::string, Slot> *best = nullptr;
     for (const auto &slot : m_slots) {
-        const bool isCandidate = slot.second.state == SlotState::Resident && !slot.second.uncertainAt.has_value()
-            && now - slot.second.lastUsed >= m_options.idleBeforeEviction && !isInUse(slot.first);
-        if (isCandidate && (best == nullptr || slot.second.lastUsed < best->second.lastUsed)) {
+        if (isIdle(slot) && (best == nullptr || slot.second.lastUsed < best->second.lastUsed)) {
             best = &slot;
         }
     }
@@ -258,15 +263,22 @@
     return isWarm ? m_options.warmLoad : m_options.coldLoad + m_options.coldLoad * others / 8;
 }
 
-void ReplicaController::ripenLoads()
+bool ReplicaController::confirmLoad()
 {
     const auto now = m_scheduler.now();
     for (auto &[name, slot] : m_slots) {
         if (slot.state == SlotState::Loading && !slot.uncertainAt.has_value() && now >= slot.readyAt) {
-            slot.state = SlotState::Resident;
-            slot.changedAt = now;
+            const auto slash = name.find('/');
+            slot.isConfirming = true;
+            sendOrder({.verb = Fleet::OrderVerb::Load,
+                       .model = name.substr(0, slash),
+                       .adapter = name.substr(slash + 1),
+                       .version = slot.version},
+                      name);
+            return true;
         }
     }
+    return false;
 }
 
 bool ReplicaController::isServable(const Waiter &waiter) const
@@ -276,9 +288,15 @@
         && slot->second.version >= waiter.request.version;
 }
 
+bool ReplicaController::isOutdatedInUse(const Waiter &waiter) const
+{
+    const auto slot = m_slots.find(nameOf(waiter.request.model, waiter.request.adapter));
+    return slot != m_slots.end() && slot->second.version < waiter.request.version
+        && (slot->second.state == SlotState::Replacing || !isIdle(*slot));
+}
+
 void ReplicaController::serveWaiters()
 {
-    ripenLoads();
     const auto now = m_scheduler.now();
     std::deque<Waiter> kept;
     std::vector<std::pair<ReplyFunction, AdapterReply>> replies;
@@ -286,7 +304,7 @@
         const auto name = nameOf(waiter.request.model, waiter.request.adapter);
         if (isServable(waiter)) {
             replies.emplace_back(std::move(waiter.reply), AdapterReply {.version = m_slots.at(name).version});
-        } else if (now >= waiter.until || !m_fence(m_replica.id).has_value()) {
+        } else if (now >= waiter.until || !m_fence(m_replica.id).has_value() || isOutdatedInUse(waiter)) {
             replies.emplace_back(std::move(waiter.reply),
                                  AdapterReply {.outcome = static_cast<std::uint8_t>(AdapterOutcome::Unavailable)});
         } else {
@@ -303,14 +321,8 @@
 {
     serveWaiters();
     const auto now = m_scheduler.now();
-    std::optional<Core::TimePoint> wakeAt;
-    for (const auto &[name, slot] : m_slots) {
-        if (slot.state == SlotState::Loading && !slot.uncertainAt.has_value()) {
-            wakeAt = std::min(wakeAt.value_or(slot.readyAt), slot.readyAt);
-        }
-    }
     if (!m_isOrdering && m_orderCount.has_value() && now >= m_noOrderBefore && m_fence(m_replica.id).has_value()) {
-        const bool isOrdered = loadMissingModel() || replaceOutdated();
+        const bool isOrdered = confirmLoad() || loadMissingModel() || replaceOutdated();
         for (const auto &waiter : m_waiters) {
             if (isOrdered || m_isOrdering) {
                 break;
@@ -327,10 +339,23 @@
             }
         }
     }
+    wakeForNextLoad();
+}
+
+void ReplicaController::wakeForNextLoad()
+{
     m_scheduler.cancel(m_timer);
     m_timer = Core::TimerId::None;
+    const auto now = m_scheduler.now();
+    std::optional<Core::TimePoint> wakeAt;
+    for (const auto &[name, slot] : m_slots) {
+        // What is due already waits for the order under way, or for the next tick.
+        if (slot.state == SlotState::Loading && slot.readyAt > now) {
+            wakeAt = std::min(wakeAt.value_or(slot.readyAt), slot.readyAt);
+        }
+    }
     if (wakeAt.has_value()) {
-        m_timer = m_scheduler.runAfter(std::max(*wakeAt - now, Core::Duration {}), [this] {
+        m_timer = m_scheduler.runAfter(*wakeAt - now, [this] {
             m_timer = Core::TimerId::None;
             pump();
         });
@@ -352,8 +377,9 @@
 {
     for (const auto &[name, newest] : m_releases) {
         const auto slot = m_slots.find(name);
-        if (slot != m_slots.end() && slot->second.version < newest && slot->second.state == SlotState::Resident
-            && !slot->second.uncertainAt.has_value() && inTransit() < m_options.mostInTransit) {
+        // A replacement waits for the adapter's runs, and no other order is accepted meanwhile.
+        if (slot != m_slots.end() && slot->second.version < newest && isIdle(*slot)
+            && inTransit() < m_options.mostInTransit) {
             const auto slash = name.find('/');
             orderLoad(name.substr(0, slash), name.substr(slash + 1), newest);
             return true;
@@ -418,7 +444,10 @@
                 {"expected", std::to_string(order.expectedCount)},
                 {"fence", std::to_string(order.fence)},
                 {"answer", detail}});
-    const bool isAccepted = outcome == Fleet::OrderOutcome::Accepted || (outcome == Fleet::OrderOutcome::Holds && isUnload);
+    // An order for an adapter that is on its way already isn't counted; the answer says whether it has arrived.
+    const auto repeated = m_slots.find(name);
+    const bool isRepeat = repeated != m_slots.end() && std::exchange(repeated->second.isConfirming, false);
+    const bool isAccepted = (outcome == Fleet::OrderOutcome::Accepted && !isRepeat) || (outcome == Fleet::OrderOutcome::Holds && isUnload);
     if (isAccepted) {
         settleUncertain(order.expectedCount);
     }
@@ -426,6 +455,10 @@
     switch (outcome) {
     case Fleet::OrderOutcome::Accepted:
     case Fleet::OrderOutcome::Holds: {
+        if (isRepeat && outcome == Fleet::OrderOutcome::Accepted) {
+            slot->second.readyAt = now + m_options.confirmPeriod;
+            return;
+        }
         m_orderCount = order.expectedCount + (isAccepted ? 1 : 0);
         m_countAsOf = now;
         if (slot == m_slots.end()) {
@@ -446,7 +479,10 @@
     case Fleet::OrderOutcome::Unknown:
         Log::write(Log::Event::OrderUnanswered, {{"replica", m_replica.id.value}, {"order", name}, {"reason", detail}});
         if (slot != m_slots.end()) {
-            slot->second.uncertainAt = order.expectedCount;
+            if (!isRepeat) {
+                slot->second.uncertainAt = order.expectedCount;
+            }
+            slot->second.readyAt = now + m_options.confirmPeriod;
             slot->second.changedAt = now;
         }
         break;
@@ -455,6 +491,10 @@
     case Fleet::OrderOutcome::NotSent:
         if (slot != m_slots.end()) {
             slot->second.changedAt = now;
+            slot->second.readyAt = now + m_options.confirmPeriod;
+            if (isRepeat) {
+                break;
+            }
             if (slot->second.state == SlotState::Loading) {
                 m_slots.erase(slot);
             } else {
--- a/Libraries/LibHolding/ReplicaController.h
+++ b/Libraries/LibHolding/ReplicaController.h
@@ -18,12 +18,12 @@
     // A report shows the state of some hundred milliseconds ago; what changed here since isn't corrected by it.
     Core::Duration reportLag = std::chrono::milliseconds(700);
     // Load times of an adapter: from the replica's own memory, and from the weight store.
-    Core::Duration warmLoad = std::chrono::milliseconds(30);
-    Core::Duration coldLoad = std::chrono::milliseconds(270);
-    // Waited for once more when the replica says that a load isn't complete yet.
-    Core::Duration loadOverrun = std::chrono::milliseconds(60);
-    Core::Duration mostWait = std::chrono::milliseconds(3000); // Of a request for an adapter.
-    Core::Duration idleBeforeEviction = std::chrono::milliseconds(400);
+    Core::Duration warmLoad = std::chrono::milliseconds(26);
+    Core::Duration coldLoad = std::chrono::milliseconds(252);
+    // Between two questions whether a load is complete.
+    Core::Duration confirmPeriod = std::chrono::milliseconds(25);
+    Core::Duration mostWait = std::chrono::milliseconds(1000); // Of a request for an adapter.
+    Core::Duration idleBeforeEviction = std::chrono::milliseconds(500);
     Core::Duration useNoticeLifetime = std::chrono::milliseconds(1500);
     std::size_t mostInTransit = 4; // Adapters that a replica loads at a time.
     std::size_t mostWaiting = 64; // Requests for adapters that wait for an order.
@@ -65,6 +65,7 @@
         SlotState state = SlotState::Resident;
         // The count of orders that the order named which would bring or drop it, while that order had no answer.
         std::optional<std::uint64_t> uncertainAt;
+        bool isConfirming = false; // Its order is being repeated, to learn whether it is complete.
         Core::TimePoint changedAt {};
         Core::TimePoint lastUsed {};
         Core::TimePoint readyAt {};
@@ -80,8 +81,11 @@
     };
 
     void pump();
+    void wakeForNextLoad();
     void serveWaiters();
     [[nodiscard]] bool isServable(const Waiter &waiter) const;
+    // An older version is there and requests run on it, so that this replica can't have the newer one soon.
+    [[nodiscard]] bool isOutdatedInUse(const Waiter &waiter) const;
     void orderLoad(const std::string &model, const std::string &adapter, std::uint64_t version);
     void orderUnload(const std::string &name);
     void sendOrder(Fleet::ReplicaOrder order, const std::string &name);
@@ -90,12 +94,14 @@
     void settleUncertain(std::uint64_t acceptedAt);
     void readReport();
     void takeReport(const Fleet::ReplicaReport &report, Core::TimePoint askedAt);
-    void ripenLoads();
+    // Asks whether a load that should be complete is, by repeating its order. Returns whether it has asked.
+    [[nodiscard]] bool confirmLoad();
     [[nodiscard]] bool loadMissingModel();
     [[nodiscard]] bool replaceOutdated();
     [[nodiscard]] std::size_t capacity() const;
     [[nodiscard]] std::size_t inTransit() const;
     [[nodiscard]] std::optional<std::string> victim() const;
+    [[nodiscard]] bool isIdle(const std::pair<const std::string, Slot> &slot) const;
     [[nodiscard]] bool isInUse(const std::string &name) const;
     [[nodiscard]] std::uint64_t newestVersion(const std::string &name) const;
     [[nodiscard]] Core::Duration expectedLoadTime(const std::string &name, std::uint64_t version) const;
--- a/Libraries/LibPlacement/ReplicaChooser.cpp
+++ b/Libraries/LibPlacement/ReplicaChooser.cpp
@@ -24,9 +24,12 @@
     if (candidate.slots > 0 && candidate.active >= candidate.slots) {
         cost += m_options.perQueued * static_cast<int>(candidate.active - candidate.slots + 1);
     }
-    if (candidate.residency == Residency::Absent) {
+    if (candidate.residency != Residency::Resident) {
         cost += m_options.load + m_options.furtherHome * static_cast<int>(rank);
     }
+    if (candidate.residency == Residency::Unloadable) {
+        cost += m_options.unloadable;
+    }
     if (candidate.isBlocked) {
         cost += m_options.blocked;
     }
--- a/Libraries/LibPlacement/ReplicaChooser.h
+++ b/Libraries/LibPlacement/ReplicaChooser.h
@@ -15,6 +15,8 @@
     Resident,
     // It has to be loaded first.
     Absent,
+    // It isn't there, and nobody can have it loaded now.
+    Unloadable,
 };
 
 // A replica that could serve a request, as this host sees it now.
@@ -39,6 +41,7 @@
     Core::Duration perRank = std::chrono::microseconds(50); // Decides between replicas that are otherwise alike.
     Core::Duration perActive = std::chrono::milliseconds(1); // Added to an answer by each request that runs.
     Core::Duration perQueued = std::chrono::milliseconds(200); // And by each that is beyond the replica's places.
+    Core::Duration unloadable = std::chrono::seconds(10); // Keeps replicas without the adapter behind all others.
     Core::Duration blocked = std::chrono::seconds(30); // Keeps blocked replicas last.
 };
 
--- a/Services/currantbayd/GatewayDaemon.cpp
+++ b/Services/currantbayd/GatewayDaemon.cpp
@@ -13,8 +13,12 @@
 constexpr auto ExchangePollPeriod = std::chrono::milliseconds(20);
 // The balancer asks once a second and takes a host out of rotation after two misses.
 constexpr auto LeaveRotationTime = std::chrono::milliseconds(3200);
+// What arrives later during a planned stop couldn't run to its end.
+constexpr auto ServeWhileStopping = std::chrono::milliseconds(2900);
+// For the store to take the replicas back, at the end of a planned stop.
+constexpr auto GiveUpTimeout = std::chrono::milliseconds(250);
 // Left of the grace period for the process to end by itself.
-constexpr auto ExitReserve = std::chrono::milliseconds(700);
+constexpr auto ExitReserve = std::chrono::milliseconds(900);
 // Work for a caller who has left is to stop within half a second.
 constexpr auto GoneCheckPeriod = std::chrono::milliseconds(150);
 constexpr unsigned IdleTimeoutSeconds = 60;
@@ -149,7 +153,10 @@
     m_listenUntil = now + LeaveRotationTime;
     Log::write(Log::Event::DaemonStopping, {{"running", std::to_string(m_callers.openExchanges())}});
     m_callers.endKeepAlive();
-    m_gateway.leave([] {});
+    m_gateway.beginLeaving();
+    m_loop.runAfter(ServeWhileStopping, [this] {
+        m_gateway.refuseNewRequests();
+    });
     awaitExchanges();
 }
 
@@ -166,7 +173,12 @@
     if (!isDone) {
         Log::write(Log::Event::DrainCut, {{"running", std::to_string(m_callers.openExchanges())}});
     }
-    m_loop.stop();
+    m_loop.runAfter(GiveUpTimeout, [this] {
+        m_loop.stop();
+    });
+    m_gateway.giveUpReplicas([this] {
+        m_loop.stop();
+    });
 }
 
 }
