--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -13,8 +13,8 @@
     Holding::HolderTableOptions holding;
     RetryAllowanceOptions retries;
     std::string peerKey; // Shared by all hosts of the system.
-    Core::Duration noticePeriod = std::chrono::milliseconds(200); // Between notices of use to holders, and their replies.
-    Core::Duration tickPeriod = std::chrono::milliseconds(100); // Of the replicas' controllers.
+    Core::Duration noticePeriod = std::chrono::milliseconds(150); // Between notices of use to holders, and their replies.
+    Core::Duration tickPeriod = std::chrono::milliseconds(75); // Of the replicas' controllers.
     Core::Duration adapterTimeout = std::chrono::milliseconds(1100); // Of a request to a holder.
 };
 
--- a/Libraries/LibGateway/Passage.cpp
+++ b/Libraries/LibGateway/Passage.cpp
@@ -132,7 +132,8 @@
                          .model = m_request.model,
                          .adapter = m_request.adapter,
                          .version = m_ports.fleet.newestVersion(FleetView::adapterName(m_request)),
-                         .isRefuted = m_isRefuted},
+                         .isRefuted = m_isRefuted,
+                         .priority = m_route.route->priority},
                         [self = shared_from_this(), load = m_loads](const Holding::AdapterReply &reply) {
                             if (self->m_stage == Stage::Loading && self->m_loads == load) {
                                 self->takeAdapterReply(reply);
--- a/Libraries/LibHolding/HolderTable.cpp
+++ b/Libraries/LibHolding/HolderTable.cpp
@@ -11,6 +11,8 @@
 
 // A claim without an answer is tried again after this; the row tells whether it was carried out after all.
 constexpr auto ClaimRetryDelay = std::chrono::milliseconds(2000);
+// Of a host that names none, or none that can be used.
+constexpr double LeastWeight = 0.01;
 
 }
 
@@ -147,8 +149,8 @@
     });
     if (m_isFilled && now < m_heldUntil) {
         std::size_t claims = 0;
-        for (const auto &[replica, zone] : ownShare()) {
-            if (claims < m_options.claimsPerTick && !m_holds.contains(replica) && !m_claims.contains(replica)) {
+        for (const auto &replica : ownShare()) {
+            if (claims < m_options.claimsPerTick && !m_claims.contains(replica)) {
                 claim(replica);
                 ++claims;
             }
@@ -166,25 +168,39 @@
     });
 }
 
-std::vector<HoldableReplica> HolderTable::ownShare() const
+std::vector<Core::TargetId> HolderTable::ownShare() const
 {
     const auto live = liveHosts();
-    std::vector<HoldableReplica> share;
-    for (auto &holdable : m_replicas()) {
-        std::vector<Core::RendezvousCandidate> candidates;
-        for (const auto &host : live) {
-            if (host.zone == holdable.zone) {
-                candidates.push_back({.name = host.host.value});
-            }
+    const auto replicas = m_replicas();
+    std::map<Core::HostId, double> heldCounts;
+    for (const auto &holdable : replicas) {
+        if (const auto holder = holderOf(holdable.replica); holder.has_value()) {
+            heldCounts[*holder] += 1;
         }
-        if (candidates.empty()) {
-            for (const auto &host : live) {
-                candidates.push_back({.name = host.host.value});
+    }
+    std::vector<Core::TargetId> share;
+    for (const auto &[replica, zone] : replicas) {
+        if (holderOf(replica).has_value()) {
+            continue;
+        }
+        const auto isOfZone = [&zone = zone](const HostRow &host) {
+            return host.zone == zone;
+        };
+        const bool hasZoneHost = std::any_of(live.begin(), live.end(), isOfZone);
+        const HostRow *best = nullptr;
+        std::pair<double, std::uint64_t> lowest;
+        for (const auto &host : live) {
+            // The load that the host would have, and a hash that decides between equals.
+            const std::pair<double, std::uint64_t> rank {(heldCounts[host.host] + 1) / std::max(host.weight, LeastWeight),
+                                                         Core::stableHash(host.host.value, Core::stableHash(replica.value))};
+            if ((!hasZoneHost || isOfZone(host)) && (best == nullptr || rank < lowest)) {
+                best = &host;
+                lowest = rank;
             }
         }
-        if (const auto ranked = Core::rankByRendezvous(holdable.replica.value, candidates);
-            !ranked.empty() && ranked.front() == m_options.self.host.value) {
-            share.push_back(std::move(holdable));
+        heldCounts[best->host] += 1;
+        if (best->host == m_options.self.host) {
+            share.push_back(replica);
         }
     }
     return share;
--- a/Libraries/LibHolding/HolderTable.h
+++ b/Libraries/LibHolding/HolderTable.h
@@ -34,7 +34,7 @@
 };
 
 // The rows by which hosts find each other and agree on who gives orders to which replica. A replica is claimed in a
-// transaction that names its row's former version, by the live host of its zone that rendezvous hashing ranks first.
+// transaction that names its row's former version, by the live host of its zone that holds the fewest for its weight.
 // A holder stays until it ends; another host takes over only when the holder's lease has surely lapsed.
 class HolderTable
 {
@@ -88,7 +88,9 @@
     [[nodiscard]] bool isLive(const SeenHost &host) const;
     [[nodiscard]] bool isClaimable(const Core::TargetId &replica, std::vector<Platform::RowCondition> &conditions) const;
     [[nodiscard]] bool isOwn(const HolderRow &row) const;
-    [[nodiscard]] std::vector<HoldableReplica> ownShare() const;
+    // Replicas without a live holder that this host is to claim: each goes to the host of its zone that has the fewest
+    // for its weight.
+    [[nodiscard]] std::vector<Core::TargetId> ownShare() const;
 
     Core::Scheduler &m_scheduler;
     Platform::TableService &m_table;
--- a/Libraries/LibHolding/HoldingMessages.h
+++ b/Libraries/LibHolding/HoldingMessages.h
@@ -18,8 +18,9 @@
     std::string adapter;
     std::uint64_t version = 0; // The least that will do; zero for any.
     bool isRefuted = false; // The replica has just said that it doesn't have the adapter.
+    std::int32_t priority = 0; // 0 is the most urgent.
 
-    MSGPACK_DEFINE(replica, model, adapter, version, isRefuted)
+    MSGPACK_DEFINE(replica, model, adapter, version, isRefuted, priority)
 };
 
 enum class AdapterOutcome : std::uint8_t {
--- a/Libraries/LibHolding/HoldingRows.cpp
+++ b/Libraries/LibHolding/HoldingRows.cpp
@@ -32,7 +32,8 @@
                            {"zone", row.zone.value},
                            {"peerAddress", row.peerAddress},
                            {"incarnation", row.incarnation},
-                           {"renewal", row.renewal}}
+                           {"renewal", row.renewal},
+                           {"weight", row.weight}}
         .dump();
 }
 
@@ -53,7 +54,8 @@
                         .zone = {json.at("zone").get<std::string>()},
                         .peerAddress = json.at("peerAddress").get<std::string>(),
                         .incarnation = json.at("incarnation").get<std::uint64_t>(),
-                        .renewal = json.at("renewal").get<std::uint64_t>()};
+                        .renewal = json.at("renewal").get<std::uint64_t>(),
+                        .weight = json.at("weight").get<double>()};
     } catch (const nlohmann::json::exception &) {
         return std::nullopt;
     }
--- a/Libraries/LibHolding/HoldingRows.h
+++ b/Libraries/LibHolding/HoldingRows.h
@@ -14,6 +14,7 @@
     std::string peerAddress; // "host:port" for messages between hosts.
     std::uint64_t incarnation = 0; // Of the process.
     std::uint64_t renewal = 0; // Rises with each renewal.
+    double weight = 1; // How much of the work it takes, beside the other hosts.
 };
 
 // The row that says which host gives orders to a replica.
--- a/Libraries/LibHolding/ReplicaController.cpp
+++ b/Libraries/LibHolding/ReplicaController.cpp
@@ -86,11 +86,18 @@
         const auto slot = m_slots.find(name);
         const bool isThere = slot != m_slots.end() && slot->second.state == SlotState::Resident
             && slot->second.version >= request.version;
+        if (!isThere) {
+            logRefusal(request, "no orders are given now");
+        }
         reply({.outcome = static_cast<std::uint8_t>(isThere ? AdapterOutcome::Ready : AdapterOutcome::Unavailable),
                .version = isThere ? slot->second.version : 0});
         return;
     }
-    m_waiters.push_back({.request = request, .reply = std::move(reply), .until = now + m_options.mostWait});
+    // The most urgent first, and among equals the one that has waited longest.
+    const auto place = std::find_if(m_waiters.begin(), m_waiters.end(), [&request](const auto &waiter) {
+        return waiter.request.priority > request.priority;
+    });
+    m_waiters.insert(place, {.request = request, .reply = std::move(reply), .since = now});
     pump();
 }
 
@@ -295,16 +302,60 @@
         && (slot->second.state == SlotState::Replacing || !isIdle(*slot));
 }
 
+std::string_view ReplicaController::refusalReason(const Waiter &waiter) const
+{
+    if (!m_fence(m_replica.id).has_value()) {
+        return "no right to give orders";
+    }
+    if (isOutdatedInUse(waiter)) {
+        return "an older version is in use";
+    }
+    const auto waited = m_scheduler.now() - waiter.since;
+    if (waited >= m_options.mostWait) {
+        return "waited too long";
+    }
+    const bool isComing = m_slots.contains(nameOf(waiter.request.model, waiter.request.adapter));
+    return !isComing && waited >= m_options.mostWaitForSlot && m_slots.size() >= capacity() && !victim().has_value()
+        ? "every adapter there is in use"
+        : "";
+}
+
+void ReplicaController::logRefusal(const AdapterRequest &request, std::string_view reason) const
+{
+    const auto count = [this](auto predicate) {
+        return std::to_string(std::count_if(m_slots.begin(), m_slots.end(), predicate));
+    };
+    Log::write(Log::Event::AdapterUnavailable,
+               {{"replica", m_replica.id.value},
+                {"adapter", nameOf(request.model, request.adapter)},
+                {"reason", std::string(reason)},
+                {"waiting", std::to_string(m_waiters.size())},
+                {"inTransit", std::to_string(inTransit())},
+                {"inUse", count([this](const auto &slot) {
+                     return isInUse(slot.first);
+                 })},
+                {"unloading", count([](const auto &slot) {
+                     return slot.second.state == SlotState::Unloading;
+                 })},
+                {"uncertain", count([](const auto &slot) {
+                     return slot.second.uncertainAt.has_value();
+                 })},
+                {"slots", std::to_string(m_slots.size())},
+                {"capacity", std::to_string(capacity())},
+                {"ordering", m_isOrdering ? "yes" : "no"},
+                {"orderCount", m_orderCount.has_value() ? std::to_string(*m_orderCount) : "unknown"}});
+}
+
 void ReplicaController::serveWaiters()
 {
-    const auto now = m_scheduler.now();
     std::deque<Waiter> kept;
     std::vector<std::pair<ReplyFunction, AdapterReply>> replies;
     for (auto &waiter : m_waiters) {
         const auto name = nameOf(waiter.request.model, waiter.request.adapter);
         if (isServable(waiter)) {
             replies.emplace_back(std::move(waiter.reply), AdapterReply {.version = m_slots.at(name).version});
-        } else if (now >= waiter.until || !m_fence(m_replica.id).has_value() || isOutdatedInUse(waiter)) {
+        } else if (const auto reason = refusalReason(waiter); !reason.empty()) {
+            logRefusal(waiter.request, reason);
             replies.emplace_back(std::move(waiter.reply),
                                  AdapterReply {.outcome = static_cast<std::uint8_t>(AdapterOutcome::Unavailable)});
         } else {
--- a/Libraries/LibHolding/ReplicaController.h
+++ b/Libraries/LibHolding/ReplicaController.h
@@ -23,7 +23,8 @@
     // Between two questions whether a load is complete.
     Core::Duration confirmPeriod = std::chrono::milliseconds(25);
     Core::Duration mostWait = std::chrono::milliseconds(1000); // Of a request for an adapter.
-    Core::Duration idleBeforeEviction = std::chrono::milliseconds(500);
+    Core::Duration mostWaitForSlot = std::chrono::milliseconds(700); // While every adapter there is in use.
+    Core::Duration idleBeforeEviction = std::chrono::milliseconds(250);
     Core::Duration useNoticeLifetime = std::chrono::milliseconds(1500);
     std::size_t mostInTransit = 4; // Adapters that a replica loads at a time.
     std::size_t mostWaiting = 64; // Requests for adapters that wait for an order.
@@ -73,7 +74,7 @@
     struct Waiter {
         AdapterRequest request;
         ReplyFunction reply;
-        Core::TimePoint until {};
+        Core::TimePoint since {};
     };
     struct HostUse {
         ReplicaUse use;
@@ -83,6 +84,9 @@
     void pump();
     void wakeForNextLoad();
     void serveWaiters();
+    // Why the waiter can't have its adapter now; empty while it may still come.
+    [[nodiscard]] std::string_view refusalReason(const Waiter &waiter) const;
+    void logRefusal(const AdapterRequest &request, std::string_view reason) const;
     [[nodiscard]] bool isServable(const Waiter &waiter) const;
     // An older version is there and requests run on it, so that this replica can't have the newer one soon.
     [[nodiscard]] bool isOutdatedInUse(const Waiter &waiter) const;
--- a/Libraries/LibSettings/GatewaySettings.cpp
+++ b/Libraries/LibSettings/GatewaySettings.cpp
@@ -14,6 +14,8 @@
 constexpr long long LongestGapMilliseconds = 60000;
 constexpr long long DefaultWindowSeconds = 10;
 constexpr long long LongestWindowSeconds = 3600;
+constexpr double LeastWeight = 0.01;
+constexpr double MostWeight = 1000;
 constexpr double DefaultRetryRatio = 0.2;
 constexpr double DefaultRetryExtra = 50;
 constexpr double MostRetryExtra = 1000000;
@@ -45,6 +47,7 @@
     auto host = root.object("host");
     settings.hostId = host.text("id");
     settings.zone = host.text("zone");
+    settings.weight = host.fraction("weight", 1, LeastWeight, MostWeight);
     host.finish();
     auto listen = root.object("listen");
     settings.callerAddress = listen.address("callers");
--- a/Libraries/LibSettings/GatewaySettings.h
+++ b/Libraries/LibSettings/GatewaySettings.h
@@ -11,6 +11,7 @@
 struct GatewaySettings {
     std::string hostId;
     std::string zone;
+    double weight = 1; // How much of the work for replicas it takes, beside the other hosts.
     std::string callerAddress; // "host:port" to listen on for callers.
     std::string readinessAddress; // "host:port" at which the balancer asks whether this host takes requests.
     std::string peerAddress; // "host:port" to listen on for the system's other hosts.
--- a/Services/currantbayd/GatewayDaemon.cpp
+++ b/Services/currantbayd/GatewayDaemon.cpp
@@ -47,7 +47,8 @@
     Holding::HolderTableOptions holding {.self = {.host = {settings.hostId},
                                                   .zone = {settings.zone},
                                                   .peerAddress = settings.peerAddress,
-                                                  .incarnation = randomWord()}};
+                                                  .incarnation = randomWord(),
+                                                  .weight = settings.weight}};
     // A new holder's first order must come later than the gap after the last one that the former sent.
     holding.handoverGap = settings.orderGap + std::chrono::milliseconds(500);
     return {.holding = holding,
