--- a/Libraries/LibHolding/HolderTable.cpp
+++ b/Libraries/LibHolding/HolderTable.cpp
@@ -176,6 +176,8 @@
     for (const auto &holdable : replicas) {
         if (const auto holder = holderOf(holdable.replica); holder.has_value()) {
             heldCounts[*holder] += 1;
+        } else if (isNamed(holdable.replica)) {
+            heldCounts[m_options.self.host] += 1;
         }
     }
     std::vector<Core::TargetId> share;
@@ -183,6 +185,10 @@
         if (holderOf(replica).has_value()) {
             continue;
         }
+        if (isNamed(replica)) {
+            share.push_back(replica);
+            continue;
+        }
         const auto isOfZone = [&zone = zone](const HostRow &host) {
             return host.zone == zone;
         };
@@ -206,6 +212,12 @@
     return share;
 }
 
+bool HolderTable::isNamed(const Core::TargetId &replica) const
+{
+    const auto found = m_holders.find(replica);
+    return found != m_holders.end() && found->second.row.holder == m_options.self.host;
+}
+
 bool HolderTable::isLive(const SeenHost &host) const
 {
     return m_scheduler.now() - host.changedAt < m_options.term + m_options.lapseMargin;
@@ -305,7 +317,9 @@
         return m_options.self.host;
     }
     const auto found = m_holders.find(replica);
-    if (found == m_holders.end() || found->second.row.holder.isEmpty()) {
+    // A row that names this host is of an earlier process, whose right to give orders has to be claimed anew.
+    if (found == m_holders.end() || found->second.row.holder.isEmpty()
+        || found->second.row.holder == m_options.self.host) {
         return std::nullopt;
     }
     const auto host = m_hosts.find(found->second.row.holder);
--- a/Libraries/LibHolding/HolderTable.h
+++ b/Libraries/LibHolding/HolderTable.h
@@ -88,6 +88,8 @@
     [[nodiscard]] bool isLive(const SeenHost &host) const;
     [[nodiscard]] bool isClaimable(const Core::TargetId &replica, std::vector<Platform::RowCondition> &conditions) const;
     [[nodiscard]] bool isOwn(const HolderRow &row) const;
+    // The replica's row names this host as its holder, in this process or an earlier one.
+    [[nodiscard]] bool isNamed(const Core::TargetId &replica) const;
     // Replicas without a live holder that this host is to claim: each goes to the host of its zone that has the fewest
     // for its weight.
     [[nodiscard]] std::vector<Core::TargetId> ownShare() const;
