--- /dev/null
+++ b/Libraries/LibFleet/Tests/FleetTest.cpp
@@ -0,0 +1,137 @@
+#include <LibCore/VirtualScheduler.h>
+#include <LibFleet/Feed.h>
+#include <LibFleet/ReplicaSet.h>
+#include <StandIns/MemoryRows.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace std::chrono_literals;
+
+class FleetTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(FleetTest);
+    CPPUNIT_TEST(changesArriveInTime);
+    CPPUNIT_TEST(aForgottenHistoryIsReadAgain);
+    CPPUNIT_TEST(anOutageEndsByItself);
+    CPPUNIT_TEST(anEntryThatGoesIsGone);
+    CPPUNIT_TEST(anEntryThatLapsesInAnOutageStaysForAWhile);
+    CPPUNIT_TEST(anEntryThatCannotBeReadNamesNoReplica);
+    CPPUNIT_TEST_SUITE_END();
+
+    using RowsFeed = Fleet::Feed<Platform::FeedResult>;
+
+    Core::VirtualScheduler m_scheduler;
+    StandIns::MemoryRows m_rows {m_scheduler};
+    std::map<std::string, std::string> m_seen;
+    int m_wholeReads = 0;
+    RowsFeed m_feed {m_scheduler,
+                     {.name = "test", .pace = 100ms},
+                     [this](auto done) {
+                         m_rows.readTable("t", std::move(done));
+                     },
+                     [this](auto after, auto wait, auto done) {
+                         m_rows.follow("t", after, wait, std::move(done));
+                     },
+                     [this](Platform::FeedResult &&changes, RowsFeed::Extent extent) {
+                         if (extent == RowsFeed::Extent::Whole) {
+                             m_seen.clear();
+                             ++m_wholeReads;
+                         }
+                         for (const auto &row : changes.rows) {
+                             if (row.isRemoved) {
+                                 m_seen.erase(row.key);
+                             } else {
+                                 m_seen[row.key] = row.value;
+                             }
+                         }
+                     }};
+
+    void changesArriveInTime()
+    {
+        m_feed.start();
+        m_scheduler.advance(1s);
+        m_rows.put("t", "k", "v");
+        m_scheduler.advance(200ms);
+        CPPUNIT_ASSERT_EQUAL(std::string("v"), m_seen["k"]);
+        m_rows.remove("t", "k");
+        m_scheduler.advance(200ms);
+        CPPUNIT_ASSERT(!m_seen.contains("k"));
+        CPPUNIT_ASSERT_EQUAL(1, m_wholeReads);
+    }
+
+    void aForgottenHistoryIsReadAgain()
+    {
+        m_feed.start();
+        m_scheduler.advance(1s);
+        m_rows.isDown = true;
+        m_scheduler.advance(1s);
+        m_rows.put("t", "k", "v");
+        m_rows.forgetHistory();
+        m_rows.isDown = false;
+        m_scheduler.advance(1s);
+        CPPUNIT_ASSERT_EQUAL(std::string("v"), m_seen["k"]);
+        CPPUNIT_ASSERT_EQUAL(2, m_wholeReads);
+    }
+
+    void anOutageEndsByItself()
+    {
+        m_rows.isDown = true;
+        m_feed.start();
+        m_scheduler.advance(20s);
+        CPPUNIT_ASSERT(!m_feed.isFilled());
+        CPPUNIT_ASSERT(!m_feed.healthySince().has_value());
+        m_rows.isDown = false;
+        m_scheduler.advance(500ms);
+        CPPUNIT_ASSERT(m_feed.isFilled());
+        CPPUNIT_ASSERT(m_feed.healthySince().has_value());
+    }
+
+    static Fleet::ReplicaChanges listOf(const std::vector<std::string> &present, const std::vector<std::string> &gone)
+    {
+        Fleet::ReplicaChanges changes {.outcome = Platform::FeedOutcome::Read};
+        for (const auto &id : present) {
+            changes.present.push_back({.id = {id}, .service = "s"});
+        }
+        for (const auto &id : gone) {
+            changes.removed.push_back({id});
+        }
+        return changes;
+    }
+
+    void anEntryThatGoesIsGone()
+    {
+        Fleet::ReplicaSet replicas;
+        const Core::TimePoint start {1h};
+        replicas.apply(listOf({"r1", "r2"}, {}), true, start, start - 1min);
+        replicas.apply(listOf({}, {"r1"}), false, start + 1s, start - 1min);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), replicas.available("s").size());
+        replicas.apply(listOf({}, {}), true, start + 2s, start - 1min);
+        CPPUNIT_ASSERT(replicas.available("s").empty());
+    }
+
+    void anEntryThatLapsesInAnOutageStaysForAWhile()
+    {
+        Fleet::ReplicaSet replicas;
+        const Core::TimePoint start {1h};
+        replicas.apply(listOf({"r1", "r2"}, {}), true, start, start - 1min);
+        const auto back = start + 10s;
+        replicas.apply(listOf({}, {}), true, back, back);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), replicas.available("s").size());
+        replicas.apply(listOf({"r1"}, {}), false, back + 1s, back);
+        replicas.settle(back + 1500ms, back);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), replicas.available("s").size());
+        replicas.settle(back + 2100ms, back);
+        CPPUNIT_ASSERT(replicas.find({"r1"}) != nullptr);
+        CPPUNIT_ASSERT(replicas.find({"r2"}) == nullptr);
+    }
+
+    void anEntryThatCannotBeReadNamesNoReplica()
+    {
+        Fleet::ReplicaSet replicas;
+        const Core::TimePoint start {1h};
+        replicas.apply(listOf({"r1"}, {}), true, start, start - 1min);
+        replicas.apply(listOf({}, {"r1", "unknown"}), false, start + 1s, start - 1min);
+        CPPUNIT_ASSERT(replicas.all().empty());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(FleetTest);
--- a/Libraries/LibGateway/CallerRequest.h
+++ b/Libraries/LibGateway/CallerRequest.h
@@ -52,8 +52,8 @@
 public:
     virtual ~Protocol() = default;
     [[nodiscard]] virtual CallerRequest readRequest(const Net::ServerRequest &request) const = 0;
-    [[nodiscard]] virtual Net::HttpRequest writeRequest(const CallerRequest &request, const Dispatch &dispatch) const
-        = 0;
+    [[nodiscard]] virtual Net::HttpRequest writeRequest(const CallerRequest &request,
+                                                        const Dispatch &dispatch) const = 0;
     [[nodiscard]] virtual AnswerHead readHead(long status, const Net::HttpFields &fields) const = 0;
 };
 
--- a/Libraries/LibGateway/FleetView.cpp
+++ b/Libraries/LibGateway/FleetView.cpp
@@ -145,8 +145,8 @@
     if (!request.adapter.empty() && !residentVersion(replica.id, adapterName(request)).has_value()) {
         const auto view = m_views.find(replica.id);
         const bool isRefusing = view != m_views.end() && now < view->second.unloadableUntil;
-        candidate.residency = isRefusing || !m_isHeld(replica.id) ? Placement::Residency::Unloadable
-                                                                  : Placement::Residency::Absent;
+        candidate.residency
+            = isRefusing || !m_isHeld(replica.id) ? Placement::Residency::Unloadable : Placement::Residency::Absent;
     }
     if (const auto view = m_views.find(replica.id); view != m_views.end()) {
         candidate.active = view->second.active + view->second.noticedActive;
--- a/Libraries/LibGateway/FleetView.h
+++ b/Libraries/LibGateway/FleetView.h
@@ -27,7 +27,8 @@
     // Takes a newer version of an adapter; older ones aren't used any more.
     void release(const Fleet::AdapterRelease &release);
     // The adapter is in the replica's memory, as its holder or an answer has shown, or isn't.
-    void setResident(const Core::TargetId &replica, const std::string &name, std::uint64_t version, Core::TimePoint now);
+    void setResident(const Core::TargetId &replica, const std::string &name, std::uint64_t version,
+                     Core::TimePoint now);
     void setAbsent(const Core::TargetId &replica, const std::string &name, Core::TimePoint now);
     // The replica's holder can't have an adapter loaded there now.
     void setUnloadable(const Core::TargetId &replica, Core::TimePoint now);
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -154,22 +154,21 @@
         refuse(*exchange, Core::HttpStatus::NotFound, "no route matches its host and path", false);
         return;
     }
-    std::make_shared<Passage>(
-        PassagePorts {.scheduler = m_ports.scheduler,
-                      .client = m_ports.client,
-                      .protocol = m_ports.protocol,
-                      .fleet = m_fleet,
-                      .allowance = m_allowance,
-                      .metrics = m_ports.metrics,
-                      .loadAdapter =
-                          [this](const auto &wanted, auto done) {
-                              loadAdapter(wanted, std::move(done));
-                          },
-                      .hostCount =
-                          [this] {
-                              return m_holders.liveHosts().size();
-                          }},
-        exchange, std::move(request), std::move(route))
+    std::make_shared<Passage>(PassagePorts {.scheduler = m_ports.scheduler,
+                                            .client = m_ports.client,
+                                            .protocol = m_ports.protocol,
+                                            .fleet = m_fleet,
+                                            .allowance = m_allowance,
+                                            .metrics = m_ports.metrics,
+                                            .loadAdapter =
+                                                [this](const auto &wanted, auto done) {
+                                                    loadAdapter(wanted, std::move(done));
+                                                },
+                                            .hostCount =
+                                                [this] {
+                                                    return m_holders.liveHosts().size();
+                                                }},
+                              exchange, std::move(request), std::move(route))
         ->start();
 }
 
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -13,7 +13,8 @@
     Holding::HolderTableOptions holding;
     RetryAllowanceOptions retries;
     std::string peerKey; // Shared by all hosts of the system.
-    Core::Duration noticePeriod = std::chrono::milliseconds(150); // Between notices of use to holders, and their replies.
+    Core::Duration noticePeriod
+        = std::chrono::milliseconds(150); // Between notices of use to holders, and their replies.
     Core::Duration tickPeriod = std::chrono::milliseconds(75); // Of the replicas' controllers.
     Core::Duration adapterTimeout = std::chrono::milliseconds(1100); // Of a request to a holder.
 };
@@ -57,8 +58,7 @@
     void tick();
     void updateControllers();
     void sendNotices();
-    void loadAdapter(const Holding::AdapterRequest &request,
-                     std::function<void(const Holding::AdapterReply &)> done);
+    void loadAdapter(const Holding::AdapterRequest &request, std::function<void(const Holding::AdapterReply &)> done);
     void serveAdapterRequest(const Holding::AdapterRequest &request,
                              const std::function<void(const Holding::AdapterReply &)> &reply);
     void takeUse(const Core::HostId &from, const Holding::UseNotice &notice);
--- a/Libraries/LibGateway/Passage.cpp
+++ b/Libraries/LibGateway/Passage.cpp
@@ -84,8 +84,8 @@
 bool Passage::mayRunAgain() const
 {
     const auto &route = *m_route.route;
-    const bool isIdempotent = route.kind == Routes::RequestKind::Safe
-        || (route.kind == Routes::RequestKind::Stream && route.isResumable);
+    const bool isIdempotent
+        = route.kind == Routes::RequestKind::Safe || (route.kind == Routes::RequestKind::Stream && route.isResumable);
     return isIdempotent && m_runs < std::max(route.mostAttempts, 1U);
 }
 
@@ -171,14 +171,14 @@
     m_body.clear();
     m_events.dropPartial();
     m_ports.fleet.begin(m_replica.id, m_request);
-    auto outgoing = m_ports.protocol.writeRequest(
-        m_request,
-        {.replica = m_replica.id,
-         .address = m_replica.address,
-         .adapterVersion = m_version,
-         .priority = m_route.route->priority,
-         .remaining = remaining(),
-         .lastEventId = m_isStreaming ? m_events.lastId() : m_request.lastEventId});
+    auto outgoing
+        = m_ports.protocol.writeRequest(m_request,
+                                        {.replica = m_replica.id,
+                                         .address = m_replica.address,
+                                         .adapterVersion = m_version,
+                                         .priority = m_route.route->priority,
+                                         .remaining = remaining(),
+                                         .lastEventId = m_isStreaming ? m_events.lastId() : m_request.lastEventId});
     outgoing.connectTimeout = std::min<Core::Duration>(ConnectTimeout, remaining());
     const auto self = shared_from_this();
     m_transfer = m_ports.client.start(
@@ -288,7 +288,10 @@
 
 void Passage::noteOutcome(Placement::AttemptOutcome outcome)
 {
-    m_ports.fleet.health().note(m_replica.id, m_replica.zone, outcome, m_ports.scheduler.now());
+    if (m_ports.fleet.health().note(m_replica.id, m_replica.zone, outcome, m_ports.scheduler.now())) {
+        Log::write(Log::Event::ReplicaAvoided,
+                   {{"request", m_request.attemptId}, {"replica", m_replica.id.value}, {"zone", m_replica.zone.value}});
+    }
 }
 
 void Passage::endAttempt()
@@ -415,9 +418,9 @@
         return;
     }
     const nlohmann::json body {{"error", {{"message", "the request did not run: " + std::string(reason)}}}};
-    m_exchange->respond({.status = Core::HttpStatus::ServiceUnavailable,
-                         .headers = {{"Retry-After", secondsText(retryAfter)}}},
-                        body.dump());
+    m_exchange->respond(
+        {.status = Core::HttpStatus::ServiceUnavailable, .headers = {{"Retry-After", secondsText(retryAfter)}}},
+        body.dump());
     end(Core::HttpStatus::ServiceUnavailable, reason);
 }
 
@@ -429,7 +432,8 @@
         end(status, reason);
         return;
     }
-    const nlohmann::json body {{"error", {{"message", "it isn't known whether the request ran: " + std::string(reason)}}}};
+    const nlohmann::json body {
+        {"error", {{"message", "it isn't known whether the request ran: " + std::string(reason)}}}};
     m_exchange->respond({.status = status}, body.dump());
     end(status, reason);
 }
--- a/Libraries/LibGateway/Passage.h
+++ b/Libraries/LibGateway/Passage.h
@@ -13,8 +13,8 @@
 namespace Gateway {
 
 // Has an adapter loaded at a replica by the host that holds it.
-using AdapterLoader
-    = std::function<void(const Holding::AdapterRequest &request, std::function<void(const Holding::AdapterReply &)> done)>;
+using AdapterLoader = std::function<void(const Holding::AdapterRequest &request,
+                                         std::function<void(const Holding::AdapterReply &)> done)>;
 
 // What a request needs of the host it passes through.
 struct PassagePorts {
--- /dev/null
+++ b/Libraries/LibGateway/Tests/GatewayPartsTest.cpp
@@ -0,0 +1,160 @@
+#include <LibGateway/EventSplitter.h>
+#include <LibGateway/FleetView.h>
+#include <LibGateway/Framing.h>
+#include <LibGateway/RetryAllowance.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace std::chrono_literals;
+
+class GatewayPartsTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(GatewayPartsTest);
+    CPPUNIT_TEST(eventsArePassedWhole);
+    CPPUNIT_TEST(aResumedStreamGoesOnAfterTheLastEvent);
+    CPPUNIT_TEST(aMissingEventIsNoticed);
+    CPPUNIT_TEST(hostsTogetherStayWithinTheBudget);
+    CPPUNIT_TEST(ambiguousFramingIsRefused);
+    CPPUNIT_TEST(clearFramingIsAccepted);
+    CPPUNIT_TEST(anOutdatedCopyIsNotUsed);
+    CPPUNIT_TEST(ownKnowledgeOutlivesAnOlderEntry);
+    CPPUNIT_TEST_SUITE_END();
+
+    void eventsArePassedWhole()
+    {
+        const std::string stream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda";
+        for (std::size_t size = 1; size < stream.size(); ++size) {
+            Gateway::EventSplitter splitter;
+            std::string output;
+            for (std::size_t at = 0; at < stream.size(); at += size) {
+                CPPUNIT_ASSERT(splitter.take(std::string_view(stream).substr(at, size), output)
+                               == Gateway::EventSplitter::Order::Kept);
+            }
+            CPPUNIT_ASSERT_EQUAL(std::string("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"), output);
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), *splitter.lastId());
+        }
+    }
+
+    void aResumedStreamGoesOnAfterTheLastEvent()
+    {
+        Gateway::EventSplitter splitter;
+        std::string output;
+        (void)splitter.take("id: 1\n\nid: 2\n\nid: 3", output);
+        splitter.dropPartial();
+        CPPUNIT_ASSERT(splitter.take("id: 2\n\nid: 3\n\n", output) == Gateway::EventSplitter::Order::Kept);
+        CPPUNIT_ASSERT_EQUAL(std::string("id: 1\n\nid: 2\n\nid: 3\n\n"), output);
+    }
+
+    void aMissingEventIsNoticed()
+    {
+        Gateway::EventSplitter splitter;
+        std::string output;
+        CPPUNIT_ASSERT(splitter.take("id: 1\n\nid: 3\n\n", output) == Gateway::EventSplitter::Order::Broken);
+        CPPUNIT_ASSERT_EQUAL(std::string("id: 1\n\n"), output);
+    }
+
+    // Every caller repeats at once and often: what all hosts send again stays within the shared budget.
+    void hostsTogetherStayWithinTheBudget()
+    {
+        constexpr std::size_t Hosts = 7;
+        constexpr int RequestsPerStep = 3;
+        std::vector<Gateway::RetryAllowance> hosts(Hosts, Gateway::RetryAllowance({.ratio = 0.2, .extra = 54}));
+        std::vector<std::pair<Core::TimePoint, int>> repeats;
+        Core::TimePoint now {1h};
+        for (int step = 0; step < 400; ++step) {
+            int taken = 0;
+            for (auto &host : hosts) {
+                for (int i = 0; i < RequestsPerStep; ++i) {
+                    host.countRequest("s", now);
+                    taken += host.take("s", Hosts, now) ? 1 : 0;
+                }
+            }
+            repeats.emplace_back(now, taken);
+            now += 100ms;
+        }
+        const double requestsInWindow = 100.0 * Hosts * RequestsPerStep;
+        for (std::size_t first = 0; first < repeats.size(); ++first) {
+            int inWindow = 0;
+            for (std::size_t i = first; i < repeats.size() && repeats[i].first < repeats[first].first + 10s; ++i) {
+                inWindow += repeats[i].second;
+            }
+            CPPUNIT_ASSERT(inWindow <= 0.2 * requestsInWindow + 54);
+        }
+    }
+
+    void ambiguousFramingIsRefused()
+    {
+        using Net::HttpFields;
+        const HttpFields host {{"Host", "a"}};
+        for (const auto &more :
+             std::vector<HttpFields> {{{"Content-Length", "5"}, {"content-length", "6"}},
+                                      {{"Content-Length", "5"}, {"Transfer-Encoding", "chunked"}},
+                                      {{"Transfer-Encoding", "xchunked"}},
+                                      {{"Transfer-Encoding", "chunked"}, {"Transfer-Encoding", "chunked"}},
+                                      {{"Content-Length", "+5"}},
+                                      {{"Content-Length ", "5"}},
+                                      {{"Host", "b"}}}) {
+            auto fields = host;
+            fields.insert(fields.end(), more.begin(), more.end());
+            CPPUNIT_ASSERT(Gateway::framingFault(fields).has_value());
+        }
+        CPPUNIT_ASSERT(Gateway::framingFault({}).has_value());
+    }
+
+    void clearFramingIsAccepted()
+    {
+        CPPUNIT_ASSERT(!Gateway::framingFault({{"Host", "a"}, {"Content-Length", "5"}, {"X-Any", ""}}).has_value());
+        CPPUNIT_ASSERT(!Gateway::framingFault({{"host", "a"}, {"transfer-encoding", "Chunked"}}).has_value());
+    }
+
+    static Gateway::CallerRequest request()
+    {
+        return {.attemptId = "1", .model = "m", .adapter = "a1", .promptTokens = 100};
+    }
+
+    static Fleet::ReplicaChanges listed(std::uint64_t adapterVersion)
+    {
+        Fleet::Replica replica {.id = {"r"}, .service = "s", .address = "10.0.0.1:1", .zone = {"a"}, .slots = 4};
+        replica.models.push_back({.model = "m"});
+        if (adapterVersion > 0) {
+            replica.models.front().adapters.push_back({.adapter = "a1", .version = adapterVersion});
+        }
+        Fleet::ReplicaChanges changes {.outcome = Platform::FeedOutcome::Read};
+        changes.present.push_back(replica);
+        return changes;
+    }
+
+    void anOutdatedCopyIsNotUsed()
+    {
+        const Core::TimePoint now {1h};
+        Fleet::ReplicaSet replicas;
+        Gateway::FleetView view(replicas, {.ownZone = {"a"}}, [](const auto &) {
+            return true;
+        });
+        replicas.apply(listed(1), true, now, now - 1min);
+        view.refresh(now);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), *view.residentVersion({"r"}, "m/a1"));
+        view.release({.model = "m", .adapter = "a1", .version = 2});
+        CPPUNIT_ASSERT(!view.residentVersion({"r"}, "m/a1").has_value());
+        CPPUNIT_ASSERT(view.choose(request(), "s", {}, now) != nullptr);
+    }
+
+    // The list shows a replica's state of a second ago; a load that this host has just seen complete isn't undone by
+    // it.
+    void ownKnowledgeOutlivesAnOlderEntry()
+    {
+        const Core::TimePoint now {1h};
+        Fleet::ReplicaSet replicas;
+        Gateway::FleetView view(replicas, {.ownZone = {"a"}}, [](const auto &) {
+            return true;
+        });
+        replicas.apply(listed(0), true, now, now - 1min);
+        view.refresh(now);
+        view.setResident({"r"}, "m/a1", 1, now);
+        view.refresh(now + 100ms);
+        CPPUNIT_ASSERT(view.residentVersion({"r"}, "m/a1").has_value());
+        view.refresh(now + 2s);
+        CPPUNIT_ASSERT(!view.residentVersion({"r"}, "m/a1").has_value());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GatewayPartsTest);
--- a/Libraries/LibHolding/HolderTable.cpp
+++ b/Libraries/LibHolding/HolderTable.cpp
@@ -27,6 +27,7 @@
 
 void HolderTable::start()
 {
+    m_startedAt = m_scheduler.now();
     renew();
     m_scheduler.runAfter(m_options.tickPeriod, [this] {
         tick();
@@ -133,9 +134,11 @@
         return;
     }
     const bool isHandover = !row.formerHolder.isEmpty() && row.formerHolder != m_options.self.host;
-    held = {.fence = version, .ordersFrom = m_scheduler.now() + (isHandover ? m_options.handoverGap : Core::Duration {})};
-    Log::write(Log::Event::HoldGained,
-               {{"replica", row.replica.value}, {"fence", std::to_string(version)}, {"former", row.formerHolder.value}});
+    held = {.fence = version,
+            .ordersFrom = m_scheduler.now() + (isHandover ? m_options.handoverGap : Core::Duration {})};
+    Log::write(
+        Log::Event::HoldGained,
+        {{"replica", row.replica.value}, {"fence", std::to_string(version)}, {"former", row.formerHolder.value}});
 }
 
 void HolderTable::tick()
@@ -197,15 +200,16 @@
         std::pair<double, std::uint64_t> lowest;
         for (const auto &host : live) {
             // The load that the host would have, and a hash that decides between equals.
-            const std::pair<double, std::uint64_t> rank {(heldCounts[host.host] + 1) / std::max(host.weight, LeastWeight),
-                                                         Core::stableHash(host.host.value, Core::stableHash(replica.value))};
+            const std::pair<double, std::uint64_t> rank {
+                (heldCounts[host.host] + 1) / std::max(host.weight, LeastWeight),
+                Core::stableHash(host.host.value, Core::stableHash(replica.value))};
             if ((!hasZoneHost || isOfZone(host)) && (best == nullptr || rank < lowest)) {
                 best = &host;
                 lowest = rank;
             }
         }
         heldCounts[best->host] += 1;
-        if (best->host == m_options.self.host) {
+        if (best->host == m_options.self.host && m_scheduler.now() - m_startedAt >= m_options.settleTime) {
             share.push_back(replica);
         }
     }
@@ -215,7 +219,11 @@
 bool HolderTable::isNamed(const Core::TargetId &replica) const
 {
     const auto found = m_holders.find(replica);
-    return found != m_holders.end() && found->second.row.holder == m_options.self.host;
+    if (found == m_holders.end()) {
+        return false;
+    }
+    const auto &row = found->second.row;
+    return (row.holder.isEmpty() ? row.formerHolder : row.holder) == m_options.self.host;
 }
 
 bool HolderTable::isLive(const SeenHost &host) const
@@ -254,8 +262,10 @@
     if (!isClaimable(replica, transaction.conditions)) {
         return;
     }
-    HolderRow row {
-        .replica = replica, .holder = m_options.self.host, .incarnation = m_options.self.incarnation, .formerHolder = {}};
+    HolderRow row {.replica = replica,
+                   .holder = m_options.self.host,
+                   .incarnation = m_options.self.incarnation,
+                   .formerHolder = {}};
     if (const auto found = m_holders.find(replica); found != m_holders.end()) {
         const auto &former = found->second.row;
         const bool isOtherHost = !former.holder.isEmpty() && former.holder != m_options.self.host;
@@ -282,7 +292,8 @@
     Platform::Transaction transaction;
     for (const auto &[replica, held] : m_holds) {
         const HolderRow row {.replica = replica, .holder = {}, .formerHolder = m_options.self.host};
-        transaction.conditions.push_back({.table = std::string(Table), .key = holderKey(replica), .version = held.fence});
+        transaction.conditions.push_back(
+            {.table = std::string(Table), .key = holderKey(replica), .version = held.fence});
         transaction.puts.push_back({.table = std::string(Table), .key = holderKey(replica), .value = toText(row)});
     }
     transaction.deletions.push_back({.table = std::string(Table), .key = hostKey(m_options.self.host)});
--- a/Libraries/LibHolding/HolderTable.h
+++ b/Libraries/LibHolding/HolderTable.h
@@ -23,6 +23,8 @@
     Core::Duration tickPeriod = std::chrono::milliseconds(500);
     Core::Duration retryDelay = std::chrono::milliseconds(300); // After a renewal that failed.
     std::size_t claimsPerTick = 8;
+    // How long a host that has started looks for others before it claims what it didn't hold before.
+    Core::Duration settleTime = std::chrono::milliseconds(1500);
     // How long a replica that was given up is left to its last holder, which needs no gap should it start again.
     Core::Duration returnTime = std::chrono::milliseconds(2500);
 };
@@ -86,9 +88,10 @@
     void claim(const Core::TargetId &replica);
     void hold(const HolderRow &row, std::uint64_t version);
     [[nodiscard]] bool isLive(const SeenHost &host) const;
-    [[nodiscard]] bool isClaimable(const Core::TargetId &replica, std::vector<Platform::RowCondition> &conditions) const;
+    [[nodiscard]] bool isClaimable(const Core::TargetId &replica,
+                                   std::vector<Platform::RowCondition> &conditions) const;
     [[nodiscard]] bool isOwn(const HolderRow &row) const;
-    // The replica's row names this host as its holder, in this process or an earlier one.
+    // The replica's row names this host as its holder, or as the last one, in this process or an earlier one.
     [[nodiscard]] bool isNamed(const Core::TargetId &replica) const;
     // Replicas without a live holder that this host is to claim: each goes to the host of its zone that has the fewest
     // for its weight.
@@ -102,6 +105,7 @@
     std::map<Core::TargetId, SeenHolder> m_holders;
     std::map<Core::TargetId, Hold> m_holds;
     std::map<Core::TargetId, Core::TimePoint> m_claims; // Under way, and when they were sent.
+    Core::TimePoint m_startedAt {};
     Core::TimePoint m_heldUntil {};
     bool m_isFilled = false;
     bool m_isLeaving = false;
--- a/Libraries/LibHolding/HoldingRows.cpp
+++ b/Libraries/LibHolding/HoldingRows.cpp
@@ -28,12 +28,8 @@
 
 std::string toText(const HostRow &row)
 {
-    return nlohmann::json {{"host", row.host.value},
-                           {"zone", row.zone.value},
-                           {"peerAddress", row.peerAddress},
-                           {"incarnation", row.incarnation},
-                           {"renewal", row.renewal},
-                           {"weight", row.weight}}
+    return nlohmann::json {{"host", row.host.value},         {"zone", row.zone.value}, {"peerAddress", row.peerAddress},
+                           {"incarnation", row.incarnation}, {"renewal", row.renewal}, {"weight", row.weight}}
         .dump();
 }
 
--- a/Libraries/LibHolding/ReplicaController.cpp
+++ b/Libraries/LibHolding/ReplicaController.cpp
@@ -418,7 +418,8 @@
     if (!m_models.empty() || m_isModelLoading || m_engine.models.empty()) {
         return false;
     }
-    // FI!slot.second.uncertainAt.has_value() && inTransit()ME: With several models, load the one that is asked for most and has the fewest replicas.
+    // FI!slot.second.uncertainAt.has_value() && inTransit()ME: With several models, load the one that is asked for most
+    // and has the fewest replicas.
     m_isModelLoading = true;
     orderLoad(m_engine.models.front().name, {}, 0);
     return true;
@@ -498,7 +499,8 @@
     // An order for an adapter that is on its way already isn't counted; the answer says whether it has arrived.
     const auto repeated = m_slots.find(name);
     const bool isRepeat = repeated != m_slots.end() && std::exchange(repeated->second.isConfirming, false);
-    const bool isAccepted = (outcome == Fleet::OrderOutcome::Accepted && !isRepeat) || (outcome == Fleet::OrderOutcome::Holds && isUnload);
+    const bool isAccepted = (outcome == Fleet::OrderOutcome::Accepted && !isRepeat)
+        || (outcome == Fleet::OrderOutcome::Holds && isUnload);
     if (isAccepted) {
         settleUncertain(order.expectedCount);
     }
--- /dev/null
+++ b/Libraries/LibHolding/Tests/HolderTableTest.cpp
@@ -0,0 +1,210 @@
+#include <LibCore/VirtualScheduler.h>
+#include <LibHolding/HolderTable.h>
+#include <StandIns/MemoryRows.h>
+#include <algorithm>
+#include <cppunit/extensions/HelperMacros.h>
+#include <memory>
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto HandoverGap = 3500ms;
+// A lapse is noticed, claimed and read back within this.
+constexpr auto Notice = 4000ms;
+
+// The store as one process reaches it, until the process ends.
+class ProcessRows final : public Platform::TableService
+{
+public:
+    explicit ProcessRows(StandIns::MemoryRows &rows)
+        : m_rows(rows)
+    {
+    }
+    void transact(Platform::Transaction transaction, TransactionFunction done) override
+    {
+        if (!isEnded) {
+            m_rows.transact(std::move(transaction), std::move(done));
+        }
+    }
+    void read(std::string_view table, std::string_view key, ReadFunction done) override
+    {
+        m_rows.read(table, key, std::move(done));
+    }
+    void scan(std::string_view table, std::string_view afterKey, std::size_t most, ScanFunction done) override
+    {
+        m_rows.scan(table, afterKey, most, std::move(done));
+    }
+
+    bool isEnded = false;
+
+private:
+    StandIns::MemoryRows &m_rows;
+};
+
+// A host of the system that follows the rows, as the daemon does.
+struct TestHost {
+    TestHost(Core::VirtualScheduler &scheduler, StandIns::MemoryRows &rows, const std::string &name,
+             std::uint64_t incarnation, const std::vector<Holding::HoldableReplica> &replicas)
+        : rows(rows)
+        , process(rows)
+        , scheduler(scheduler)
+        , table(scheduler, process,
+                {.self = {.host = {name}, .zone = {"a"}, .peerAddress = name, .incarnation = incarnation}},
+                [&replicas] {
+                    return replicas;
+                })
+    {
+        table.start();
+        follow();
+    }
+
+    void follow()
+    {
+        if (process.isEnded) {
+            return;
+        }
+        rows.readTable(Holding::HolderTable::Table, [this](const Platform::FeedResult &result) {
+            if (result.outcome == Platform::FeedOutcome::Read) {
+                table.apply(result, true);
+            }
+        });
+        scheduler.runAfter(500ms, [this] {
+            follow();
+        });
+    }
+
+    StandIns::MemoryRows &rows;
+    ProcessRows process;
+    Core::VirtualScheduler &scheduler;
+    Holding::HolderTable table;
+};
+
+}
+
+class HolderTableTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(HolderTableTest);
+    CPPUNIT_TEST(aReplicaHasOneHolder);
+    CPPUNIT_TEST(aRestartedHostClaimsWhatItsRowNames);
+    CPPUNIT_TEST(noOrdersAfterTheTermWithoutTheStore);
+    CPPUNIT_TEST(aHolderThatLeavesIsFollowedAfterTheGap);
+    CPPUNIT_TEST(aHolderThatReturnsNeedsNoGap);
+    CPPUNIT_TEST(replicasAreSharedEvenly);
+    CPPUNIT_TEST(aLostAnswerToAClaimIsReadBack);
+    CPPUNIT_TEST_SUITE_END();
+
+    Core::VirtualScheduler m_scheduler;
+    StandIns::MemoryRows m_rows {m_scheduler};
+    std::vector<Holding::HoldableReplica> m_replicas {{.replica = {"r1"}, .zone = {"a"}}};
+
+    std::unique_ptr<TestHost> host(const std::string &name, std::uint64_t incarnation = 1)
+    {
+        return std::make_unique<TestHost>(m_scheduler, m_rows, name, incarnation, m_replicas);
+    }
+
+    static std::size_t holders(const std::vector<TestHost *> &hosts, const Core::TargetId &replica)
+    {
+        return static_cast<std::size_t>(std::count_if(hosts.begin(), hosts.end(), [&replica](const auto *host) {
+            return host->table.orderFence(replica).has_value();
+        }));
+    }
+
+    void aReplicaHasOneHolder()
+    {
+        const auto first = host("h1");
+        const auto second = host("h2");
+        const auto third = host("h3");
+        for (int i = 0; i < 300; ++i) {
+            m_scheduler.advance(100ms);
+            CPPUNIT_ASSERT(holders({first.get(), second.get(), third.get()}, {"r1"}) <= 1);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), holders({first.get(), second.get(), third.get()}, {"r1"}));
+    }
+
+    void aRestartedHostClaimsWhatItsRowNames()
+    {
+        const auto before = host("h1", 1);
+        m_scheduler.advance(3s);
+        const auto fence = before->table.orderFence({"r1"});
+        CPPUNIT_ASSERT(fence.has_value());
+        before->process.isEnded = true;
+        const auto after = host("h1", 2);
+        m_scheduler.advance(1s);
+        CPPUNIT_ASSERT(after->table.orderFence({"r1"}).has_value());
+        CPPUNIT_ASSERT(*after->table.orderFence({"r1"}) > *fence);
+    }
+
+    void noOrdersAfterTheTermWithoutTheStore()
+    {
+        const auto only = host("h1");
+        m_scheduler.advance(3s);
+        m_rows.isDown = true;
+        m_scheduler.advance(8s);
+        CPPUNIT_ASSERT(only->table.orderFence({"r1"}).has_value());
+        m_scheduler.advance(5s);
+        CPPUNIT_ASSERT(!only->table.orderFence({"r1"}).has_value());
+        m_rows.isDown = false;
+        m_scheduler.advance(1s);
+        CPPUNIT_ASSERT(only->table.orderFence({"r1"}).has_value());
+    }
+
+    void aHolderThatLeavesIsFollowedAfterTheGap()
+    {
+        const auto first = host("h1");
+        m_scheduler.advance(3s);
+        const auto second = host("h2");
+        m_scheduler.advance(2s);
+        CPPUNIT_ASSERT(!second->table.orderFence({"r1"}).has_value());
+        first->table.leave([] {});
+        first->process.isEnded = true;
+        for (auto waited = 0ms; waited < HandoverGap; waited += 100ms) {
+            CPPUNIT_ASSERT(!second->table.orderFence({"r1"}).has_value());
+            m_scheduler.advance(100ms);
+        }
+        m_scheduler.advance(Notice);
+        CPPUNIT_ASSERT(second->table.orderFence({"r1"}).has_value());
+    }
+
+    void aHolderThatReturnsNeedsNoGap()
+    {
+        const auto other = host("h2");
+        m_scheduler.advance(3s);
+        CPPUNIT_ASSERT(other->table.orderFence({"r1"}).has_value());
+        other->table.leave([] {});
+        other->process.isEnded = true;
+        m_scheduler.advance(500ms);
+        const auto returned = host("h2", 2);
+        m_scheduler.advance(1500ms);
+        CPPUNIT_ASSERT(returned->table.orderFence({"r1"}).has_value());
+    }
+
+    void replicasAreSharedEvenly()
+    {
+        m_replicas.clear();
+        for (int i = 0; i < 6; ++i) {
+            m_replicas.push_back({.replica = {"r" + std::to_string(i)}, .zone = {"a"}});
+        }
+        const auto first = host("h1");
+        const auto second = host("h2");
+        const auto third = host("h3");
+        m_scheduler.advance(10s);
+        for (const auto *each : {first.get(), second.get(), third.get()}) {
+            CPPUNIT_ASSERT(each->table.held().size() <= 3);
+            CPPUNIT_ASSERT(!each->table.held().empty());
+        }
+    }
+
+    void aLostAnswerToAClaimIsReadBack()
+    {
+        m_replicas.clear();
+        const auto only = host("h1");
+        m_scheduler.advance(3s);
+        m_rows.isLosing = true;
+        m_replicas.push_back({.replica = {"r9"}, .zone = {"a"}});
+        m_scheduler.advance(2s);
+        CPPUNIT_ASSERT(only->table.orderFence({"r9"}).has_value());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(HolderTableTest);
--- /dev/null
+++ b/Libraries/LibHolding/Tests/ReplicaControllerTest.cpp
@@ -0,0 +1,362 @@
+#include <LibCore/VirtualScheduler.h>
+#include <LibHolding/ReplicaController.h>
+#include <algorithm>
+#include <cppunit/extensions/HelperMacros.h>
+#include <memory>
+#include <utility>
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t Slots = 3;
+
+// A replica that carries out orders as the engines do: counts them, checks the expected count, loads in time, refuses
+// others while a replacement or an unload waits for runs, and fails the test when more is ordered than fits.
+class FakeReplica final : public Fleet::OrderLink
+{
+public:
+    explicit FakeReplica(Core::Scheduler &scheduler)
+        : m_scheduler(scheduler)
+    {
+    }
+
+    void order(const Fleet::Replica & /*replica*/, const Fleet::ReplicaOrder &order, OrderFunction done) override
+    {
+        ++orderCalls;
+        if (isLosingAnswers) {
+            if (lateBy > Core::Duration::zero()) {
+                m_scheduler.runAfter(lateBy, [this, order] {
+                    (void)carryOut(order);
+                });
+            } else {
+                (void)carryOut(order);
+            }
+            answer(done, Fleet::OrderOutcome::Unknown);
+            return;
+        }
+        answer(done, carryOut(order));
+    }
+
+    void report(const Fleet::Replica & /*replica*/, ReportFunction done) override
+    {
+        settle();
+        Fleet::ReplicaReport report {.orderCount = count, .isBusy = isBusy()};
+        report.models.push_back({.model = "m", .version = 1});
+        for (const auto &[name, copy] : adapters) {
+            if (copy.readyAt <= m_scheduler.now()) {
+                report.models.front().adapters.push_back({.adapter = name, .version = copy.version});
+            } else {
+                report.adaptersInTransit.push_back("m/" + name + "@1");
+            }
+        }
+        m_scheduler.runAfter(2ms, [done = std::move(done), report] {
+            done(report);
+        });
+    }
+
+    struct Copy {
+        std::uint64_t version = 1;
+        Core::TimePoint readyAt {};
+        unsigned runs = 0;
+    };
+
+    [[nodiscard]] bool isThere(const std::string &name)
+    {
+        settle();
+        const auto found = adapters.find(name);
+        return found != adapters.end() && found->second.readyAt <= m_scheduler.now();
+    }
+
+    std::map<std::string, Copy> adapters;
+    std::uint64_t count = 0;
+    std::size_t most = 0; // Adapters that were there or coming at one time.
+    std::size_t orderCalls = 0;
+    std::vector<std::string> loads; // In the order in which they were accepted.
+    Core::Duration loadTime = 250ms;
+    bool isLosingAnswers = false;
+    Core::Duration lateBy {};
+
+private:
+    [[nodiscard]] bool isBusy() const
+    {
+        return m_pending.has_value();
+    }
+
+    void answer(const OrderFunction &done, Fleet::OrderOutcome outcome)
+    {
+        m_scheduler.runAfter(2ms, [done, outcome] {
+            done(outcome, "");
+        });
+    }
+
+    void settle()
+    {
+        if (m_pending.has_value() && adapters[m_pending->adapter].runs == 0) {
+            apply(*std::exchange(m_pending, std::nullopt));
+        }
+    }
+
+    void apply(const Fleet::ReplicaOrder &order)
+    {
+        if (order.verb == Fleet::OrderVerb::Unload) {
+            adapters.erase(order.adapter);
+            return;
+        }
+        adapters[order.adapter]
+            = {.version = std::max<std::uint64_t>(order.version, 1), .readyAt = m_scheduler.now() + loadTime};
+        loads.push_back(order.adapter);
+        most = std::max(most, adapters.size());
+    }
+
+    Fleet::OrderOutcome carryOut(const Fleet::ReplicaOrder &order)
+    {
+        settle();
+        const auto found = adapters.find(order.adapter);
+        const bool isPresent = found != adapters.end();
+        const bool isLoad = order.verb == Fleet::OrderVerb::Load;
+        if (isLoad && isPresent && found->second.version >= order.version) {
+            return found->second.readyAt <= m_scheduler.now() ? Fleet::OrderOutcome::Holds
+                                                              : Fleet::OrderOutcome::Accepted;
+        }
+        if (isBusy() || order.expectedCount != count) {
+            return Fleet::OrderOutcome::Conflict;
+        }
+        ++count;
+        if (isPresent && found->second.runs > 0) {
+            m_pending = order;
+            return Fleet::OrderOutcome::Accepted;
+        }
+        apply(order);
+        return isLoad ? Fleet::OrderOutcome::Accepted : Fleet::OrderOutcome::Holds;
+    }
+
+    Core::Scheduler &m_scheduler;
+    std::optional<Fleet::ReplicaOrder> m_pending;
+};
+
+}
+
+class ReplicaControllerTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ReplicaControllerTest);
+    CPPUNIT_TEST(aReplyComesWhenTheAdapterIsThere);
+    CPPUNIT_TEST(aSlowLoadIsWaitedFor);
+    CPPUNIT_TEST(waitersForOneAdapterShareItsLoad);
+    CPPUNIT_TEST(anAdapterInUseIsNotReplaced);
+    CPPUNIT_TEST(anIdleAdapterIsReplaced);
+    CPPUNIT_TEST(urgentRequestsComeFirstWhenPlacesAreShort);
+    CPPUNIT_TEST(aNewHolderEvictsNothingThatMayBeInUse);
+    CPPUNIT_TEST(capacityHoldsWhenAnswersAreLostOrLate);
+    CPPUNIT_TEST(withoutTheRightToOrderItRefusesAtOnce);
+    CPPUNIT_TEST(waitingCostsNoTime);
+    CPPUNIT_TEST_SUITE_END();
+
+    Core::VirtualScheduler m_scheduler;
+    FakeReplica m_fake {m_scheduler};
+    bool m_hasRight = true;
+
+    std::unique_ptr<Holding::ReplicaController> controller()
+    {
+        Routes::EngineSettings engine {.slots = 64, .weightMemory = 1000, .adapterSlots = Slots};
+        engine.models.push_back({.name = "m", .size = 100, .adapterSize = 1});
+        Fleet::Replica replica {.id = {"r"}, .service = "s", .address = "127.0.0.1:1"};
+        replica.models.push_back({.model = "m"});
+        auto made = std::make_unique<Holding::ReplicaController>(
+            m_scheduler, m_fake, Holding::ReplicaControllerOptions {.self = {"h"}},
+            [this](const Core::TargetId &) -> std::optional<std::uint64_t> {
+                return m_hasRight ? std::optional<std::uint64_t>(7) : std::nullopt;
+            },
+            replica, engine);
+        run(*made, 100ms);
+        return made;
+    }
+
+    void run(Holding::ReplicaController &made, Core::Duration duration)
+    {
+        for (Core::Duration passed {}; passed < duration; passed += 50ms) {
+            made.tick();
+            m_scheduler.advance(50ms);
+        }
+    }
+
+    static Holding::AdapterRequest request(const std::string &adapter, int priority = 0, std::uint64_t version = 0)
+    {
+        return {.replica = {"r"}, .model = "m", .adapter = adapter, .version = version, .priority = priority};
+    }
+
+    struct Answer {
+        bool isGiven = false;
+        Holding::AdapterReply reply;
+        bool wasThere = false;
+    };
+
+    void ask(Holding::ReplicaController &made, const Holding::AdapterRequest &wanted, Answer &answer)
+    {
+        made.request(wanted, [this, &answer, name = wanted.adapter](const Holding::AdapterReply &reply) {
+            answer = {.isGiven = true, .reply = reply, .wasThere = m_fake.isThere(name)};
+        });
+    }
+
+    static bool isReady(const Answer &answer)
+    {
+        return answer.isGiven && answer.reply.outcome == static_cast<std::uint8_t>(Holding::AdapterOutcome::Ready);
+    }
+
+    void use(Holding::ReplicaController &made, const std::vector<std::string> &adapters)
+    {
+        Holding::ReplicaUse use {.replica = {"r"}};
+        for (const auto &adapter : adapters) {
+            use.adapters.push_back("m/" + adapter);
+            if (m_fake.adapters.contains(adapter)) {
+                m_fake.adapters.at(adapter).runs = 1;
+            }
+        }
+        made.noteUse({"front"}, use);
+    }
+
+    void aReplyComesWhenTheAdapterIsThere()
+    {
+        const auto made = controller();
+        Answer answer;
+        ask(*made, request("a1"), answer);
+        run(*made, 200ms);
+        CPPUNIT_ASSERT(!answer.isGiven);
+        run(*made, 200ms);
+        CPPUNIT_ASSERT(isReady(answer) && answer.wasThere);
+    }
+
+    void aSlowLoadIsWaitedFor()
+    {
+        m_fake.loadTime = 700ms;
+        const auto made = controller();
+        Answer answer;
+        ask(*made, request("a1"), answer);
+        run(*made, 1s);
+        CPPUNIT_ASSERT(isReady(answer) && answer.wasThere);
+    }
+
+    void waitersForOneAdapterShareItsLoad()
+    {
+        const auto made = controller();
+        std::vector<Answer> answers(5);
+        for (auto &answer : answers) {
+            ask(*made, request("a1"), answer);
+        }
+        run(*made, 500ms);
+        CPPUNIT_ASSERT(std::all_of(answers.begin(), answers.end(), &isReady));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_fake.loads.size());
+    }
+
+    // A release of a popular adapter: the replacement would wait for its runs, and every other load with it.
+    void anAdapterInUseIsNotReplaced()
+    {
+        const auto made = controller();
+        Answer first;
+        ask(*made, request("a1"), first);
+        run(*made, 500ms);
+        use(*made, {"a1"});
+        made->release({.model = "m", .adapter = "a1", .version = 2});
+        Answer newer;
+        ask(*made, request("a1", 0, 2), newer);
+        CPPUNIT_ASSERT(newer.isGiven && !isReady(newer));
+        Answer other;
+        ask(*made, request("a2"), other);
+        run(*made, 500ms);
+        CPPUNIT_ASSERT(isReady(other));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), m_fake.adapters.at("a1").version);
+    }
+
+    void anIdleAdapterIsReplaced()
+    {
+        const auto made = controller();
+        Answer first;
+        ask(*made, request("a1"), first);
+        run(*made, 1s);
+        made->release({.model = "m", .adapter = "a1", .version = 2});
+        run(*made, 1s);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), m_fake.adapters.at("a1").version);
+    }
+
+    // A surge of distinct adapters on few replicas: places become free one by one.
+    void urgentRequestsComeFirstWhenPlacesAreShort()
+    {
+        const auto made = controller();
+        std::vector<Answer> fill(Slots);
+        for (std::size_t i = 0; i < Slots; ++i) {
+            ask(*made, request("a" + std::to_string(i)), fill[i]);
+        }
+        run(*made, 1s);
+        use(*made, {"a0", "a1", "a2"});
+        Answer calm;
+        Answer urgent;
+        ask(*made, request("calm", 2), calm);
+        ask(*made, request("urgent", 0), urgent);
+        run(*made, 100ms);
+        m_fake.adapters.at("a1").runs = 0;
+        use(*made, {"a0", "a2"});
+        run(*made, 650ms);
+        CPPUNIT_ASSERT(isReady(urgent));
+        CPPUNIT_ASSERT(!isReady(calm));
+    }
+
+    void aNewHolderEvictsNothingThatMayBeInUse()
+    {
+        for (const auto *name : {"a0", "a1", "a2"}) {
+            m_fake.adapters[name] = {.runs = 1};
+        }
+        const auto made = controller();
+        Answer answer;
+        ask(*made, request("new"), answer);
+        run(*made, 150ms);
+        use(*made, {"a0", "a1", "a2"});
+        run(*made, 400ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), m_fake.adapters.size());
+        CPPUNIT_ASSERT(!isReady(answer));
+    }
+
+    void capacityHoldsWhenAnswersAreLostOrLate()
+    {
+        for (const auto lateBy : {Core::Duration {}, Core::Duration(900ms), Core::Duration(3s)}) {
+            m_fake.adapters.clear();
+            m_fake.count = 0;
+            m_fake.lateBy = lateBy;
+            const auto made = controller();
+            std::vector<Answer> answers(60);
+            for (std::size_t i = 0; i < answers.size(); ++i) {
+                m_fake.isLosingAnswers = i % 3 == 1;
+                ask(*made, request("a" + std::to_string(i)), answers[i]);
+                run(*made, 250ms);
+            }
+            m_fake.isLosingAnswers = false;
+            run(*made, 5s);
+            Answer last;
+            ask(*made, request("last"), last);
+            run(*made, 1s);
+            CPPUNIT_ASSERT(m_fake.most <= Slots);
+            CPPUNIT_ASSERT(isReady(last) && last.wasThere);
+        }
+    }
+
+    void withoutTheRightToOrderItRefusesAtOnce()
+    {
+        const auto made = controller();
+        m_hasRight = false;
+        Answer answer;
+        ask(*made, request("a1"), answer);
+        CPPUNIT_ASSERT(answer.isGiven && !isReady(answer));
+    }
+
+    // A load that is overdue must not make the controller wake again and again.
+    void waitingCostsNoTime()
+    {
+        m_fake.loadTime = 10s;
+        const auto made = controller();
+        Answer answer;
+        ask(*made, request("a1"), answer);
+        run(*made, 900ms);
+        CPPUNIT_ASSERT(m_fake.orderCalls < 40);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ReplicaControllerTest);
--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -298,7 +298,8 @@
         MHD_OPTION_SOCK_ADDR, reinterpret_cast<sockaddr *>(&address), MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U,
         MHD_OPTION_URI_LOG_CALLBACK, &ServerCallbacks::onTarget, this, MHD_OPTION_NOTIFY_COMPLETED,
         &ServerCallbacks::onCompleted, this, MHD_OPTION_CONNECTION_MEMORY_LIMIT, m_options.connectionMemory,
-        MHD_OPTION_CONNECTION_LIMIT, m_options.mostConnections, MHD_OPTION_CONNECTION_TIMEOUT, m_options.idleTimeoutSeconds, MHD_OPTION_END);
+        MHD_OPTION_CONNECTION_LIMIT, m_options.mostConnections, MHD_OPTION_CONNECTION_TIMEOUT,
+        m_options.idleTimeoutSeconds, MHD_OPTION_END);
     if (m_daemon == nullptr) {
         throw Core::StepError("listen for HTTP", place, std::strerror(errno));
     }
--- a/Libraries/LibPlacement/ReplicaChooser.cpp
+++ b/Libraries/LibPlacement/ReplicaChooser.cpp
@@ -16,8 +16,7 @@
     using Milliseconds = std::chrono::duration<double, std::milli>;
     const Milliseconds reading(static_cast<double>(candidate.waitingTokens) / m_options.promptTokensPerMillisecond);
     auto cost = std::chrono::duration_cast<Core::Duration>(reading) + candidate.penalty
-        + m_options.perActive * static_cast<int>(candidate.active)
-        + m_options.perRank * static_cast<int>(rank);
+        + m_options.perActive * static_cast<int>(candidate.active) + m_options.perRank * static_cast<int>(rank);
     if (candidate.zone != m_options.ownZone) {
         cost += m_options.otherZone;
     }
--- a/Libraries/LibPlacement/ReplicaChooser.h
+++ b/Libraries/LibPlacement/ReplicaChooser.h
@@ -36,7 +36,8 @@
     Core::ZoneId ownZone;
     double promptTokensPerMillisecond = 20; // Reading speed of the engines that are met: 19 and 22.
     Core::Duration otherZone = std::chrono::milliseconds(3); // Round trip to another zone.
-    Core::Duration load = std::chrono::milliseconds(60); // What a load delays, most being from the replica's own copies.
+    Core::Duration load
+        = std::chrono::milliseconds(60); // What a load delays, most being from the replica's own copies.
     Core::Duration furtherHome = std::chrono::milliseconds(80); // What makes a load at each further home less good.
     Core::Duration perRank = std::chrono::microseconds(50); // Decides between replicas that are otherwise alike.
     Core::Duration perActive = std::chrono::milliseconds(1); // Added to an answer by each request that runs.
--- a/Libraries/LibPlacement/ReplicaHealth.cpp
+++ b/Libraries/LibPlacement/ReplicaHealth.cpp
@@ -26,7 +26,7 @@
     return std::exp2(-age.count() / halfLife.count());
 }
 
-void ReplicaHealth::note(const Core::TargetId &replica, const Core::ZoneId &zone, AttemptOutcome outcome,
+bool ReplicaHealth::note(const Core::TargetId &replica, const Core::ZoneId &zone, AttemptOutcome outcome,
                          Core::TimePoint now)
 {
     auto &record = m_records[replica];
@@ -39,14 +39,16 @@
         record.blockedUntil = {};
         record.nextBlock = {};
         m_unreachable.erase(zone);
-        return;
+        return false;
     }
     record.failed += 1;
     if (outcome == AttemptOutcome::Unreachable && now >= record.blockedUntil) {
         record.nextBlock = std::clamp(record.nextBlock * 2, m_options.firstBlock, m_options.longestBlock);
         record.blockedUntil = now + record.nextBlock;
         m_unreachable[zone][replica] = now;
+        return true;
     }
+    return false;
 }
 
 bool ReplicaHealth::isBlocked(const Core::TargetId &replica, const Core::ZoneId &zone, Core::TimePoint now) const
--- /dev/null
+++ b/Libraries/LibRoutes/Tests/RouteTableTest.cpp
@@ -0,0 +1,62 @@
+#include <LibRoutes/RouteTable.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <map>
+
+class RouteTableTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(RouteTableTest);
+    CPPUNIT_TEST(theLongestPrefixWins);
+    CPPUNIT_TEST(aConfigurationNeverGoesBack);
+    CPPUNIT_TEST(aRequestKeepsItsConfiguration);
+    CPPUNIT_TEST(sharesDivideTheAttempts);
+    CPPUNIT_TEST_SUITE_END();
+
+    static Routes::RouteConfiguration configuration(std::uint64_t version, const std::vector<std::string> &prefixes)
+    {
+        Routes::RouteConfiguration made {.version = version};
+        for (const auto &prefix : prefixes) {
+            made.routes.push_back({.name = prefix, .host = "a.example", .prefix = prefix, .services = {{"s"}}});
+        }
+        return made;
+    }
+
+    void theLongestPrefixWins()
+    {
+        Routes::RouteTable table;
+        CPPUNIT_ASSERT(table.replace(configuration(1, {"/x/", "/x/y/", "/"})));
+        CPPUNIT_ASSERT_EQUAL(std::string("/x/y/"), table.find("a.example", "/x/y/z?q=/").route->name);
+        CPPUNIT_ASSERT_EQUAL(std::string("/x/"), table.find("A.example:8080", "/x/yy").route->name);
+        CPPUNIT_ASSERT_EQUAL(std::string("/"), table.find("a.example", "/x?/x/y/").route->name);
+        CPPUNIT_ASSERT(table.find("b.example", "/x/").route == nullptr);
+    }
+
+    void aConfigurationNeverGoesBack()
+    {
+        Routes::RouteTable table;
+        CPPUNIT_ASSERT(table.replace(configuration(5, {"/new/"})));
+        CPPUNIT_ASSERT(!table.replace(configuration(4, {"/old/"})));
+        CPPUNIT_ASSERT(table.find("a.example", "/old/").route == nullptr);
+    }
+
+    void aRequestKeepsItsConfiguration()
+    {
+        Routes::RouteTable table;
+        (void)table.replace(configuration(1, {"/x/"}));
+        const auto match = table.find("a.example", "/x/");
+        (void)table.replace(configuration(2, {"/y/"}));
+        CPPUNIT_ASSERT_EQUAL(std::string("/x/"), match.route->prefix);
+    }
+
+    void sharesDivideTheAttempts()
+    {
+        Routes::Route route;
+        route.services = {{.service = "s1", .weight = 90}, {.service = "s2", .weight = 10}};
+        std::map<std::string, int> counts;
+        for (int i = 0; i < 2000; ++i) {
+            ++counts[Routes::chooseService(route, "attempt" + std::to_string(i))];
+        }
+        CPPUNIT_ASSERT(counts["s2"] > 130 && counts["s2"] < 270);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RouteTableTest);
--- a/Utilities/currantbay/Commands.h
+++ b/Utilities/currantbay/Commands.h
@@ -12,5 +12,6 @@
 void addSettingsCommands(CLI::App &app, const CommonOptions &common, ExitCode &exitCode);
 void addServiceCommand(CLI::App &app, const CommonOptions &common, ExitCode &exitCode);
 void addTraceCommands(CLI::App &app, ExitCode &exitCode);
+void addLogCommands(CLI::App &app, ExitCode &exitCode);
 
 }
--- a/Utilities/currantbay/Main.cpp
+++ b/Utilities/currantbay/Main.cpp
@@ -34,6 +34,7 @@
     Client::addServiceCommand(app, common, exitCode);
     Client::addSettingsCommands(app, common, exitCode);
     Client::addTraceCommands(app, exitCode);
+    Client::addLogCommands(app, exitCode);
     try {
         app.parse(argc, argv);
     } catch (const CLI::Success &success) {
