LibRelay: Let one host read and write the store for its zone

The heaviest host of a zone now reads, passes the rows on and gathers the zone's renewals into one transaction; the next one takes its place when it falls silent for a second, and a host that has missed a part reads the store itself. Failed calls back off to 1.2 s, since refused ones are charged too.

--- a/Libraries/LibFleet/Feed.h
+++ b/Libraries/LibFleet/Feed.h
@@ -3,6 +3,7 @@
 #include <LibCore/Scheduler.h>
 #include <LibFleet/DeploymentSource.h>
 #include <LibLog/Log.h>
+#include <algorithm>
 #include <functional>
 #include <string>
 
@@ -14,7 +15,9 @@
     // connection that fell silent goes unnoticed.
     Core::Duration wait = std::chrono::milliseconds(1500);
     Core::Duration pace = std::chrono::milliseconds(500); // Between two calls, so that many changes come together.
-    Core::Duration retryDelay = std::chrono::milliseconds(250); // After a failed call.
+    Core::Duration retryDelay = std::chrono::milliseconds(250); // After a failed call; doubles.
+    // What changed must be in force two seconds after the store is back; refused calls are charged like others.
+    Core::Duration longestRetryDelay = std::chrono::milliseconds(1200);
 };
 
 // Follows one kind of changes without end: reads everything once, then what changed since, and everything again when
@@ -83,6 +86,7 @@
             m_version = changes.version;
             m_isFilled = true;
             m_isHistoryLost = false;
+            m_nextRetryDelay = m_options.retryDelay;
             m_apply(std::move(changes), extent);
             m_scheduler.runAfter(m_options.pace, [this] {
                 followOn();
@@ -98,7 +102,7 @@
         if (!isStale) {
             fail(changes.error);
         }
-        m_scheduler.runAfter(m_options.retryDelay, [this] {
+        m_scheduler.runAfter(m_nextRetryDelay, [this] {
             if (m_isFilled && !m_isHistoryLost) {
                 followOn();
             } else {
@@ -118,6 +122,7 @@
 
     void fail(const std::string &error)
     {
+        m_nextRetryDelay = std::min(m_nextRetryDelay * 2, m_options.longestRetryDelay);
         if (m_healthySince.has_value() || !m_hasFailed) {
             Log::write(Log::Event::FeedLost, {{"feed", m_options.name}, {"reason", error}});
         }
@@ -130,6 +135,7 @@
     ReadFunction m_read;
     FollowFunction m_follow;
     ApplyFunction m_apply;
+    Core::Duration m_nextRetryDelay = m_options.retryDelay;
     std::uint64_t m_version = 0;
     bool m_isFilled = false;
     bool m_isHistoryLost = false;
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -31,7 +31,7 @@
 }
 
 Gateway::Gateway(GatewayPorts ports, GatewayOptions options)
-    : m_ports(ports)
+    : m_ports(std::move(ports))
     , m_options(std::move(options))
     , m_router(m_ports.scheduler, m_ports.transport,
                {.self = m_options.holding.self.host,
@@ -42,17 +42,32 @@
                   return m_holders.holderOf(replica).has_value();
               })
     , m_allowance(m_options.retries)
-    , m_holders(m_ports.scheduler, m_ports.table, m_options.holding,
-                [this] {
-                    return holdableReplicas();
-                })
+    , m_reader(
+          m_ports.scheduler, m_router, {},
+          [this] {
+              return zoneHosts();
+          },
+          [this] {
+              return m_replicaFeed.healthySince().has_value() && m_configurationFeed.healthySince().has_value();
+          })
+    , m_rows(m_ports.scheduler, m_router, m_ports.rows, m_reader)
+    , m_writer(m_ports.scheduler, m_router, m_ports.table, m_reader, {})
+    , m_deployment(m_ports.makeSource(m_rows))
+    , m_holders(
+          m_ports.scheduler, m_ports.table, m_options.holding,
+          [this] {
+              return holdableReplicas();
+          },
+          [this](auto row, auto done) {
+              m_writer.write(std::move(row), std::move(done));
+          })
     , m_replicaFeed(
           m_ports.scheduler, {.name = "replicas", .pace = ReplicaPace},
           [this](auto done) {
-              m_ports.deployment.readReplicas(std::move(done));
+              m_deployment->readReplicas(std::move(done));
           },
           [this](auto after, auto wait, auto done) {
-              m_ports.deployment.followReplicas(after, wait, std::move(done));
+              m_deployment->followReplicas(after, wait, std::move(done));
           },
           [this](auto &&changes, auto extent) {
               takeReplicas(changes, extent == decltype(m_replicaFeed)::Extent::Whole);
@@ -60,10 +75,10 @@
     , m_configurationFeed(
           m_ports.scheduler, {.name = "configuration", .pace = ConfigurationPace},
           [this](auto done) {
-              m_ports.deployment.readConfiguration(std::move(done));
+              m_deployment->readConfiguration(std::move(done));
           },
           [this](auto after, auto wait, auto done) {
-              m_ports.deployment.followConfiguration(after, wait, std::move(done));
+              m_deployment->followConfiguration(after, wait, std::move(done));
           },
           [this](auto &&changes, auto /*extent*/) {
               takeConfiguration(std::move(changes));
@@ -71,10 +86,10 @@
     , m_holderFeed(
           m_ports.scheduler, {.name = "holders", .pace = HolderPace},
           [this](auto done) {
-              m_ports.rows.readTable(Holding::HolderTable::Table, std::move(done));
+              m_rows.readTable(Holding::HolderTable::Table, std::move(done));
           },
           [this](auto after, auto wait, auto done) {
-              m_ports.rows.follow(Holding::HolderTable::Table, after, wait, std::move(done));
+              m_rows.follow(Holding::HolderTable::Table, after, wait, std::move(done));
           },
           [this](auto &&changes, auto extent) {
               m_holders.apply(changes, extent == decltype(m_holderFeed)::Extent::Whole);
@@ -101,6 +116,7 @@
     m_replicaFeed.start();
     m_holderFeed.start();
     m_holders.start();
+    m_reader.start();
     tick();
 }
 
@@ -239,6 +255,17 @@
     return holdable;
 }
 
+std::vector<Relay::ZoneHost> Gateway::zoneHosts() const
+{
+    std::vector<Relay::ZoneHost> hosts;
+    for (const auto &host : m_holders.liveHosts()) {
+        if (host.zone == m_options.holding.self.zone) {
+            hosts.push_back({.host = host.host, .weight = host.weight});
+        }
+    }
+    return hosts;
+}
+
 void Gateway::updateControllers()
 {
     const auto &configuration = m_routes.current();
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -6,6 +6,8 @@
 #include <LibHolding/HolderTable.h>
 #include <LibHolding/ReplicaController.h>
 #include <LibPeer/PeerRouter.h>
+#include <LibRelay/SharedRowFeed.h>
+#include <LibRelay/SharedWriter.h>
 
 namespace Gateway {
 
@@ -22,13 +24,14 @@
 struct GatewayPorts {
     Core::Scheduler &scheduler;
     Net::HttpClient &client;
-    Fleet::DeploymentSource &deployment;
     Platform::TableService &table;
     Platform::RowFeed &rows;
     Fleet::OrderLink &orders;
     const Protocol &protocol;
     Peer::PeerTransport &transport;
     Metrics::Registry &metrics;
+    // Makes the source of replicas and configuration from the rows, which hosts of a zone share.
+    std::function<std::unique_ptr<Fleet::DeploymentSource>(Platform::RowFeed &rows)> makeSource;
 };
 
 // An entry host that passes requests on to replicas of services: follows the configuration, the replicas and the other
@@ -63,6 +66,8 @@
                              const std::function<void(const Holding::AdapterReply &)> &reply);
     void takeUse(const Core::HostId &from, const Holding::UseNotice &notice);
     [[nodiscard]] std::vector<Holding::HoldableReplica> holdableReplicas() const;
+    // The live hosts of this host's zone.
+    [[nodiscard]] std::vector<Relay::ZoneHost> zoneHosts() const;
 
     GatewayPorts m_ports;
     GatewayOptions m_options;
@@ -71,6 +76,10 @@
     Fleet::ReplicaSet m_replicas;
     FleetView m_fleet;
     RetryAllowance m_allowance;
+    Relay::ZoneReader m_reader;
+    Relay::SharedRowFeed m_rows;
+    Relay::SharedWriter m_writer;
+    std::unique_ptr<Fleet::DeploymentSource> m_deployment;
     Holding::HolderTable m_holders;
     Fleet::Feed<Fleet::ReplicaChanges> m_replicaFeed;
     Fleet::Feed<Fleet::ConfigurationChanges> m_configurationFeed;
--- a/Libraries/LibHolding/HolderTable.cpp
+++ b/Libraries/LibHolding/HolderTable.cpp
@@ -17,11 +17,13 @@
 }
 
 HolderTable::HolderTable(Core::Scheduler &scheduler, Platform::TableService &table, HolderTableOptions options,
-                         ReplicasFunction replicas)
+                         ReplicasFunction replicas, WriteFunction write)
     : m_scheduler(scheduler)
     , m_table(table)
     , m_options(std::move(options))
     , m_replicas(std::move(replicas))
+    , m_write(std::move(write))
+    , m_retryDelay(m_options.retryDelay)
 {
 }
 
@@ -41,18 +43,18 @@
     }
     ++m_options.self.renewal;
     const auto sentAt = m_scheduler.now();
-    Platform::Transaction transaction;
-    transaction.puts.push_back(
-        {.table = std::string(Table), .key = hostKey(m_options.self.host), .value = toText(m_options.self)});
-    m_table.transact(std::move(transaction), [this, sentAt](const Platform::TransactionResult &result) {
-        const bool isRenewed = result.outcome == Platform::TransactionOutcome::Committed;
-        if (isRenewed) {
-            m_heldUntil = std::max(m_heldUntil, sentAt + m_options.term);
-        }
-        m_scheduler.runAfter(isRenewed ? m_options.renewalPeriod : m_options.retryDelay, [this] {
-            renew();
-        });
-    });
+    m_write({.table = std::string(Table), .key = hostKey(m_options.self.host), .value = toText(m_options.self)},
+            [this, sentAt](bool isRenewed) {
+                if (isRenewed) {
+                    m_heldUntil = std::max(m_heldUntil, sentAt + m_options.term);
+                    m_retryDelay = m_options.retryDelay;
+                } else {
+                    m_retryDelay = std::min(m_retryDelay * 2, m_options.longestRetryDelay);
+                }
+                m_scheduler.runAfter(isRenewed ? m_options.renewalPeriod : m_retryDelay, [this] {
+                    renew();
+                });
+            });
 }
 
 void HolderTable::apply(const Platform::FeedResult &rows, bool isWhole)
--- a/Libraries/LibHolding/HolderTable.h
+++ b/Libraries/LibHolding/HolderTable.h
@@ -21,7 +21,8 @@
     // No order of a new holder before this long after its claim: orders of two holders must not alternate.
     Core::Duration handoverGap = std::chrono::milliseconds(3500);
     Core::Duration tickPeriod = std::chrono::milliseconds(500);
-    Core::Duration retryDelay = std::chrono::milliseconds(300); // After a renewal that failed.
+    Core::Duration retryDelay = std::chrono::milliseconds(300); // After a renewal that failed; doubles.
+    Core::Duration longestRetryDelay = std::chrono::milliseconds(1200); // Refused calls are charged like others.
     std::size_t claimsPerTick = 8;
     // How long a host that has started looks for others before it claims what it didn't hold before.
     Core::Duration settleTime = std::chrono::milliseconds(1500);
@@ -42,9 +43,11 @@
 {
 public:
     using ReplicasFunction = std::function<std::vector<HoldableReplica>()>;
+    // Writes a row; the function that it is given runs once, with true only if the row has surely been written.
+    using WriteFunction = std::function<void(Platform::RowPut row, std::function<void(bool isWritten)> done)>;
 
     HolderTable(Core::Scheduler &scheduler, Platform::TableService &table, HolderTableOptions options,
-                ReplicasFunction replicas);
+                ReplicasFunction replicas, WriteFunction write);
 
     void start();
     // Takes the table's rows: all of them, or those that changed.
@@ -101,10 +104,12 @@
     Platform::TableService &m_table;
     HolderTableOptions m_options;
     ReplicasFunction m_replicas;
+    WriteFunction m_write;
     std::map<Core::HostId, SeenHost> m_hosts;
     std::map<Core::TargetId, SeenHolder> m_holders;
     std::map<Core::TargetId, Hold> m_holds;
     std::map<Core::TargetId, Core::TimePoint> m_claims; // Under way, and when they were sent.
+    Core::Duration m_retryDelay {};
     Core::TimePoint m_startedAt {};
     Core::TimePoint m_heldUntil {};
     bool m_isFilled = false;
--- a/Libraries/LibPeer/MessageKind.h
+++ b/Libraries/LibPeer/MessageKind.h
@@ -29,6 +29,10 @@
     AdapterRequest = 70,
     UseNotice = 71,
     LoadNotice = 72,
+    // LibRelay, 80 to 89.
+    ReaderBeat = 80,
+    RowsNotice = 81,
+    WriteRequest = 82,
 };
 
 }
--- /dev/null
+++ b/Libraries/LibRelay/SharedWriter.cpp
@@ -0,0 +1,79 @@
+#include <LibRelay/SharedWriter.h>
+
+#include <utility>
+
+namespace Relay {
+
+SharedWriter::SharedWriter(Core::Scheduler &scheduler, Peer::PeerRouter &router, Platform::TableService &store,
+                           const ZoneReader &reader, SharedWriterOptions options)
+    : m_scheduler(scheduler)
+    , m_router(router)
+    , m_store(store)
+    , m_reader(reader)
+    , m_options(options)
+{
+    m_router.onCall<WriteRequest, WriteReply>([this](const Core::HostId & /*from*/, const WriteRequest &request,
+                                                     const std::function<void(const WriteReply &)> &reply) {
+        gather({.table = request.table, .key = request.key, .value = request.value}, [reply](bool isWritten) {
+            reply({.isWritten = isWritten});
+        });
+    });
+}
+
+void SharedWriter::write(Platform::RowPut row, WrittenFunction done)
+{
+    const auto reader = m_reader.reader();
+    if (!reader.has_value()) {
+        gather(std::move(row), std::move(done));
+        return;
+    }
+    const WriteRequest request {.table = row.table, .key = row.key, .value = row.value};
+    m_router.call<WriteReply>(*reader, request, m_options.timeout,
+                              [this, row = std::move(row), done = std::move(done)](const auto &reply) {
+                                  if (reply.has_value() && reply->isWritten) {
+                                      done(true);
+                                      return;
+                                  }
+                                  writeAlone(row, done);
+                              });
+}
+
+void SharedWriter::writeAlone(const Platform::RowPut &row, WrittenFunction done)
+{
+    Platform::Transaction transaction;
+    transaction.puts.push_back(row);
+    m_store.transact(std::move(transaction), [done = std::move(done)](const Platform::TransactionResult &result) {
+        done(result.outcome == Platform::TransactionOutcome::Committed);
+    });
+}
+
+void SharedWriter::gather(Platform::RowPut row, WrittenFunction done)
+{
+    m_gathered.push_back({.row = std::move(row), .done = std::move(done)});
+    if (m_gathered.size() >= m_options.mostRows) {
+        flush();
+    } else if (m_gathered.size() == 1) {
+        m_scheduler.runAfter(m_reader.isReading() ? m_options.gatherTime : Core::Duration {}, [this] {
+            flush();
+        });
+    }
+}
+
+void SharedWriter::flush()
+{
+    if (m_gathered.empty()) {
+        return;
+    }
+    const auto gathered = std::exchange(m_gathered, {});
+    Platform::Transaction transaction;
+    for (const auto &[row, done] : gathered) {
+        transaction.puts.push_back(row);
+    }
+    m_store.transact(std::move(transaction), [gathered](const Platform::TransactionResult &result) {
+        for (const auto &[row, done] : gathered) {
+            done(result.outcome == Platform::TransactionOutcome::Committed);
+        }
+    });
+}
+
+}
--- a/Services/currantbayd/GatewayDaemon.cpp
+++ b/Services/currantbayd/GatewayDaemon.cpp
@@ -63,7 +63,6 @@
     , m_settingsFile(std::move(settingsFile))
     , m_client(m_loop)
     , m_store(m_client, {.address = settings.platformAddress})
-    , m_deployment(m_store)
     , m_orders(m_client)
     , m_peers(m_loop, settings.peerAddress,
               [this](std::string_view bytes) {
@@ -71,13 +70,16 @@
               })
     , m_gateway({.scheduler = m_loop,
                  .client = m_client,
-                 .deployment = m_deployment,
                  .table = m_store,
                  .rows = m_store,
                  .orders = m_orders,
                  .protocol = m_protocol,
                  .transport = *this,
-                 .metrics = m_metrics},
+                 .metrics = m_metrics,
+                 .makeSource =
+                     [](Platform::RowFeed &rows) {
+                         return std::make_unique<PlatformAdapter::Deployment>(rows);
+                     }},
                 gatewayOptions(settings))
     , m_callers(m_loop, serverOptions(settings.callerAddress, settings),
                 [this](const auto &exchange) {
--- a/Services/currantbayd/GatewayDaemon.h
+++ b/Services/currantbayd/GatewayDaemon.h
@@ -36,7 +36,6 @@
     Metrics::Registry m_metrics;
     Net::HttpClient m_client;
     PlatformAdapter::StoreClient m_store;
-    PlatformAdapter::Deployment m_deployment;
     PlatformAdapter::ReplicaOrders m_orders;
     PlatformAdapter::RequestProtocol m_protocol;
     Net::PeerSocket m_peers;
