--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -135,6 +135,11 @@
     return m_holders;
 }
 
+void Gateway::setRetries(const RetryAllowanceOptions &options)
+{
+    m_allowance.setOptions(options);
+}
+
 void Gateway::beginLeaving()
 {
     m_isLeaving = true;
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -46,6 +46,8 @@
     void take(const std::shared_ptr<Net::Exchange> &exchange);
     // True when the host knows a configuration and the replicas, and isn't leaving.
     [[nodiscard]] bool isReady() const;
+    // Takes the retry budget of changed settings.
+    void setRetries(const RetryAllowanceOptions &options);
     // Begins a planned stop: the host isn't ready any more; requests that still arrive are served.
     void beginLeaving();
     // Refuses requests that arrive from now on, since there is no time left to serve them.
--- a/Libraries/LibLog/Log.cpp
+++ b/Libraries/LibLog/Log.cpp
@@ -1,5 +1,6 @@
 #include <LibLog/Log.h>
 
+#include <LibLog/LineAppender.h>
 #include <algorithm>
 #include <log4cplus/configurator.h>
 #include <log4cplus/consoleappender.h>
@@ -9,6 +10,7 @@
 #include <log4cplus/loggingmacros.h>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <unistd.h>
 
 namespace Log {
 
@@ -45,7 +47,10 @@
 {
     auto fresh = std::make_unique<Writer>();
     fresh->host = options.host;
-    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+    const bool isOutput = options.destination == Destination::StandardOutput;
+    log4cplus::SharedAppenderPtr appender(
+        isOutput ? static_cast<log4cplus::Appender *>(new LineAppender({.descriptor = STDOUT_FILENO}))
+                 : new log4cplus::ConsoleAppender(true, true));
     // The time and level come from log4cplus; the message is the JSON of the rest.
     appender->setLayout(
         std::make_unique<log4cplus::PatternLayout>("{\"time\":\"%D{%Y-%m-%dT%H:%M:%S.%q}Z\",\"level\":\"%p\",%m}%n"));
--- a/Services/currantbayd/GatewayDaemon.cpp
+++ b/Services/currantbayd/GatewayDaemon.cpp
@@ -21,6 +21,7 @@
 constexpr auto ExitReserve = std::chrono::milliseconds(900);
 // Work for a caller who has left is to stop within half a second.
 constexpr auto GoneCheckPeriod = std::chrono::milliseconds(150);
+constexpr auto SettingsWatchPeriod = std::chrono::seconds(2);
 constexpr unsigned IdleTimeoutSeconds = 60;
 constexpr std::size_t ConnectionMemory = 40 * 1024;
 
@@ -42,6 +43,11 @@
             .goneCheckPeriod = GoneCheckPeriod};
 }
 
+Gateway::RetryAllowanceOptions retryOptions(const Settings::GatewaySettings &settings)
+{
+    return {.ratio = settings.retryRatio, .extra = settings.retryExtra, .window = settings.retryWindow};
+}
+
 Gateway::GatewayOptions gatewayOptions(const Settings::GatewaySettings &settings)
 {
     Holding::HolderTableOptions holding {.self = {.host = {settings.hostId},
@@ -52,7 +58,7 @@
     // A new holder's first order must come later than the gap after the last one that the former sent.
     holding.handoverGap = settings.orderGap + std::chrono::milliseconds(500);
     return {.holding = holding,
-            .retries = {.ratio = settings.retryRatio, .extra = settings.retryExtra, .window = settings.retryWindow},
+            .retries = retryOptions(settings),
             .peerKey = settings.peerKey};
 }
 
@@ -115,6 +121,7 @@
         reload();
     });
     m_gateway.start();
+    watchSettings();
     Log::write(Log::Event::DaemonStarted, {{"zone", m_settings.zone}, {"callers", m_settings.callerAddress}});
     m_loop.run();
     Log::write(Log::Event::DaemonStopped);
@@ -137,14 +144,31 @@
 void GatewayDaemon::reload()
 {
     try {
-        const auto text = Settings::readSettingsFile(m_settingsFile);
-        (void)Settings::parseGatewaySettings(text);
+        const auto settings = Settings::parseGatewaySettings(Settings::readSettingsFile(m_settingsFile));
+        m_gateway.setRetries(retryOptions(settings));
+        m_settings.stopGrace = settings.stopGrace;
         Log::write(Log::Event::SettingsReloaded, {{"file", m_settingsFile}});
     } catch (const std::exception &error) {
         Log::write(Log::Event::SettingsRefused, {{"file", m_settingsFile}, {"reason", error.what()}});
     }
 }
 
+void GatewayDaemon::watchSettings()
+{
+    std::error_code error;
+    const auto changed = std::filesystem::last_write_time(m_settingsFile, error);
+    const bool isFirst = m_settingsTime == std::filesystem::file_time_type {};
+    if (!error && changed != m_settingsTime) {
+        m_settingsTime = changed;
+        if (!isFirst) {
+            reload();
+        }
+    }
+    m_loop.runAfter(SettingsWatchPeriod, [this] {
+        watchSettings();
+    });
+}
+
 void GatewayDaemon::beginShutdown()
 {
     if (m_isStopping) {
--- a/Services/currantbayd/GatewayDaemon.h
+++ b/Services/currantbayd/GatewayDaemon.h
@@ -6,6 +6,7 @@
 #include <LibNet/HttpServer.h>
 #include <LibNet/PeerSocket.h>
 #include <LibSettings/GatewaySettings.h>
+#include <filesystem>
 #include <platform/Deployment.h>
 #include <platform/ReplicaOrders.h>
 #include <platform/RequestProtocol.h>
@@ -29,6 +30,8 @@
     void beginShutdown();
     void awaitExchanges();
     void reload();
+    // Rereads the settings file when it has changed without a signal.
+    void watchSettings();
 
     Settings::GatewaySettings m_settings;
     std::string m_settingsFile;
@@ -46,6 +49,7 @@
     Core::TimePoint m_stopAt {}; // The latest end of a planned stop.
     Core::TimePoint m_listenUntil {}; // The balancer may still send callers until then.
     bool m_isStopping = false;
+    std::filesystem::file_time_type m_settingsTime {}; // Of the file that was read last.
 };
 
 }
--- a/Services/currantbayd/Main.cpp
+++ b/Services/currantbayd/Main.cpp
@@ -22,7 +22,7 @@
     if (isCheckOnly) {
         return reportNoMistakes(settingsFile);
     }
-    Log::start({.host = settings.hostId});
+    Log::start({.host = settings.hostId, .destination = Log::Destination::StandardOutput});
     Daemon::GatewayDaemon(settings, settingsFile).run();
     return 0;
 }
