--- a/Libraries/LibGateway/FleetView.cpp
+++ b/Libraries/LibGateway/FleetView.cpp
@@ -167,7 +167,8 @@
             candidates.push_back(candidate(*replica, request, now));
         }
     }
-    const auto best = m_chooser.choose(request.adapter.empty() ? request.attemptId : adapterName(request), candidates);
+    const auto key = request.adapter.empty() ? request.attemptId : adapterName(request);
+    const auto best = m_chooser.choose(key, request.attemptId, candidates);
     return best.has_value() ? usable[*best] : nullptr;
 }
 
--- a/Libraries/LibPlacement/ReplicaChooser.cpp
+++ b/Libraries/LibPlacement/ReplicaChooser.cpp
@@ -6,12 +6,21 @@
 
 namespace Placement {
 
+namespace {
+
+// With fewer replicas the best of all is taken.
+constexpr std::size_t FewestToSample = 8;
+// A replica that fails about a third of its requests isn't one of the two.
+constexpr auto LargePenalty = std::chrono::milliseconds(500);
+
+}
+
 ReplicaChooser::ReplicaChooser(ReplicaChooserOptions options)
     : m_options(std::move(options))
 {
 }
 
-Core::Duration ReplicaChooser::cost(const Candidate &candidate, std::size_t rank) const
+Core::Duration ReplicaChooser::cost(const Candidate &candidate, std::size_t rank, std::size_t fleetSize) const
 {
     using Milliseconds = std::chrono::duration<double, std::milli>;
     const Milliseconds reading(static_cast<double>(candidate.waitingTokens) / m_options.promptTokensPerMillisecond);
@@ -24,7 +33,10 @@
         cost += m_options.perQueued * static_cast<int>(candidate.active - candidate.slots + 1);
     }
     if (candidate.residency != Residency::Resident) {
-        cost += m_options.load + m_options.furtherHome * static_cast<int>(rank);
+        // One more copy takes a smaller part of a larger fleet's places.
+        const auto size = static_cast<int>(std::max(fleetSize, m_options.furtherHomeFleet));
+        cost += m_options.load
+            + m_options.furtherHome * static_cast<int>(rank) * static_cast<int>(m_options.furtherHomeFleet) / size;
     }
     if (candidate.residency == Residency::Unloadable) {
         cost += m_options.unloadable;
@@ -35,7 +47,31 @@
     return cost;
 }
 
-std::optional<std::size_t> ReplicaChooser::choose(std::string_view key, std::span<const Candidate> candidates) const
+std::vector<bool> ReplicaChooser::considered(std::string_view request, std::span<const Candidate> candidates)
+{
+    std::vector<std::size_t> ready;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        const auto &candidate = candidates[i];
+        if (candidate.residency == Residency::Resident && !candidate.isBlocked && candidate.penalty < LargePenalty) {
+            ready.push_back(i);
+        }
+    }
+    std::vector<bool> isConsidered(candidates.size(), true);
+    if (ready.size() < FewestToSample) {
+        return isConsidered;
+    }
+    for (const auto index : ready) {
+        isConsidered[index] = false;
+    }
+    const auto first = Core::stableHash(request) % ready.size();
+    const auto second = (first + 1 + Core::stableHash(request, 1) % (ready.size() - 1)) % ready.size();
+    isConsidered[ready[first]] = true;
+    isConsidered[ready[second]] = true;
+    return isConsidered;
+}
+
+std::optional<std::size_t> ReplicaChooser::choose(std::string_view key, std::string_view request,
+                                                  std::span<const Candidate> candidates) const
 {
     if (candidates.empty()) {
         return std::nullopt;
@@ -57,10 +93,14 @@
             ranks[order[rank]] = rank;
         }
     }
+    const auto isConsidered = considered(request, candidates);
     std::optional<std::size_t> best;
     Core::Duration lowest {};
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        const auto expected = cost(candidates[i], ranks[i]);
+        if (!isConsidered[i]) {
+            continue;
+        }
+        const auto expected = cost(candidates[i], ranks[i], candidates.size());
         if (!best.has_value() || expected < lowest) {
             best = i;
             lowest = expected;
--- a/Libraries/LibPlacement/ReplicaChooser.h
+++ b/Libraries/LibPlacement/ReplicaChooser.h
@@ -39,6 +39,7 @@
     Core::Duration load
         = std::chrono::milliseconds(60); // What a load delays, most being from the replica's own copies.
     Core::Duration furtherHome = std::chrono::milliseconds(80); // What makes a load at each further home less good.
+    std::size_t furtherHomeFleet = 9; // Replicas up to which that holds; less in a larger fleet.
     Core::Duration perRank = std::chrono::microseconds(50); // Decides between replicas that are otherwise alike.
     Core::Duration perActive = std::chrono::milliseconds(1); // Added to an answer by each request that runs.
     Core::Duration perQueued = std::chrono::milliseconds(200); // And by each that is beyond the replica's places.
@@ -54,11 +55,15 @@
     explicit ReplicaChooser(ReplicaChooserOptions options);
 
     // The index of the best candidate, without a value when there is none. The key is that of the adapter, or one of
-    // the request's own where it needs none.
-    [[nodiscard]] std::optional<std::size_t> choose(std::string_view key, std::span<const Candidate> candidates) const;
+    // the request's own where it needs none; the request is told from others by its id.
+    [[nodiscard]] std::optional<std::size_t> choose(std::string_view key, std::string_view request,
+                                                    std::span<const Candidate> candidates) const;
 
 private:
-    [[nodiscard]] Core::Duration cost(const Candidate &candidate, std::size_t rank) const;
+    [[nodiscard]] Core::Duration cost(const Candidate &candidate, std::size_t rank, std::size_t fleetSize) const;
+    // What is known of the other hosts' requests is a few hundred milliseconds old, so that all hosts would choose the
+    // same replica until they learn of it. Of many that can begin at once, the request therefore looks at two.
+    [[nodiscard]] static std::vector<bool> considered(std::string_view request, std::span<const Candidate> candidates);
 
     ReplicaChooserOptions m_options;
 };
--- a/Libraries/LibPlacement/Tests/PlacementTest.cpp
+++ b/Libraries/LibPlacement/Tests/PlacementTest.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(aRareAdapterKeepsItsHome);
     CPPUNIT_TEST(aRestartOfAReplicaMovesNoHome);
     CPPUNIT_TEST(aPopularAdapterSpreadsToItsSecondHome);
+    CPPUNIT_TEST(hostsThatKnowTheSameDontAllChooseTheSame);
     CPPUNIT_TEST(aFullReplicaIsPassedOver);
     CPPUNIT_TEST(aReplicaThatFailsRequestsIsUsedLess);
     CPPUNIT_TEST(aReplicaWithoutAHolderIsNotAskedForLoads);
@@ -40,8 +41,8 @@
         std::map<std::size_t, int> homes;
         for (int adapter = 0; adapter < 900; ++adapter) {
             const auto key = "m/a" + std::to_string(adapter);
-            const auto home = *m_chooser.choose(key, fleet(9));
-            CPPUNIT_ASSERT_EQUAL(home, *m_chooser.choose(key, fleet(9)));
+            const auto home = *m_chooser.choose(key, "request", fleet(9));
+            CPPUNIT_ASSERT_EQUAL(home, *m_chooser.choose(key, "request", fleet(9)));
             ++homes[home];
         }
         for (const auto &[home, count] : homes) {
@@ -57,7 +58,7 @@
         }
         for (int adapter = 0; adapter < 50; ++adapter) {
             const auto key = "m/a" + std::to_string(adapter);
-            CPPUNIT_ASSERT_EQUAL(*m_chooser.choose(key, fleet(9)), *m_chooser.choose(key, restarted));
+            CPPUNIT_ASSERT_EQUAL(*m_chooser.choose(key, "request", fleet(9)), *m_chooser.choose(key, "request", restarted));
         }
     }
 
@@ -65,16 +66,35 @@
     void aPopularAdapterSpreadsToItsSecondHome()
     {
         auto candidates = fleet(9);
-        const auto home = *m_chooser.choose("m/a1", candidates);
+        const auto home = *m_chooser.choose("m/a1", "request", candidates);
         candidates[home].residency = Placement::Residency::Resident;
         candidates[home].waitingTokens = 2000;
-        CPPUNIT_ASSERT_EQUAL(home, *m_chooser.choose("m/a1", candidates));
+        CPPUNIT_ASSERT_EQUAL(home, *m_chooser.choose("m/a1", "request", candidates));
         candidates[home].waitingTokens = 8000;
-        const auto second = *m_chooser.choose("m/a1", candidates);
+        const auto second = *m_chooser.choose("m/a1", "request", candidates);
         CPPUNIT_ASSERT(second != home);
         auto withoutHome = candidates;
         withoutHome.erase(withoutHome.begin() + static_cast<std::ptrdiff_t>(home));
-        CPPUNIT_ASSERT_EQUAL(candidates[second].home, withoutHome[*m_chooser.choose("m/a1", withoutHome)].home);
+        CPPUNIT_ASSERT_EQUAL(candidates[second].home, withoutHome[*m_chooser.choose("m/a1", "request", withoutHome)].home);
+    }
+
+    // A popular adapter on many replicas, and many hosts that learn of each other's requests late.
+    void hostsThatKnowTheSameDontAllChooseTheSame()
+    {
+        constexpr int Requests = 2000;
+        auto candidates = fleet(20);
+        for (std::size_t i = 0; i < candidates.size(); ++i) {
+            candidates[i].residency = Placement::Residency::Resident;
+            candidates[i].active = static_cast<unsigned>(i % 5);
+        }
+        std::map<std::size_t, int> counts;
+        for (int i = 0; i < Requests; ++i) {
+            ++counts[*m_chooser.choose("m/a1", "request" + std::to_string(i), candidates)];
+        }
+        for (const auto &[index, count] : counts) {
+            CPPUNIT_ASSERT(count < Requests / 8);
+        }
+        CPPUNIT_ASSERT(counts[0] > counts[4]);
     }
 
     void aFullReplicaIsPassedOver()
@@ -82,7 +102,7 @@
         auto candidates = fleet(2);
         candidates[0].residency = candidates[1].residency = Placement::Residency::Resident;
         candidates[0].active = 64;
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), *m_chooser.choose("m/a1", candidates));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), *m_chooser.choose("m/a1", "request", candidates));
     }
 
     void aReplicaThatFailsRequestsIsUsedLess()
@@ -96,15 +116,15 @@
         auto candidates = fleet(2);
         candidates[0].residency = Placement::Residency::Resident;
         candidates[0].penalty = health.penalty({"id0"}, m_now);
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), *m_chooser.choose("m/a1", candidates));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), *m_chooser.choose("m/a1", "request", candidates));
     }
 
     void aReplicaWithoutAHolderIsNotAskedForLoads()
     {
         auto candidates = fleet(3);
-        const auto home = *m_chooser.choose("m/a1", candidates);
+        const auto home = *m_chooser.choose("m/a1", "request", candidates);
         candidates[home].residency = Placement::Residency::Unloadable;
-        CPPUNIT_ASSERT(*m_chooser.choose("m/a1", candidates) != home);
+        CPPUNIT_ASSERT(*m_chooser.choose("m/a1", "request", candidates) != home);
     }
 
     void aCutZoneIsSeenFromTwoReplicas()
