--- a/Libraries/LibFleet/Feed.h
+++ b/Libraries/LibFleet/Feed.h
@@ -13,8 +13,13 @@
     std::string name; // For the log.
     // How long the platform holds a call until there is a change. With the client's time limit it bounds how long a
     // connection that fell silent goes unnoticed.
-    Core::Duration wait = std::chrono::milliseconds(1500);
+    Core::Duration wait = std::chrono::milliseconds(700);
     Core::Duration pace = std::chrono::milliseconds(500); // Between two calls, so that many changes come together.
+    // Whether another host makes the calls and passes the changes on; then there is nothing to save by waiting.
+    std::function<bool()> isRelayed = [] {
+        return false;
+    };
+    Core::Duration relayedPace = std::chrono::milliseconds(30);
     Core::Duration retryDelay = std::chrono::milliseconds(250); // After a failed call; doubles.
     // What changed must be in force two seconds after the store is back; refused calls are charged like others.
     Core::Duration longestRetryDelay = std::chrono::milliseconds(1200);
@@ -88,7 +93,7 @@
             m_isHistoryLost = false;
             m_nextRetryDelay = m_options.retryDelay;
             m_apply(std::move(changes), extent);
-            m_scheduler.runAfter(m_options.pace, [this] {
+            m_scheduler.runAfter(m_options.isRelayed() ? m_options.relayedPace : m_options.pace, [this] {
                 followOn();
             });
             return;
--- a/Libraries/LibFleet/Tests/FleetTest.cpp
+++ b/Libraries/LibFleet/Tests/FleetTest.cpp
@@ -10,6 +10,7 @@
 {
     CPPUNIT_TEST_SUITE(FleetTest);
     CPPUNIT_TEST(changesArriveInTime);
+    CPPUNIT_TEST(relayedChangesAreTakenAtOnce);
     CPPUNIT_TEST(aForgottenHistoryIsReadAgain);
     CPPUNIT_TEST(anOutageEndsByItself);
     CPPUNIT_TEST(anEntryThatGoesIsGone);
@@ -23,8 +24,14 @@
     StandIns::MemoryRows m_rows {m_scheduler};
     std::map<std::string, std::string> m_seen;
     int m_wholeReads = 0;
+    bool m_isRelayed = false;
     RowsFeed m_feed {m_scheduler,
-                     {.name = "test", .pace = 100ms},
+                     {.name = "test",
+                      .pace = 100ms,
+                      .isRelayed =
+                          [this] {
+                              return m_isRelayed;
+                          }},
                      [this](auto done) {
                          m_rows.readTable("t", std::move(done));
                      },
@@ -58,6 +65,19 @@
         CPPUNIT_ASSERT_EQUAL(1, m_wholeReads);
     }
 
+    // Of two hosts the one reads with a pause and the other follows it: a replica that leaves must be known to both.
+    void relayedChangesAreTakenAtOnce()
+    {
+        m_isRelayed = true;
+        m_feed.start();
+        m_scheduler.advance(1s);
+        for (int i = 0; i < 10; ++i) {
+            m_rows.put("t", "k", std::to_string(i));
+            m_scheduler.advance(45ms);
+            CPPUNIT_ASSERT_EQUAL(std::to_string(i), m_seen["k"]);
+        }
+    }
+
     void aForgottenHistoryIsReadAgain()
     {
         m_feed.start();
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -62,7 +62,7 @@
               m_writer.write(std::move(row), std::move(done));
           })
     , m_replicaFeed(
-          m_ports.scheduler, {.name = "replicas", .pace = ReplicaPace},
+          m_ports.scheduler, feedOptions("replicas", ReplicaPace),
           [this](auto done) {
               m_deployment->readReplicas(std::move(done));
           },
@@ -73,7 +73,7 @@
               takeReplicas(changes, extent == decltype(m_replicaFeed)::Extent::Whole);
           })
     , m_configurationFeed(
-          m_ports.scheduler, {.name = "configuration", .pace = ConfigurationPace},
+          m_ports.scheduler, feedOptions("configuration", ConfigurationPace),
           [this](auto done) {
               m_deployment->readConfiguration(std::move(done));
           },
@@ -84,7 +84,7 @@
               takeConfiguration(std::move(changes));
           })
     , m_holderFeed(
-          m_ports.scheduler, {.name = "holders", .pace = HolderPace},
+          m_ports.scheduler, feedOptions("holders", HolderPace),
           [this](auto done) {
               m_rows.readTable(Holding::HolderTable::Table, std::move(done));
           },
@@ -260,6 +260,13 @@
     return holdable;
 }
 
+Fleet::FeedOptions Gateway::feedOptions(std::string name, Core::Duration pace) const
+{
+    return {.name = std::move(name), .pace = pace, .isRelayed = [this] {
+                return m_reader.reader().has_value();
+            }};
+}
+
 std::vector<Relay::ZoneHost> Gateway::zoneHosts() const
 {
     std::vector<Relay::ZoneHost> hosts;
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -68,6 +68,7 @@
                              const std::function<void(const Holding::AdapterReply &)> &reply);
     void takeUse(const Core::HostId &from, const Holding::UseNotice &notice);
     [[nodiscard]] std::vector<Holding::HoldableReplica> holdableReplicas() const;
+    [[nodiscard]] Fleet::FeedOptions feedOptions(std::string name, Core::Duration pace) const;
     // The live hosts of this host's zone.
     [[nodiscard]] std::vector<Relay::ZoneHost> zoneHosts() const;
 
--- a/Libraries/LibHolding/Tests/HolderTableTest.cpp
+++ b/Libraries/LibHolding/Tests/HolderTableTest.cpp
@@ -49,18 +49,19 @@
         : rows(rows)
         , process(rows)
         , scheduler(scheduler)
-        , table(scheduler, process,
-                {.self = {.host = {name}, .zone = {"a"}, .peerAddress = name, .incarnation = incarnation}},
-                [&replicas] {
-                    return replicas;
-                },
-                [this](Platform::RowPut row, std::function<void(bool)> done) {
-                    Platform::Transaction transaction;
-                    transaction.puts.push_back(std::move(row));
-                    process.transact(std::move(transaction), [done](const Platform::TransactionResult &result) {
-                        done(result.outcome == Platform::TransactionOutcome::Committed);
-                    });
-                })
+        , table(
+              scheduler, process,
+              {.self = {.host = {name}, .zone = {"a"}, .peerAddress = name, .incarnation = incarnation}},
+              [&replicas] {
+                  return replicas;
+              },
+              [this](Platform::RowPut row, std::function<void(bool)> done) {
+                  Platform::Transaction transaction;
+                  transaction.puts.push_back(std::move(row));
+                  process.transact(std::move(transaction), [done](const Platform::TransactionResult &result) {
+                      done(result.outcome == Platform::TransactionOutcome::Committed);
+                  });
+              })
     {
         table.start();
         follow();
--- a/Libraries/LibLog/LineAppender.h
+++ b/Libraries/LibLog/LineAppender.h
@@ -7,7 +7,8 @@
 
 struct LineAppenderOptions {
     int descriptor = 1;
-    // Lines of one second beyond which further ones are left out. A host that serves 60 requests a second writes some 150.
+    // Lines of one second beyond which further ones are left out. A host that serves 60 requests a second writes some
+    // 150.
     std::uint64_t linesPerSecond = 600;
 };
 
--- a/Libraries/LibPlacement/ReplicaChooser.cpp
+++ b/Libraries/LibPlacement/ReplicaChooser.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 // With fewer replicas the best of all is taken.
-constexpr std::size_t FewestToSample = 8;
+constexpr std::size_t FewestToSample = 12;
 // A replica that fails about a third of its requests isn't one of the two.
 constexpr auto LargePenalty = std::chrono::milliseconds(500);
 
--- a/Libraries/LibPlacement/ReplicaChooser.h
+++ b/Libraries/LibPlacement/ReplicaChooser.h
@@ -39,7 +39,7 @@
     Core::Duration load
         = std::chrono::milliseconds(60); // What a load delays, most being from the replica's own copies.
     Core::Duration furtherHome = std::chrono::milliseconds(80); // What makes a load at each further home less good.
-    std::size_t furtherHomeFleet = 9; // Replicas up to which that holds; less in a larger fleet.
+    std::size_t furtherHomeFleet = 18; // Replicas up to which that holds; less in a larger fleet.
     Core::Duration perRank = std::chrono::microseconds(50); // Decides between replicas that are otherwise alike.
     Core::Duration perActive = std::chrono::milliseconds(1); // Added to an answer by each request that runs.
     Core::Duration perQueued = std::chrono::milliseconds(200); // And by each that is beyond the replica's places.
--- a/Libraries/LibPlacement/Tests/PlacementTest.cpp
+++ b/Libraries/LibPlacement/Tests/PlacementTest.cpp
@@ -58,7 +58,8 @@
         }
         for (int adapter = 0; adapter < 50; ++adapter) {
             const auto key = "m/a" + std::to_string(adapter);
-            CPPUNIT_ASSERT_EQUAL(*m_chooser.choose(key, "request", fleet(9)), *m_chooser.choose(key, "request", restarted));
+            CPPUNIT_ASSERT_EQUAL(*m_chooser.choose(key, "request", fleet(9)),
+                                 *m_chooser.choose(key, "request", restarted));
         }
     }
 
@@ -75,7 +76,8 @@
         CPPUNIT_ASSERT(second != home);
         auto withoutHome = candidates;
         withoutHome.erase(withoutHome.begin() + static_cast<std::ptrdiff_t>(home));
-        CPPUNIT_ASSERT_EQUAL(candidates[second].home, withoutHome[*m_chooser.choose("m/a1", "request", withoutHome)].home);
+        CPPUNIT_ASSERT_EQUAL(candidates[second].home,
+                             withoutHome[*m_chooser.choose("m/a1", "request", withoutHome)].home);
     }
 
     // A popular adapter on many replicas, and many hosts that learn of each other's requests late.
--- a/Libraries/LibRelay/SharedRowFeed.cpp
+++ b/Libraries/LibRelay/SharedRowFeed.cpp
@@ -60,8 +60,7 @@
 {
     RowsNotice notice {.table = table, .after = after, .version = result.version};
     for (const auto &row : result.rows) {
-        notice.rows.push_back(
-            {.key = row.key, .version = row.version, .value = row.value, .isRemoved = row.isRemoved});
+        notice.rows.push_back({.key = row.key, .version = row.version, .value = row.value, .isRemoved = row.isRemoved});
     }
     for (const auto &host : m_reader.followers()) {
         m_router.send(host, notice);
--- a/Libraries/LibRelay/SharedRowFeed.h
+++ b/Libraries/LibRelay/SharedRowFeed.h
@@ -8,8 +8,8 @@
 
 namespace Relay {
 
-// Rows of the store that one host reads for its zone and passes on. A host whose reader falls silent, or that has missed
-// a part, reads the store itself at once.
+// Rows of the store that one host reads for its zone and passes on. A host whose reader falls silent, or that has
+// missed a part, reads the store itself at once.
 class SharedRowFeed final : public Platform::RowFeed
 {
 public:
--- a/Libraries/LibRelay/ZoneReader.cpp
+++ b/Libraries/LibRelay/ZoneReader.cpp
@@ -38,9 +38,8 @@
 {
     auto hosts = m_hosts();
     std::sort(hosts.begin(), hosts.end(), [](const auto &left, const auto &right) {
-        return left.weight != right.weight
-            ? left.weight > right.weight
-            : Core::stableHash(left.host.value) > Core::stableHash(right.host.value);
+        return left.weight != right.weight ? left.weight > right.weight
+                                           : Core::stableHash(left.host.value) > Core::stableHash(right.host.value);
     });
     std::vector<Core::HostId> ranked;
     for (const auto &host : hosts) {
--- a/Libraries/LibRelay/ZoneReader.h
+++ b/Libraries/LibRelay/ZoneReader.h
@@ -22,9 +22,9 @@
     Core::Duration beatLifetime = std::chrono::milliseconds(1000);
 };
 
-// Agrees, without messages of its own but the beat, on the host that reads the store for its zone: the one with the most
-// weight. The next one reads too when the first falls silent or can't reach the store; when both do, every host reads
-// for itself.
+// Agrees, without messages of its own but the beat, on the host that reads the store for its zone: the one with the
+// most weight. The next one reads too when the first falls silent or can't reach the store; when both do, every host
+// reads for itself.
 class ZoneReader
 {
 public:
--- a/Services/currantbayd/GatewayDaemon.cpp
+++ b/Services/currantbayd/GatewayDaemon.cpp
@@ -57,9 +57,7 @@
                                                   .weight = settings.weight}};
     // A new holder's first order must come later than the gap after the last one that the former sent.
     holding.handoverGap = settings.orderGap + std::chrono::milliseconds(500);
-    return {.holding = holding,
-            .retries = retryOptions(settings),
-            .peerKey = settings.peerKey};
+    return {.holding = holding, .retries = retryOptions(settings), .peerKey = settings.peerKey};
 }
 
 }
