LibHolding, LibGateway: Split the long files, name adapters in one place

The name of an adapter is made by one function instead of three. The check that an outage ends by itself waits two seconds, the bound for changes, since failed calls back off to 1.2 s; its former 500 ms was no stated target.

--- a/Libraries/LibFleet/Tests/FleetTest.cpp
+++ b/Libraries/LibFleet/Tests/FleetTest.cpp
@@ -100,7 +100,8 @@
         CPPUNIT_ASSERT(!m_feed.isFilled());
         CPPUNIT_ASSERT(!m_feed.healthySince().has_value());
         m_rows.isDown = false;
-        m_scheduler.advance(500ms);
+        // A change must be in force two seconds after the store is back.
+        m_scheduler.advance(2s);
         CPPUNIT_ASSERT(m_feed.isFilled());
         CPPUNIT_ASSERT(m_feed.healthySince().has_value());
     }
--- a/Libraries/LibGateway/FleetView.cpp
+++ b/Libraries/LibGateway/FleetView.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/FleetView.h>
 
+#include <LibFleet/AdapterName.h>
 #include <algorithm>
 
 namespace Gateway {
@@ -24,7 +25,7 @@
 
 std::string FleetView::adapterName(const CallerRequest &request)
 {
-    return request.adapter.empty() ? std::string() : request.model + '/' + request.adapter;
+    return request.adapter.empty() ? std::string() : Fleet::adapterName(request.model, request.adapter);
 }
 
 void FleetView::replaceResident(View &view, const std::map<std::string, std::uint64_t> &resident, Core::TimePoint asOf)
@@ -68,7 +69,7 @@
         std::map<std::string, std::uint64_t> listed;
         for (const auto &model : replica.models) {
             for (const auto &adapter : model.adapters) {
-                listed[model.model + '/' + adapter.adapter] = adapter.version;
+                listed[Fleet::adapterName(model.model, adapter.adapter)] = adapter.version;
             }
         }
         replaceResident(view, listed, now);
@@ -90,7 +91,7 @@
 
 void FleetView::release(const Fleet::AdapterRelease &release)
 {
-    auto &newest = m_releases[release.model + '/' + release.adapter];
+    auto &newest = m_releases[Fleet::adapterName(release.model, release.adapter)];
     newest = std::max(newest, release.version);
 }
 
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -1,6 +1,7 @@
 #include <LibGateway/Gateway.h>
 
 #include <LibCore/HttpStatus.h>
+#include <LibFleet/AdapterName.h>
 #include <LibGateway/Framing.h>
 #include <LibLog/Log.h>
 #include <nlohmann/json.hpp>
@@ -229,7 +230,7 @@
         }
     }
     for (const auto &release : changes.releases) {
-        auto &known = m_releases[release.model + '/' + release.adapter];
+        auto &known = m_releases[Fleet::adapterName(release.model, release.adapter)];
         if (release.version <= known.version) {
             continue;
         }
@@ -240,7 +241,8 @@
             controller->tick();
         }
         Log::write(Log::Event::ReleaseSeen,
-                   {{"adapter", release.model + '/' + release.adapter}, {"version", std::to_string(release.version)}});
+                   {{"adapter", Fleet::adapterName(release.model, release.adapter)},
+                    {"version", std::to_string(release.version)}});
     }
 }
 
--- a/Libraries/LibGateway/Passage.cpp
+++ b/Libraries/LibGateway/Passage.cpp
@@ -1,6 +1,7 @@
 #include <LibGateway/Passage.h>
 
 #include <LibCore/HttpStatus.h>
+#include <LibGateway/PassageLimits.h>
 #include <LibLog/Log.h>
 #include <algorithm>
 #include <cmath>
@@ -12,10 +13,6 @@
 
 // A replica that is up answers a connection within milliseconds, also from another zone.
 constexpr auto ConnectTimeout = std::chrono::milliseconds(250);
-// Arrivals of one request at replicas, rejected ones included.
-constexpr unsigned MostSends = 4;
-// Requests to holders for one request's adapter.
-constexpr unsigned MostLoads = 3;
 // A request whose adapter isn't there after one and a half times its objective, and at least this, is refused.
 constexpr auto LeastLoadWait = std::chrono::milliseconds(900);
 // A request that may run again is taken from a silent replica after so many times its objective.
@@ -23,10 +20,7 @@
 // And a resumable stream after this silence between two events.
 constexpr auto StreamSilence = std::chrono::milliseconds(700);
 constexpr auto LeastSilence = std::chrono::milliseconds(250);
-// An attempt with less time than this left isn't begun.
-constexpr auto LeastRemaining = std::chrono::milliseconds(15);
-// When a refused caller should come back: after a replica's queue has moved on, or a load is over.
-constexpr auto RetryAfterCrowd = std::chrono::milliseconds(200);
+// When a refused caller should come back: a load is over, or a replica is listed again.
 constexpr auto RetryAfterNoReplica = std::chrono::milliseconds(500);
 
 std::string secondsText(Core::Duration duration)
@@ -226,129 +220,6 @@
     });
 }
 
-bool Passage::isUsableHead() const
-{
-    const bool isOwn = m_request.attemptId.empty() || m_head.attemptId == m_request.attemptId;
-    return isOwn && m_head.isVouchedFor && !m_head.isEncoded;
-}
-
-void Passage::takeHead(long status, const Net::HttpFields &fields)
-{
-    m_head = m_ports.protocol.readHead(status, fields);
-    m_hasHead = true;
-    m_lastBytesAt = m_ports.scheduler.now();
-}
-
-void Passage::takeBody(std::string_view bytes)
-{
-    m_lastBytesAt = m_ports.scheduler.now();
-    if (m_stage != Stage::Sending) {
-        return;
-    }
-    if (!m_isReading) {
-        m_isReading = true;
-        m_ports.fleet.firstAnswer(m_replica.id, m_request);
-    }
-    const bool isStream = m_head.isEventStream && m_head.status == Core::HttpStatus::Ok && isUsableHead();
-    if (!isStream) {
-        m_body += bytes;
-        return;
-    }
-    std::string events;
-    const auto order = m_events.take(bytes, events);
-    if (!events.empty()) {
-        if (!m_isStreaming) {
-            m_isStreaming = true;
-            m_firstEventAt = m_lastBytesAt;
-            m_exchange->beginStream(
-                {.status = static_cast<unsigned>(m_head.status), .contentType = {}, .headers = m_head.fields});
-        }
-        m_exchange->send(events);
-    }
-    if (order == EventSplitter::Order::Broken) {
-        m_ports.client.cancel(m_transfer);
-        m_transfer = Net::HttpRequestId::None;
-        takeBreak({.error = "an event is missing"});
-    }
-}
-
-void Passage::takeEnd(const Net::HttpResult &result)
-{
-    if (m_stage != Stage::Sending) {
-        return;
-    }
-    if (!result.isComplete()) {
-        takeBreak(result);
-    } else if (m_head.hasNotRun) {
-        takeRejection(result);
-    } else {
-        takeAnswer(result);
-    }
-}
-
-void Passage::noteOutcome(Placement::AttemptOutcome outcome)
-{
-    if (m_ports.fleet.health().note(m_replica.id, m_replica.zone, outcome, m_ports.scheduler.now())) {
-        Log::write(Log::Event::ReplicaAvoided,
-                   {{"request", m_request.attemptId}, {"replica", m_replica.id.value}, {"zone", m_replica.zone.value}});
-    }
-}
-
-void Passage::endAttempt()
-{
-    m_ports.scheduler.cancel(m_silenceTimer);
-    m_silenceTimer = Core::TimerId::None;
-    m_ports.fleet.end(m_replica.id, m_request, m_isReading);
-}
-
-void Passage::takeRejection(const Net::HttpResult &result)
-{
-    endAttempt();
-    Log::write(Log::Event::AttemptFailed,
-               {{"request", m_request.attemptId},
-                {"replica", m_replica.id.value},
-                {"reason", "rejected with status " + std::to_string(result.status)}});
-    const auto name = FleetView::adapterName(m_request);
-    const bool isMisdirected = result.status == Core::HttpStatus::MisdirectedRequest;
-    if (!name.empty() && !m_isRefuted) {
-        m_ports.fleet.setAbsent(m_replica.id, name, m_ports.scheduler.now());
-        m_isRefuted = true;
-    } else if (isMisdirected || m_sends > 1) {
-        m_excluded.insert(m_replica.id);
-        m_isRefuted = false;
-    }
-    if (m_request.adapter.empty()) {
-        m_excluded.insert(m_replica.id);
-    }
-    if (m_sends >= MostSends) {
-        refuse("its replicas are full", RetryAfterCrowd);
-        return;
-    }
-    if (m_isRefuted && m_stage != Stage::Ended && m_loads < MostLoads) {
-        loadAdapter(m_replica);
-        return;
-    }
-    proceed();
-}
-
-void Passage::takeBreak(const Net::HttpResult &result)
-{
-    const bool mayHaveRun = result.mayHaveBeenSent;
-    noteOutcome(mayHaveRun ? Placement::AttemptOutcome::Failed : Placement::AttemptOutcome::Unreachable);
-    endAttempt();
-    Log::write(Log::Event::AttemptFailed,
-               {{"request", m_request.attemptId},
-                {"replica", m_replica.id.value},
-                {"mayHaveRun", mayHaveRun ? "yes" : "no"},
-                {"reason", result.error}});
-    m_excluded.insert(m_replica.id);
-    if (mayHaveRun) {
-        ++m_runs;
-        m_runState = RunState::MayHaveRun;
-    }
-    retryOrFail(result.error);
-}
-
 void Passage::retryOrFail(std::string_view reason)
 {
     const bool hasTime = remaining() >= LeastRemaining;
@@ -364,44 +235,6 @@
     }
 }
 
-void Passage::takeAnswer(const Net::HttpResult &result)
-{
-    ++m_runs;
-    m_runState = RunState::MayHaveRun;
-    const bool isFailure = m_head.status >= Core::HttpStatus::InternalServerError;
-    if (!isUsableHead() || (m_isStreaming && m_head.status != Core::HttpStatus::Ok)) {
-        noteOutcome(Placement::AttemptOutcome::Failed);
-        endAttempt();
-        m_excluded.insert(m_replica.id);
-        Log::write(Log::Event::WrongAnswerDropped,
-                   {{"request", m_request.attemptId},
-                    {"replica", m_replica.id.value},
-                    {"status", std::to_string(result.status)}});
-        retryOrFail("the replica's answer isn't one to this request");
-        return;
-    }
-    noteOutcome(isFailure ? Placement::AttemptOutcome::Failed : Placement::AttemptOutcome::Served);
-    endAttempt();
-    if (isFailure && !m_isStreaming && mayRunAgain() && remaining() > LeastRemaining && m_sends < MostSends) {
-        m_excluded.insert(m_replica.id);
-        proceed();
-        return;
-    }
-    passAnswer(std::move(m_body));
-}
-
-void Passage::passAnswer(std::string body)
-{
-    const auto status = static_cast<unsigned>(m_head.status);
-    if (m_isStreaming) {
-        m_exchange->send(m_events.partial());
-        m_exchange->endStream();
-    } else {
-        m_exchange->respond({.status = status, .contentType = {}, .headers = m_head.fields}, std::move(body));
-    }
-    end(status, "answered");
-}
-
 void Passage::abandonAttempt()
 {
     if (m_transfer != Net::HttpRequestId::None) {
--- a/Utilities/currantbay/LogFile.cpp
+++ b/Utilities/currantbay/LogFile.cpp
@@ -20,7 +20,8 @@
             ++m_skippedLines;
             continue;
         }
-        LoggedEvent event {.name = json["name"].get<std::string>(), .fields = std::move(json)};
+        LoggedEvent event {.name = json["name"].get<std::string>()};
+        event.fields = std::move(json);
         event.time = event.field("time");
         event.host = event.field("host");
         m_events.push_back(std::move(event));
