LibGateway, LibFleet, LibNet, platform: Make one piece of code serve what stood several times

Found on reading the whole change again; behaviour is meant to stay as it is. - Reading "host:port" stood in six places, comparing header names in three, lower case in two, the text of a failed HTTP result in two: Core::parseSocketAddress, Net::listenAt, Net::HttpFields, Core::toLower, HttpResult::describeFailure.

--- /dev/null
+++ b/Libraries/LibCore/SocketAddress.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace Core {
+
+// An IPv4 address and a port from 1 to 65535.
+struct SocketAddress {
+    std::string host;
+    std::uint16_t port = 0;
+};
+
+// Reads "host:port". Without a value the text isn't one.
+[[nodiscard]] std::optional<SocketAddress> parseSocketAddress(const std::string &text);
+
+}
--- a/Libraries/LibFleet/Feed.h
+++ b/Libraries/LibFleet/Feed.h
@@ -48,7 +48,6 @@
 
     void start()
     {
-        m_lastSuccess = m_scheduler.now();
         readAll();
     }
 
@@ -62,11 +61,6 @@
     {
         return m_healthySince;
     }
-    // How long ago the last call succeeded.
-    [[nodiscard]] Core::Duration age() const
-    {
-        return m_scheduler.now() - m_lastSuccess;
-    }
 
 private:
     void readAll()
@@ -118,9 +112,8 @@
 
     void succeed()
     {
-        m_lastSuccess = m_scheduler.now();
         if (!m_healthySince.has_value()) {
-            m_healthySince = m_lastSuccess;
+            m_healthySince = m_scheduler.now();
             Log::write(Log::Event::FeedRegained, {{"feed", m_options.name}});
         }
     }
@@ -145,7 +138,6 @@
     bool m_isFilled = false;
     bool m_isHistoryLost = false;
     bool m_hasFailed = false;
-    Core::TimePoint m_lastSuccess {};
     std::optional<Core::TimePoint> m_healthySince;
 };
 
--- a/Libraries/LibFleet/ReplicaSet.cpp
+++ b/Libraries/LibFleet/ReplicaSet.cpp
@@ -1,7 +1,5 @@
 #include <LibFleet/ReplicaSet.h>
 
-#include <set>
-
 namespace Fleet {
 
 namespace {
@@ -45,7 +43,7 @@
     }
     const bool isAroundOutage = !healthySince.has_value() || now - *healthySince < EntryReturnTime;
     if (isAroundOutage && !found->second.isDraining) {
-        m_missing.emplace(id, now);
+        m_missing.insert(id);
         return;
     }
     m_missing.erase(id);
@@ -57,7 +55,7 @@
     if (!healthySince.has_value() || now - *healthySince < EntryReturnTime) {
         return;
     }
-    for (const auto &[id, since] : m_missing) {
+    for (const auto &id : m_missing) {
         m_replicas.erase(id);
     }
     m_missing.clear();
--- a/Libraries/LibFleet/ReplicaSet.h
+++ b/Libraries/LibFleet/ReplicaSet.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <LibFleet/DeploymentSource.h>
-#include <functional>
 #include <map>
+#include <set>
 
 namespace Fleet {
 
@@ -11,8 +11,6 @@
 class ReplicaSet
 {
 public:
-    using ChangedFunction = std::function<void()>;
-
     // Takes changes of the list. healthySince is when the list became readable, without a value if it isn't.
     void apply(const ReplicaChanges &changes, bool isWhole, Core::TimePoint now,
                std::optional<Core::TimePoint> healthySince);
@@ -29,7 +27,7 @@
     void remove(const Core::TargetId &id, Core::TimePoint now, std::optional<Core::TimePoint> healthySince);
 
     std::map<Core::TargetId, Replica> m_replicas;
-    std::map<Core::TargetId, Core::TimePoint> m_missing; // Entries that lapsed around an outage, and since when.
+    std::set<Core::TargetId> m_missing; // Entries that lapsed around an outage.
 };
 
 }
--- a/Libraries/LibGateway/FleetView.cpp
+++ b/Libraries/LibGateway/FleetView.cpp
@@ -16,8 +16,10 @@
 
 }
 
-FleetView::FleetView(const Fleet::ReplicaSet &replicas, Placement::ReplicaChooserOptions chooser, IsHeldFunction isHeld)
+FleetView::FleetView(const Fleet::ReplicaSet &replicas, const Fleet::ReleaseTable &releases,
+                     Placement::ReplicaChooserOptions chooser, IsHeldFunction isHeld)
     : m_replicas(replicas)
+    , m_releases(releases)
     , m_chooser(std::move(chooser))
     , m_isHeld(std::move(isHeld))
 {
@@ -89,18 +91,6 @@
     replaceResident(view, resident, now);
 }
 
-void FleetView::release(const Fleet::AdapterRelease &release)
-{
-    auto &newest = m_releases[Fleet::adapterName(release.model, release.adapter)];
-    newest = std::max(newest, release.version);
-}
-
-std::uint64_t FleetView::newestVersion(const std::string &name) const
-{
-    const auto found = m_releases.find(name);
-    return found == m_releases.end() ? 0 : found->second;
-}
-
 void FleetView::setResident(const Core::TargetId &replica, const std::string &name, std::uint64_t version,
                             Core::TimePoint now)
 {
@@ -121,37 +111,35 @@
     m_views[replica].unloadableUntil = now + UnloadableTime;
 }
 
+std::optional<std::uint64_t> FleetView::residentVersion(const View &view, const std::string &name, std::uint64_t newest)
+{
+    const auto found = view.resident.find(name);
+    return found == view.resident.end() || found->second < newest ? std::nullopt : std::optional(found->second);
+}
+
 std::optional<std::uint64_t> FleetView::residentVersion(const Core::TargetId &replica, const std::string &name) const
 {
     const auto view = m_views.find(replica);
-    if (view == m_views.end()) {
-        return std::nullopt;
-    }
-    const auto found = view->second.resident.find(name);
-    if (found == view->second.resident.end() || found->second < newestVersion(name)) {
-        return std::nullopt;
-    }
-    return found->second;
+    return view == m_views.end() ? std::nullopt : residentVersion(view->second, name, m_releases.newest(name));
 }
 
-Placement::Candidate FleetView::candidate(const Fleet::Replica &replica, const CallerRequest &request,
-                                          Core::TimePoint now) const
+Placement::Candidate FleetView::candidate(const Fleet::Replica &replica, const std::string &adapter,
+                                          std::uint64_t newest, Core::TimePoint now) const
 {
+    static const View unseen;
+    const auto found = m_views.find(replica.id);
+    const auto &view = found == m_views.end() ? unseen : found->second;
     Placement::Candidate candidate {.replica = replica.id,
                                     .home = replica.address,
                                     .zone = replica.zone,
                                     .slots = replica.slots,
+                                    .active = view.active + view.noticedActive,
+                                    .waitingTokens = view.waitingTokens + view.noticedTokens,
                                     .penalty = m_health.penalty(replica.id, now),
                                     .isBlocked = m_health.isBlocked(replica.id, replica.zone, now)};
-    if (!request.adapter.empty() && !residentVersion(replica.id, adapterName(request)).has_value()) {
-        const auto view = m_views.find(replica.id);
-        const bool isRefusing = view != m_views.end() && now < view->second.unloadableUntil;
-        candidate.residency
-            = isRefusing || !m_isHeld(replica.id) ? Placement::Residency::Unloadable : Placement::Residency::Absent;
-    }
-    if (const auto view = m_views.find(replica.id); view != m_views.end()) {
-        candidate.active = view->second.active + view->second.noticedActive;
-        candidate.waitingTokens = view->second.waitingTokens + view->second.noticedTokens;
+    if (!adapter.empty() && !residentVersion(view, adapter, newest).has_value()) {
+        candidate.residency = now < view.unloadableUntil || !m_isHeld(replica.id) ? Placement::Residency::Unloadable
+                                                                                  : Placement::Residency::Absent;
     }
     return candidate;
 }
@@ -159,17 +147,18 @@
 const Fleet::Replica *FleetView::choose(const CallerRequest &request, const std::string &service,
                                         const std::set<Core::TargetId> &excluded, Core::TimePoint now) const
 {
+    const auto adapter = adapterName(request);
+    const auto newest = m_releases.newest(adapter);
     std::vector<const Fleet::Replica *> usable;
     std::vector<Placement::Candidate> candidates;
     for (const auto *replica : m_replicas.available(service)) {
         const bool hasModel = request.model.empty() || replica->find(request.model) != nullptr;
         if (hasModel && !excluded.contains(replica->id)) {
             usable.push_back(replica);
-            candidates.push_back(candidate(*replica, request, now));
+            candidates.push_back(candidate(*replica, adapter, newest, now));
         }
     }
-    const auto key = request.adapter.empty() ? request.attemptId : adapterName(request);
-    const auto best = m_chooser.choose(key, request.attemptId, candidates);
+    const auto best = m_chooser.choose(adapter.empty() ? request.attemptId : adapter, request.attemptId, candidates);
     return best.has_value() ? usable[*best] : nullptr;
 }
 
--- a/Libraries/LibGateway/FleetView.h
+++ b/Libraries/LibGateway/FleetView.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibFleet/ReleaseTable.h>
 #include <LibFleet/ReplicaSet.h>
 #include <LibGateway/CallerRequest.h>
 #include <LibHolding/HoldingMessages.h>
@@ -18,14 +19,13 @@
     // Tells whether a live host gives orders to the replica.
     using IsHeldFunction = std::function<bool(const Core::TargetId &)>;
 
-    FleetView(const Fleet::ReplicaSet &replicas, Placement::ReplicaChooserOptions chooser, IsHeldFunction isHeld);
+    FleetView(const Fleet::ReplicaSet &replicas, const Fleet::ReleaseTable &releases,
+              Placement::ReplicaChooserOptions chooser, IsHeldFunction isHeld);
 
     // Takes the entries of the list after a change.
     void refresh(Core::TimePoint now);
     // Takes what a holder says of a replica.
     void note(const Holding::ReplicaLoad &load, Core::TimePoint now);
-    // Takes a newer version of an adapter; older ones aren't used any more.
-    void release(const Fleet::AdapterRelease &release);
     // The adapter is in the replica's memory, as its holder or an answer has shown, or isn't.
     void setResident(const Core::TargetId &replica, const std::string &name, std::uint64_t version,
                      Core::TimePoint now);
@@ -39,8 +39,6 @@
     // The version of the adapter that the replica has in memory and that may be used; without a value there is none.
     [[nodiscard]] std::optional<std::uint64_t> residentVersion(const Core::TargetId &replica,
                                                                const std::string &name) const;
-    // The newest released version of an adapter, zero if none was.
-    [[nodiscard]] std::uint64_t newestVersion(const std::string &name) const;
 
     // A request was sent to the replica; its prompt waits to be read.
     void begin(const Core::TargetId &replica, const CallerRequest &request);
@@ -74,15 +72,18 @@
     };
 
     static void replaceResident(View &view, const std::map<std::string, std::uint64_t> &resident, Core::TimePoint asOf);
-    [[nodiscard]] Placement::Candidate candidate(const Fleet::Replica &replica, const CallerRequest &request,
-                                                 Core::TimePoint now) const;
+    // The adapter's name is empty for requests that need none.
+    [[nodiscard]] Placement::Candidate candidate(const Fleet::Replica &replica, const std::string &adapter,
+                                                 std::uint64_t newest, Core::TimePoint now) const;
+    [[nodiscard]] static std::optional<std::uint64_t> residentVersion(const View &view, const std::string &name,
+                                                                      std::uint64_t newest);
 
     const Fleet::ReplicaSet &m_replicas;
+    const Fleet::ReleaseTable &m_releases; // Copies of older versions aren't used.
     Placement::ReplicaChooser m_chooser;
     IsHeldFunction m_isHeld;
     Placement::ReplicaHealth m_health;
     std::map<Core::TargetId, View> m_views;
-    std::map<std::string, std::uint64_t> m_releases;
 };
 
 }
--- a/Libraries/LibGateway/Framing.cpp
+++ b/Libraries/LibGateway/Framing.cpp
@@ -1,7 +1,6 @@
 #include <LibGateway/Framing.h>
 
 #include <algorithm>
-#include <strings.h>
 
 namespace Gateway {
 
@@ -10,18 +9,13 @@
 constexpr std::string_view TokenCharacters
     = "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz";
 
-bool isNamed(const std::pair<std::string, std::string> &field, const char *name)
-{
-    return strcasecmp(field.first.c_str(), name) == 0;
-}
-
 }
 
 std::optional<std::string_view> framingFault(const Net::HttpFields &fields)
 {
     const auto count = [&fields](const char *name) {
         return std::count_if(fields.begin(), fields.end(), [name](const auto &field) {
-            return isNamed(field, name);
+            return Net::isSameName(field.first, name);
         });
     };
     if (count("Host") != 1) {
@@ -37,12 +31,12 @@
         if (field.first.empty() || field.first.find_first_not_of(TokenCharacters) != std::string::npos) {
             return "a header's name isn't one";
         }
-        if (isNamed(field, "Transfer-Encoding") && strcasecmp(field.second.c_str(), "chunked") != 0) {
+        if (Net::isSameName(field.first, "Transfer-Encoding") && !Net::isSameName(field.second, "chunked")) {
             return "its Transfer-Encoding isn't known";
         }
         const bool isNumber
             = !field.second.empty() && field.second.find_first_not_of("0123456789") == std::string::npos;
-        if (isNamed(field, "Content-Length") && !isNumber) {
+        if (Net::isSameName(field.first, "Content-Length") && !isNumber) {
             return "its Content-Length isn't a number";
         }
     }
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -3,8 +3,8 @@
 #include <LibCore/HttpStatus.h>
 #include <LibFleet/AdapterName.h>
 #include <LibGateway/Framing.h>
+#include <LibGateway/Refusal.h>
 #include <LibLog/Log.h>
-#include <nlohmann/json.hpp>
 
 namespace Gateway {
 
@@ -18,17 +18,6 @@
 constexpr auto UserLifetime = std::chrono::seconds(2);
 constexpr auto RetryAfterStart = std::chrono::milliseconds(100);
 
-void refuse(Net::Exchange &exchange, unsigned status, std::string_view reason, bool isTemporary)
-{
-    const nlohmann::json body {{"error", {{"message", "the request did not run: " + std::string(reason)}}}};
-    Net::ResponseHead head {.status = status};
-    if (isTemporary) {
-        const auto seconds = std::chrono::duration<double>(RetryAfterStart).count();
-        head.headers.emplace_back("Retry-After", std::to_string(seconds));
-    }
-    exchange.respond(std::move(head), body.dump());
-}
-
 }
 
 Gateway::Gateway(GatewayPorts ports, GatewayOptions options)
@@ -38,7 +27,7 @@
                {.self = m_options.holding.self.host,
                 .incarnation = m_options.holding.self.incarnation,
                 .key = m_options.peerKey})
-    , m_fleet(m_replicas, {.ownZone = m_options.holding.self.zone},
+    , m_fleet(m_replicas, m_releases, {.ownZone = m_options.holding.self.zone},
               [this](const Core::TargetId &replica) {
                   return m_holders.holderOf(replica).has_value();
               })
@@ -159,27 +148,28 @@
 void Gateway::take(const std::shared_ptr<Net::Exchange> &exchange)
 {
     if (const auto fault = framingFault(exchange->request().fields); fault.has_value()) {
-        refuse(*exchange, Core::HttpStatus::BadRequest, *fault, false);
+        refuse(*exchange, Core::HttpStatus::BadRequest, *fault, std::nullopt);
         return;
     }
     if (m_routes.current() == nullptr || !m_replicaFeed.isFilled()) {
-        refuse(*exchange, Core::HttpStatus::ServiceUnavailable, "this host is starting", true);
+        refuse(*exchange, Core::HttpStatus::ServiceUnavailable, "this host is starting", RetryAfterStart);
         return;
     }
     if (m_isRefusing) {
-        refuse(*exchange, Core::HttpStatus::ServiceUnavailable, "this host is stopping", true);
+        refuse(*exchange, Core::HttpStatus::ServiceUnavailable, "this host is stopping", RetryAfterStart);
         return;
     }
     auto request = m_ports.protocol.readRequest(exchange->request());
     auto route = m_routes.find(request.host, request.target);
     if (route.route == nullptr) {
-        refuse(*exchange, Core::HttpStatus::NotFound, "no route matches its host and path", false);
+        refuse(*exchange, Core::HttpStatus::NotFound, "no route matches its host and path", std::nullopt);
         return;
     }
     std::make_shared<Passage>(PassagePorts {.scheduler = m_ports.scheduler,
                                             .client = m_ports.client,
                                             .protocol = m_ports.protocol,
                                             .fleet = m_fleet,
+                                            .releases = m_releases,
                                             .allowance = m_allowance,
                                             .metrics = m_ports.metrics,
                                             .loadAdapter =
@@ -230,14 +220,10 @@
         }
     }
     for (const auto &release : changes.releases) {
-        auto &known = m_releases[Fleet::adapterName(release.model, release.adapter)];
-        if (release.version <= known.version) {
+        if (!m_releases.apply(release)) {
             continue;
         }
-        known = release;
-        m_fleet.release(release);
         for (const auto &[id, controller] : m_controllers) {
-            controller->release(release);
             controller->tick();
         }
         Log::write(Log::Event::ReleaseSeen,
@@ -246,16 +232,18 @@
     }
 }
 
+const Routes::EngineSettings *Gateway::engineOf(const Fleet::Replica &replica) const
+{
+    const auto &configuration = m_routes.current();
+    const auto *service = configuration == nullptr ? nullptr : configuration->findService(replica.service);
+    return service == nullptr || !service->engine.has_value() ? nullptr : &*service->engine;
+}
+
 std::vector<Holding::HoldableReplica> Gateway::holdableReplicas() const
 {
     std::vector<Holding::HoldableReplica> holdable;
-    const auto &configuration = m_routes.current();
-    if (configuration == nullptr) {
-        return holdable;
-    }
     for (const auto &[id, replica] : m_replicas.all()) {
-        const auto *service = configuration->findService(replica.service);
-        if (service != nullptr && service->engine.has_value()) {
+        if (engineOf(replica) != nullptr) {
             holdable.push_back({.replica = id, .zone = replica.zone});
         }
     }
@@ -280,37 +268,36 @@
     return hosts;
 }
 
-void Gateway::updateControllers()
+void Gateway::matchControllersToHolds()
 {
-    const auto &configuration = m_routes.current();
-    if (configuration == nullptr) {
-        return;
-    }
     const auto held = m_holders.held();
     std::erase_if(m_controllers, [&held](const auto &entry) {
         return std::find(held.begin(), held.end(), entry.first) == held.end();
     });
     for (const auto &id : held) {
         const auto *replica = m_replicas.find(id);
-        const auto *service = replica == nullptr ? nullptr : configuration->findService(replica->service);
-        if (service == nullptr || !service->engine.has_value()) {
+        const auto *engine = replica == nullptr ? nullptr : engineOf(*replica);
+        if (engine == nullptr) {
             m_controllers.erase(id);
-            continue;
-        }
-        if (const auto found = m_controllers.find(id); found != m_controllers.end()) {
-            found->second->update(*replica, *service->engine);
-            continue;
+        } else if (!m_controllers.contains(id)) {
+            m_controllers.emplace(id,
+                                  std::make_unique<Holding::ReplicaController>(
+                                      m_ports.scheduler, m_ports.orders,
+                                      Holding::ReplicaControllerOptions {.self = m_options.holding.self.host},
+                                      [this](const Core::TargetId &target) {
+                                          return m_holders.orderFence(target);
+                                      },
+                                      m_releases, *replica, *engine));
         }
-        auto controller = std::make_unique<Holding::ReplicaController>(
-            m_ports.scheduler, m_ports.orders, Holding::ReplicaControllerOptions {.self = m_options.holding.self.host},
-            [this](const Core::TargetId &target) {
-                return m_holders.orderFence(target);
-            },
-            *replica, *service->engine);
-        for (const auto &[name, release] : m_releases) {
-            controller->release(release);
-        }
-        m_controllers.emplace(id, std::move(controller));
+    }
+}
+
+void Gateway::updateControllers()
+{
+    matchControllersToHolds();
+    for (const auto &[id, controller] : m_controllers) {
+        const auto *replica = m_replicas.find(id);
+        controller->update(*replica, *engineOf(*replica));
     }
 }
 
@@ -318,7 +305,7 @@
 {
     const auto now = m_ports.scheduler.now();
     m_replicas.settle(now, m_replicaFeed.healthySince());
-    updateControllers();
+    matchControllersToHolds();
     for (const auto &[id, controller] : m_controllers) {
         controller->tick();
     }
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -61,7 +61,12 @@
     void takeReplicas(const Fleet::ReplicaChanges &changes, bool isWhole);
     void takeConfiguration(Fleet::ConfigurationChanges &&changes);
     void tick();
+    // Has a controller for each replica that this host holds, and for no other.
+    void matchControllersToHolds();
+    // Gives the controllers the newest entries and settings.
     void updateControllers();
+    // The settings of a model replica's service; null for a plain service, or before the first configuration.
+    [[nodiscard]] const Routes::EngineSettings *engineOf(const Fleet::Replica &replica) const;
     void sendNotices();
     void loadAdapter(const Holding::AdapterRequest &request, std::function<void(const Holding::AdapterReply &)> done);
     void serveAdapterRequest(const Holding::AdapterRequest &request,
@@ -77,6 +82,7 @@
     Peer::PeerRouter m_router;
     Routes::RouteTable m_routes;
     Fleet::ReplicaSet m_replicas;
+    Fleet::ReleaseTable m_releases;
     FleetView m_fleet;
     RetryAllowance m_allowance;
     Relay::ZoneReader m_reader;
@@ -88,7 +94,6 @@
     Fleet::Feed<Fleet::ConfigurationChanges> m_configurationFeed;
     Fleet::Feed<Platform::FeedResult> m_holderFeed;
     std::map<Core::TargetId, std::unique_ptr<Holding::ReplicaController>> m_controllers;
-    std::map<std::string, Fleet::AdapterRelease> m_releases; // By "model/adapter".
     std::map<Core::HostId, Core::TimePoint> m_users; // Hosts that use replicas held here, and when they last said so.
     Core::TimePoint m_nextNotice {};
     bool m_isLeaving = false;
--- a/Libraries/LibGateway/Passage.cpp
+++ b/Libraries/LibGateway/Passage.cpp
@@ -2,9 +2,9 @@
 
 #include <LibCore/HttpStatus.h>
 #include <LibGateway/PassageLimits.h>
+#include <LibGateway/Refusal.h>
 #include <LibLog/Log.h>
 #include <algorithm>
-#include <cmath>
 #include <nlohmann/json.hpp>
 
 namespace Gateway {
@@ -23,11 +23,6 @@
 // When a refused caller should come back: a load is over, or a replica is listed again.
 constexpr auto RetryAfterNoReplica = std::chrono::milliseconds(500);
 
-std::string secondsText(Core::Duration duration)
-{
-    return std::to_string(std::chrono::duration<double>(duration).count());
-}
-
 }
 
 Passage::Passage(PassagePorts ports, std::shared_ptr<Net::Exchange> exchange, CallerRequest request,
@@ -39,11 +34,6 @@
 {
 }
 
-bool Passage::isOpen() const
-{
-    return m_stage != Stage::Ended;
-}
-
 void Passage::start()
 {
     m_startedAt = m_ports.scheduler.now();
@@ -125,7 +115,7 @@
     m_ports.loadAdapter({.replica = replica.id,
                          .model = m_request.model,
                          .adapter = m_request.adapter,
-                         .version = m_ports.fleet.newestVersion(FleetView::adapterName(m_request)),
+                         .version = m_ports.releases.newest(FleetView::adapterName(m_request)),
                          .isRefuted = m_isRefuted,
                          .priority = m_route.route->priority},
                         [self = shared_from_this(), load = m_loads](const Holding::AdapterReply &reply) {
@@ -212,7 +202,6 @@
         self->m_ports.client.cancel(self->m_transfer);
         self->m_transfer = Net::HttpRequestId::None;
         ++self->m_runs;
-        self->m_runState = RunState::MayHaveRun;
         self->noteOutcome(Placement::AttemptOutcome::Unreachable);
         self->endAttempt();
         self->m_excluded.insert(self->m_replica.id);
@@ -223,12 +212,12 @@
 void Passage::retryOrFail(std::string_view reason)
 {
     const bool hasTime = remaining() >= LeastRemaining;
-    const bool isRunnable = m_runState == RunState::NotRun || mayRunAgain();
+    const bool isRunnable = m_runs == 0 || mayRunAgain();
     if (hasTime && isRunnable && m_sends < MostSends && m_stage == Stage::Sending) {
         proceed();
         return;
     }
-    if (m_runState == RunState::NotRun) {
+    if (m_runs == 0) {
         refuse(reason, RetryAfterCrowd);
     } else {
         fail(hasTime ? Core::HttpStatus::BadGateway : Core::HttpStatus::GatewayTimeout, reason);
@@ -246,14 +235,11 @@
 
 void Passage::refuse(std::string_view reason, Core::Duration retryAfter)
 {
-    if (m_runState != RunState::NotRun) {
+    if (m_runs > 0) {
         fail(Core::HttpStatus::BadGateway, reason);
         return;
     }
-    const nlohmann::json body {{"error", {{"message", "the request did not run: " + std::string(reason)}}}};
-    m_exchange->respond(
-        {.status = Core::HttpStatus::ServiceUnavailable, .headers = {{"Retry-After", secondsText(retryAfter)}}},
-        body.dump());
+    Gateway::refuse(*m_exchange, Core::HttpStatus::ServiceUnavailable, reason, retryAfter);
     end(Core::HttpStatus::ServiceUnavailable, reason);
 }
 
@@ -277,13 +263,13 @@
         return;
     }
     if (m_stage == Stage::Sending) {
-        m_runState = RunState::MayHaveRun;
+        ++m_runs;
         if (!m_hasHead) {
             noteOutcome(Placement::AttemptOutcome::Failed);
         }
     }
     abandonAttempt();
-    if (m_runState == RunState::NotRun) {
+    if (m_runs == 0) {
         refuse("its time is over", RetryAfterCrowd);
     } else {
         fail(Core::HttpStatus::GatewayTimeout, "its time is over");
--- a/Libraries/LibGateway/Passage.h
+++ b/Libraries/LibGateway/Passage.h
@@ -22,6 +22,7 @@
     Net::HttpClient &client;
     const Protocol &protocol;
     FleetView &fleet;
+    const Fleet::ReleaseTable &releases;
     RetryAllowance &allowance;
     Metrics::Registry &metrics;
     AdapterLoader loadAdapter;
@@ -38,13 +39,9 @@
             Routes::MatchedRoute route);
 
     void start();
-    // True until the caller has its answer or has gone.
-    [[nodiscard]] bool isOpen() const;
 
 private:
     enum class Stage { Choosing, Loading, Sending, Ended };
-    // Whether the request may have run somewhere.
-    enum class RunState { NotRun, MayHaveRun };
 
     void proceed();
     void loadAdapter(const Fleet::Replica &replica);
@@ -77,7 +74,6 @@
     Routes::MatchedRoute m_route;
     std::string m_service;
     Stage m_stage = Stage::Choosing;
-    RunState m_runState = RunState::NotRun;
     Core::TimePoint m_startedAt {};
     Core::TimePoint m_deadline {};
     Core::TimerId m_deadlineTimer = Core::TimerId::None;
--- a/Libraries/LibGateway/PassageAnswers.cpp
+++ b/Libraries/LibGateway/PassageAnswers.cpp
@@ -105,7 +105,7 @@
         refuse("its replicas are full", RetryAfterCrowd);
         return;
     }
-    if (m_isRefuted && m_stage != Stage::Ended && m_loads < MostLoads) {
+    if (m_isRefuted && m_loads < MostLoads) {
         loadAdapter(m_replica);
         return;
     }
@@ -125,7 +125,6 @@
     m_excluded.insert(m_replica.id);
     if (mayHaveRun) {
         ++m_runs;
-        m_runState = RunState::MayHaveRun;
     }
     retryOrFail(result.error);
 }
@@ -133,7 +132,6 @@
 void Passage::takeAnswer(const Net::HttpResult &result)
 {
     ++m_runs;
-    m_runState = RunState::MayHaveRun;
     const bool isFailure = m_head.status >= Core::HttpStatus::InternalServerError;
     if (!isUsableHead() || (m_isStreaming && m_head.status != Core::HttpStatus::Ok)) {
         noteOutcome(Placement::AttemptOutcome::Failed);
--- /dev/null
+++ b/Libraries/LibGateway/Refusal.cpp
@@ -0,0 +1,17 @@
+#include <LibGateway/Refusal.h>
+
+#include <nlohmann/json.hpp>
+
+namespace Gateway {
+
+void refuse(Net::Exchange &exchange, unsigned status, std::string_view reason, std::optional<Core::Duration> retryAfter)
+{
+    const nlohmann::json body {{"error", {{"message", "the request did not run: " + std::string(reason)}}}};
+    Net::ResponseHead head {.status = status};
+    if (retryAfter.has_value()) {
+        head.headers.emplace_back("Retry-After", std::to_string(std::chrono::duration<double>(*retryAfter).count()));
+    }
+    exchange.respond(std::move(head), body.dump());
+}
+
+}
--- a/Libraries/LibGateway/Tests/GatewayPartsTest.cpp
+++ b/Libraries/LibGateway/Tests/GatewayPartsTest.cpp
@@ -127,13 +127,14 @@
     {
         const Core::TimePoint now {1h};
         Fleet::ReplicaSet replicas;
-        Gateway::FleetView view(replicas, {.ownZone = {"a"}}, [](const auto &) {
+        Fleet::ReleaseTable releases;
+        Gateway::FleetView view(replicas, releases, {.ownZone = {"a"}}, [](const auto &) {
             return true;
         });
         replicas.apply(listed(1), true, now, now - 1min);
         view.refresh(now);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), *view.residentVersion({"r"}, "m/a1"));
-        view.release({.model = "m", .adapter = "a1", .version = 2});
+        releases.apply({.model = "m", .adapter = "a1", .version = 2});
         CPPUNIT_ASSERT(!view.residentVersion({"r"}, "m/a1").has_value());
         CPPUNIT_ASSERT(view.choose(request(), "s", {}, now) != nullptr);
     }
@@ -144,7 +145,8 @@
     {
         const Core::TimePoint now {1h};
         Fleet::ReplicaSet replicas;
-        Gateway::FleetView view(replicas, {.ownZone = {"a"}}, [](const auto &) {
+        Fleet::ReleaseTable releases;
+        Gateway::FleetView view(replicas, releases, {.ownZone = {"a"}}, [](const auto &) {
             return true;
         });
         replicas.apply(listed(0), true, now, now - 1min);
--- a/Libraries/LibHolding/ReplicaController.cpp
+++ b/Libraries/LibHolding/ReplicaController.cpp
@@ -7,12 +7,14 @@
 namespace Holding {
 
 ReplicaController::ReplicaController(Core::Scheduler &scheduler, Fleet::OrderLink &link,
-                                     ReplicaControllerOptions options, FenceFunction fence, Fleet::Replica replica,
+                                     ReplicaControllerOptions options, FenceFunction fence,
+                                     const Fleet::ReleaseTable &releases, Fleet::Replica replica,
                                      Routes::EngineSettings engine)
     : m_scheduler(scheduler)
     , m_link(link)
     , m_options(std::move(options))
     , m_fence(std::move(fence))
+    , m_releases(releases)
     , m_replica(std::move(replica))
     , m_engine(std::move(engine))
 {
@@ -66,14 +68,12 @@
     }
     if (m_waiters.size() >= m_options.mostWaiting || m_replica.isDraining || !m_models.contains(request.model)
         || !m_fence(m_replica.id).has_value()) {
-        const auto slot = m_slots.find(name);
-        const bool isThere = slot != m_slots.end() && slot->second.state == SlotState::Resident
-            && slot->second.version >= request.version;
+        const bool isThere = isServable({.request = request});
         if (!isThere) {
             logRefusal(request, "no orders are given now");
         }
         reply({.outcome = static_cast<std::uint8_t>(isThere ? AdapterOutcome::Ready : AdapterOutcome::Unavailable),
-               .version = isThere ? slot->second.version : 0});
+               .version = isThere ? m_slots.at(name).version : 0});
         return;
     }
     // The most urgent first, and among equals the one that has waited longest.
@@ -84,12 +84,6 @@
     pump();
 }
 
-void ReplicaController::release(const Fleet::AdapterRelease &release)
-{
-    auto &newest = m_releases[Fleet::adapterName(release.model, release.adapter)];
-    newest = std::max(newest, release.version);
-}
-
 void ReplicaController::noteUse(const Core::HostId &host, const ReplicaUse &use)
 {
     const auto now = m_scheduler.now();
@@ -161,7 +155,8 @@
         const bool isSettled = state.changedAt < settledBefore && !state.uncertainAt.has_value();
         if (isSettled && found != reported.end()) {
             state.version = found->second;
-            const bool isOutdated = state.state == SlotState::Replacing && found->second < newestVersion(slot->first);
+            const bool isOutdated
+                = state.state == SlotState::Replacing && found->second < m_releases.newest(slot->first);
             state.state = isOutdated ? SlotState::Replacing : SlotState::Resident;
             ++slot;
         } else if (isSettled && !coming.contains(slot->first)) {
@@ -223,12 +218,6 @@
     });
 }
 
-std::uint64_t ReplicaController::newestVersion(const std::string &name) const
-{
-    const auto found = m_releases.find(name);
-    return found == m_releases.end() ? 0 : found->second;
-}
-
 bool ReplicaController::isIdle(const std::pair<const std::string, Slot> &slot) const
 {
     return slot.second.state == SlotState::Resident && !slot.second.uncertainAt.has_value()
--- a/Libraries/LibHolding/ReplicaController.h
+++ b/Libraries/LibHolding/ReplicaController.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Scheduler.h>
 #include <LibFleet/OrderLink.h>
+#include <LibFleet/ReleaseTable.h>
 #include <LibHolding/HoldingMessages.h>
 #include <LibRoutes/RouteConfiguration.h>
 #include <deque>
@@ -40,7 +41,8 @@
     using ReplyFunction = std::function<void(const AdapterReply &)>;
 
     ReplicaController(Core::Scheduler &scheduler, Fleet::OrderLink &link, ReplicaControllerOptions options,
-                      FenceFunction fence, Fleet::Replica replica, Routes::EngineSettings engine);
+                      FenceFunction fence, const Fleet::ReleaseTable &releases, Fleet::Replica replica,
+                      Routes::EngineSettings engine);
     ~ReplicaController();
     ReplicaController(const ReplicaController &) = delete;
     ReplicaController &operator=(const ReplicaController &) = delete;
@@ -49,8 +51,6 @@
     void update(const Fleet::Replica &replica, const Routes::EngineSettings &engine);
     // Has an adapter loaded unless it is there already. The reply comes once, perhaps inside the call.
     void request(const AdapterRequest &request, ReplyFunction reply);
-    // Takes a newer version of an adapter, which replaces an older one.
-    void release(const Fleet::AdapterRelease &release);
     // Takes what a host runs there.
     void noteUse(const Core::HostId &host, const ReplicaUse &use);
     // Reads reports and moves orders on; called regularly.
@@ -107,18 +107,17 @@
     [[nodiscard]] std::optional<std::string> victim() const;
     [[nodiscard]] bool isIdle(const std::pair<const std::string, Slot> &slot) const;
     [[nodiscard]] bool isInUse(const std::string &name) const;
-    [[nodiscard]] std::uint64_t newestVersion(const std::string &name) const;
     [[nodiscard]] Core::Duration expectedLoadTime(const std::string &name, std::uint64_t version) const;
 
     Core::Scheduler &m_scheduler;
     Fleet::OrderLink &m_link;
     ReplicaControllerOptions m_options;
     FenceFunction m_fence;
+    const Fleet::ReleaseTable &m_releases; // Newer versions replace older copies when these are idle.
     Fleet::Replica m_replica;
     Routes::EngineSettings m_engine;
     std::map<std::string, Slot> m_slots; // By "model/adapter".
     std::set<std::string> m_models; // In memory.
-    std::map<std::string, std::uint64_t> m_releases; // Newest version by "model/adapter".
     std::set<std::string> m_atHand; // Adapters that load fast, as "model/adapter@version".
     std::deque<Waiter> m_waiters;
     std::map<Core::HostId, HostUse> m_uses;
--- a/Libraries/LibHolding/ReplicaControllerOrders.cpp
+++ b/Libraries/LibHolding/ReplicaControllerOrders.cpp
@@ -49,7 +49,7 @@
                 continue;
             }
             if (m_slots.size() < capacity()) {
-                orderLoad(wanted.model, wanted.adapter, std::max(wanted.version, newestVersion(name)));
+                orderLoad(wanted.model, wanted.adapter, std::max(wanted.version, m_releases.newest(name)));
             } else if (const auto name = victim(); name.has_value()) {
                 orderUnload(*name);
             }
@@ -92,7 +92,7 @@
 
 bool ReplicaController::replaceOutdated()
 {
-    for (const auto &[name, newest] : m_releases) {
+    for (const auto &[name, newest] : m_releases.all()) {
         const auto slot = m_slots.find(name);
         // A replacement waits for the adapter's runs, and no other order is accepted meanwhile.
         if (slot != m_slots.end() && slot->second.version < newest && isIdle(*slot)
--- a/Libraries/LibHolding/Tests/ReplicaControllerTest.cpp
+++ b/Libraries/LibHolding/Tests/ReplicaControllerTest.cpp
@@ -155,6 +155,7 @@
     Core::VirtualScheduler m_scheduler;
     FakeReplica m_fake {m_scheduler};
     bool m_hasRight = true;
+    Fleet::ReleaseTable m_releases;
 
     std::unique_ptr<Holding::ReplicaController> controller()
     {
@@ -167,7 +168,7 @@
             [this](const Core::TargetId &) -> std::optional<std::uint64_t> {
                 return m_hasRight ? std::optional<std::uint64_t>(7) : std::nullopt;
             },
-            replica, engine);
+            m_releases, replica, engine);
         run(*made, 100ms);
         return made;
     }
@@ -256,7 +257,7 @@
         ask(*made, request("a1"), first);
         run(*made, 500ms);
         use(*made, {"a1"});
-        made->release({.model = "m", .adapter = "a1", .version = 2});
+        m_releases.apply({.model = "m", .adapter = "a1", .version = 2});
         Answer newer;
         ask(*made, request("a1", 0, 2), newer);
         CPPUNIT_ASSERT(newer.isGiven && !isReady(newer));
@@ -273,7 +274,7 @@
         Answer first;
         ask(*made, request("a1"), first);
         run(*made, 1s);
-        made->release({.model = "m", .adapter = "a1", .version = 2});
+        m_releases.apply({.model = "m", .adapter = "a1", .version = 2});
         run(*made, 1s);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), m_fake.adapters.at("a1").version);
     }
--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -8,7 +8,6 @@
 #include <curl/curl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <strings.h>
 #include <sys/epoll.h>
 #include <unistd.h>
 
@@ -212,8 +211,7 @@
     if (wanted.headerDefaults == HeaderDefaults::Left) {
         const auto isNamed = [&wanted](std::string_view name) {
             return std::any_of(wanted.headers.begin(), wanted.headers.end(), [name](const auto &header) {
-                return header.size() > name.size() && strncasecmp(header.data(), name.data(), name.size()) == 0
-                    && header[name.size()] == ':';
+                return isSameName(std::string_view(header).substr(0, header.find(':')), name);
             });
         };
         for (const auto *name : {"Accept", "Content-Type"}) {
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Time.h>
 #include <LibNet/EventLoop.h>
+#include <LibNet/HttpFields.h>
 #include <functional>
 #include <memory>
 #include <string>
@@ -21,9 +22,6 @@
     Fresh,
 };
 
-// The lines of a message's head, in order, with names as they were sent.
-using HttpFields = std::vector<std::pair<std::string, std::string>>;
-
 // Which headers a request carries beside those that are given.
 enum class HeaderDefaults {
     // Those that curl adds by itself, such as Accept.
@@ -60,6 +58,11 @@
     {
         return error.empty();
     }
+    // Why the result can't be used, for an error's text: the status of a complete answer, or how it failed.
+    [[nodiscard]] std::string describeFailure() const
+    {
+        return isComplete() ? "answered with status " + std::to_string(status) : error;
+    }
 };
 
 enum class HttpRequestId : std::uint64_t { None = 0 };
--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -1,5 +1,7 @@
 #include <LibNet/HttpServer.h>
 
+#include <LibCore/LowerCase.h>
+#include <LibCore/SocketAddress.h>
 #include <LibCore/StepError.h>
 #include <algorithm>
 #include <arpa/inet.h>
@@ -16,20 +18,11 @@
 
 constexpr std::size_t StreamBlockBytes = 16 * 1024;
 
-std::string toLower(std::string_view text)
-{
-    std::string lower(text);
-    std::transform(lower.begin(), lower.end(), lower.begin(), [](unsigned char c) {
-        return std::tolower(c);
-    });
-    return lower;
-}
-
 MHD_Result collectValue(void *context, MHD_ValueKind kind, const char *name, const char *value)
 {
     auto &request = *static_cast<ServerRequest *>(context);
     if (kind == MHD_HEADER_KIND) {
-        request.headers[toLower(name)] = value == nullptr ? "" : value;
+        request.headers[Core::toLower(name)] = value == nullptr ? "" : value;
         request.fields.emplace_back(name, value == nullptr ? "" : value);
     } else {
         request.query[name] = value == nullptr ? "" : value;
@@ -281,6 +274,15 @@
     return MHD_get_connection_info(m_connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
 }
 
+HttpServerOptions listenAt(const std::string &address)
+{
+    auto parsed = Core::parseSocketAddress(address);
+    if (!parsed.has_value()) {
+        throw Core::StepError("listen for HTTP", address, "not an IPv4 address and port");
+    }
+    return {.address = std::move(parsed->host), .port = parsed->port};
+}
+
 HttpServer::HttpServer(EventLoop &loop, HttpServerOptions options, RequestFunction handler)
     : m_loop(loop)
     , m_options(std::move(options))
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibNet/EventLoop.h>
+#include <LibNet/HttpFields.h>
 #include <deque>
 #include <functional>
 #include <map>
@@ -19,7 +20,7 @@
     std::string method;
     std::string path; // Decoded and without the query.
     std::string target; // The path and query exactly as they were sent.
-    std::vector<std::pair<std::string, std::string>> fields; // Every header line in order, names as they were sent.
+    HttpFields fields; // Every header line.
     std::map<std::string, std::string> query;
     std::map<std::string, std::string> headers; // Names in lower case.
     std::string body;
@@ -98,6 +99,9 @@
     Core::Duration goneCheckPeriod = std::chrono::milliseconds(500);
 };
 
+// The options of a server that listens at "host:port". Throws StepError when the text isn't such an address.
+[[nodiscard]] HttpServerOptions listenAt(const std::string &address);
+
 // Serves HTTP from the event loop, by libmicrohttpd.
 class HttpServer
 {
--- a/Libraries/LibPlatform/HttpPlatform.cpp
+++ b/Libraries/LibPlatform/HttpPlatform.cpp
@@ -6,15 +6,6 @@
 
 namespace Platform {
 
-namespace {
-
-std::string describeFailure(const Net::HttpResult &result)
-{
-    return result.isComplete() ? "answered with status " + std::to_string(result.status) : result.error;
-}
-
-}
-
 HttpPlatform::HttpPlatform(Net::HttpClient &client, HttpPlatformOptions options)
     : m_client(client)
     , m_options(std::move(options))
@@ -41,7 +32,7 @@
         } else if (!result.isComplete() && !result.mayHaveBeenSent) {
             done({.outcome = TransactionOutcome::NotSent, .error = result.error});
         } else {
-            done({.outcome = TransactionOutcome::Unknown, .error = describeFailure(result)});
+            done({.outcome = TransactionOutcome::Unknown, .error = result.describeFailure()});
         }
     });
 }
@@ -56,7 +47,7 @@
                        }
                        const auto json = nlohmann::json::parse(result.body, nullptr, false);
                        if (!result.isComplete() || result.status != Core::HttpStatus::Ok || json.is_discarded()) {
-                           done({.error = describeFailure(result)});
+                           done({.error = result.describeFailure()});
                            return;
                        }
                        try {
@@ -74,7 +65,7 @@
     m_client.start(request("GET", path), [done = std::move(done)](const Net::HttpResult &result) {
         const auto json = nlohmann::json::parse(result.body, nullptr, false);
         if (!result.isComplete() || result.status != Core::HttpStatus::Ok || !json.is_array()) {
-            done({.error = describeFailure(result)});
+            done({.error = result.describeFailure()});
             return;
         }
         ScanResult scanned {.isAvailable = true};
--- a/Libraries/LibRelay/SharedWriter.cpp
+++ b/Libraries/LibRelay/SharedWriter.cpp
@@ -34,19 +34,10 @@
                                       done(true);
                                       return;
                                   }
-                                  writeAlone(row, done);
+                                  commit({{.row = row, .done = done}});
                               });
 }
 
-void SharedWriter::writeAlone(const Platform::RowPut &row, WrittenFunction done)
-{
-    Platform::Transaction transaction;
-    transaction.puts.push_back(row);
-    m_store.transact(std::move(transaction), [done = std::move(done)](const Platform::TransactionResult &result) {
-        done(result.outcome == Platform::TransactionOutcome::Committed);
-    });
-}
-
 void SharedWriter::gather(Platform::RowPut row, WrittenFunction done)
 {
     m_gathered.push_back({.row = std::move(row), .done = std::move(done)});
@@ -61,16 +52,19 @@
 
 void SharedWriter::flush()
 {
-    if (m_gathered.empty()) {
-        return;
+    if (!m_gathered.empty()) {
+        commit(std::exchange(m_gathered, {}));
     }
-    const auto gathered = std::exchange(m_gathered, {});
+}
+
+void SharedWriter::commit(std::vector<Gathered> rows)
+{
     Platform::Transaction transaction;
-    for (const auto &[row, done] : gathered) {
+    for (const auto &[row, done] : rows) {
         transaction.puts.push_back(row);
     }
-    m_store.transact(std::move(transaction), [gathered](const Platform::TransactionResult &result) {
-        for (const auto &[row, done] : gathered) {
+    m_store.transact(std::move(transaction), [rows = std::move(rows)](const Platform::TransactionResult &result) {
+        for (const auto &[row, done] : rows) {
             done(result.outcome == Platform::TransactionOutcome::Committed);
         }
     });
--- a/Libraries/LibRelay/SharedWriter.h
+++ b/Libraries/LibRelay/SharedWriter.h
@@ -33,7 +33,8 @@
 
     void gather(Platform::RowPut row, WrittenFunction done);
     void flush();
-    void writeAlone(const Platform::RowPut &row, WrittenFunction done);
+    // Writes the rows in one transaction.
+    void commit(std::vector<Gathered> rows);
 
     Core::Scheduler &m_scheduler;
     Peer::PeerRouter &m_router;
--- a/Libraries/LibRoutes/RouteTable.cpp
+++ b/Libraries/LibRoutes/RouteTable.cpp
@@ -1,5 +1,6 @@
 #include <LibRoutes/RouteTable.h>
 
+#include <LibCore/LowerCase.h>
 #include <LibCore/Rendezvous.h>
 #include <algorithm>
 
@@ -9,11 +10,7 @@
 
 std::string toHostKey(std::string_view host)
 {
-    std::string key(host.substr(0, host.find(':')));
-    std::transform(key.begin(), key.end(), key.begin(), [](unsigned char c) {
-        return std::tolower(c);
-    });
-    return key;
+    return Core::toLower(host.substr(0, host.find(':')));
 }
 
 }
--- a/Libraries/LibSettings/SettingsReader.cpp
+++ b/Libraries/LibSettings/SettingsReader.cpp
@@ -1,15 +1,12 @@
 #include <LibSettings/SettingsReader.h>
 
+#include <LibCore/SocketAddress.h>
 #include <algorithm>
-#include <arpa/inet.h>
-#include <charconv>
 
 namespace Settings {
 
 namespace {
 
-constexpr int LargestPort = 65535;
-
 const nlohmann::json &emptyObject()
 {
     static const auto empty = nlohmann::json::object();
@@ -25,19 +22,6 @@
     return joined;
 }
 
-bool isAddress(const std::string &text)
-{
-    const auto colon = text.rfind(':');
-    if (colon == std::string::npos) {
-        return false;
-    }
-    in_addr parsed {};
-    int port = 0;
-    const auto [end, error] = std::from_chars(text.data() + colon + 1, text.data() + text.size(), port);
-    return inet_pton(AF_INET, text.substr(0, colon).c_str(), &parsed) == 1 && error == std::errc()
-        && end == text.data() + text.size() && port >= 1 && port <= LargestPort;
-}
-
 }
 
 InvalidSettings::InvalidSettings(std::vector<std::string> mistakes)
@@ -82,7 +66,7 @@
 std::string SettingsReader::address(const char *name)
 {
     auto value = text(name);
-    if (!value.empty() && !isAddress(value)) {
+    if (!value.empty() && !Core::parseSocketAddress(value).has_value()) {
         report(name, '"' + value + '"', "\"IPv4 address:port\" with a port from 1 to 65535");
     }
     return value;
@@ -95,9 +79,10 @@
     if (list == nullptr) {
         return values;
     }
-    const bool isValid = list->is_array() && std::all_of(list->begin(), list->end(), [](const auto &value) {
-                             return value.is_string() && isAddress(value.template get<std::string>());
-                         });
+    const bool isValid
+        = list->is_array() && std::all_of(list->begin(), list->end(), [](const auto &value) {
+              return value.is_string() && Core::parseSocketAddress(value.template get<std::string>()).has_value();
+          });
     if (!isValid) {
         report(name, list->dump(), "a list of \"IPv4 address:port\"");
         return values;
--- a/Services/currantbayd/Daemon.cpp
+++ b/Services/currantbayd/Daemon.cpp
@@ -20,11 +20,10 @@
 
 Net::HttpServerOptions serverOptions(const Settings::DaemonSettings &settings)
 {
-    const auto colon = settings.callerAddress.rfind(':');
-    return {.address = settings.callerAddress.substr(0, colon),
-            .port = static_cast<std::uint16_t>(std::stoi(settings.callerAddress.substr(colon + 1))),
-            .largestBody = settings.largestBodyBytes,
-            .mostConnections = settings.mostConnections};
+    auto options = Net::listenAt(settings.callerAddress);
+    options.largestBody = settings.largestBodyBytes;
+    options.mostConnections = settings.mostConnections;
+    return options;
 }
 
 // Every host has an equal part of what the weight store allows.
--- a/Services/currantbayd/GatewayDaemon.cpp
+++ b/Services/currantbayd/GatewayDaemon.cpp
@@ -33,14 +33,13 @@
 
 Net::HttpServerOptions serverOptions(const std::string &address, const Settings::GatewaySettings &settings)
 {
-    const auto colon = address.rfind(':');
-    return {.address = address.substr(0, colon),
-            .port = static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))),
-            .largestBody = settings.largestBodyBytes,
-            .mostConnections = settings.mostConnections,
-            .idleTimeoutSeconds = IdleTimeoutSeconds,
-            .connectionMemory = ConnectionMemory,
-            .goneCheckPeriod = GoneCheckPeriod};
+    auto options = Net::listenAt(address);
+    options.largestBody = settings.largestBodyBytes;
+    options.mostConnections = settings.mostConnections;
+    options.idleTimeoutSeconds = IdleTimeoutSeconds;
+    options.connectionMemory = ConnectionMemory;
+    options.goneCheckPeriod = GoneCheckPeriod;
+    return options;
 }
 
 Gateway::RetryAllowanceOptions retryOptions(const Settings::GatewaySettings &settings)
--- a/StandIns/StandIn.cpp
+++ b/StandIns/StandIn.cpp
@@ -15,10 +15,9 @@
 
 Net::HttpServerOptions serverOptions(const std::string &address)
 {
-    const auto colon = address.rfind(':');
-    return {.address = address.substr(0, colon),
-            .port = static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))),
-            .mostUnsent = MostUnsent};
+    auto options = Net::listenAt(address);
+    options.mostUnsent = MostUnsent;
+    return options;
 }
 
 }
