LibHolding: Go on while an order waits for runs, and keep what a request was loaded for

An unload of an adapter in use is answered 202 and waits for its runs; the replica then refuses every other order, which was taken for a wrong count: 300 ms of pause, a report, and again. Such unloads had three sources: an adapter just loaded was the least recently used, as its use counted from the order; the uses of hosts behind a cut lapsed after 1.5 s while their streams ran on; the place of a waiting unload was counted as resident again. Ruled out: full replicas (in use were 0 to 5 of 14 places). Now a load and the reply to its waiters count as uses, a silent host's uses are kept for the length of a run, a refusal while an order waits keeps the count, loads that must be complete are used, and waiters are sent elsewhere at once. A replica that begins to leave keeps nobody waiting: requests reached it up to a second later, and leavings were in force 2,894 ms after the ack.

--- a/Libraries/LibHolding/ReplicaController.cpp
+++ b/Libraries/LibHolding/ReplicaController.cpp
@@ -40,10 +40,14 @@
         m_slots.clear();
         m_models.clear();
         m_orderCount.reset();
+        m_waitsForRunsSince.reset();
         m_nextReport = m_scheduler.now();
     }
     m_replica = replica;
     m_engine = engine;
+    if (m_replica.isDraining) {
+        serveWaiters();
+    }
 }
 
 const Fleet::Replica &ReplicaController::replica() const
@@ -99,7 +103,7 @@
 {
     const auto now = m_scheduler.now();
     std::erase_if(m_uses, [this, now](const auto &use) {
-        return now - use.second.at > m_options.useNoticeLifetime;
+        return now - use.second.at > m_options.silentUseLifetime;
     });
     if (now >= m_nextReport && !m_isReporting) {
         readReport();
@@ -145,6 +149,12 @@
     }
     m_models = models;
     m_isModelLoading = report.isBusy || (m_isModelLoading && m_countAsOf > settledBefore);
+    const bool isStillThere = std::any_of(m_slots.begin(), m_slots.end(), [&reported](const auto &slot) {
+        return slot.second.state == SlotState::Unloading && reported.contains(slot.first);
+    });
+    if (m_waitsForRunsSince.has_value() && *m_waitsForRunsSince < settledBefore && !isStillThere) {
+        endWaitForRuns();
+    }
     for (auto slot = m_slots.begin(); slot != m_slots.end();) {
         auto &state = slot->second;
         const auto found = reported.find(slot->first);
@@ -152,7 +162,8 @@
             // No other host gives orders, so the order without an answer was carried out.
             state.uncertainAt.reset();
         }
-        const bool isSettled = state.changedAt < settledBefore && !state.uncertainAt.has_value();
+        const bool isLeaving = state.state == SlotState::Unloading && isWaitingForRuns();
+        const bool isSettled = state.changedAt < settledBefore && !state.uncertainAt.has_value() && !isLeaving;
         if (isSettled && found != reported.end()) {
             state.version = found->second;
             const bool isOutdated
@@ -261,6 +272,9 @@
     if (!m_fence(m_replica.id).has_value()) {
         return "no right to give orders";
     }
+    if (m_replica.isDraining) {
+        return "the replica is leaving";
+    }
     if (isOutdatedInUse(waiter)) {
         return "an older version is in use";
     }
@@ -269,6 +283,9 @@
         return "waited too long";
     }
     const bool isComing = m_slots.contains(Fleet::adapterName(waiter.request.model, waiter.request.adapter));
+    if (!isComing && isRefusingOrders()) {
+        return "an earlier order waits for requests to end";
+    }
     return !isComing && waited >= m_options.mostWaitForSlot && m_slots.size() >= capacity() && !victim().has_value()
         ? "every adapter there is in use"
         : "";
@@ -306,8 +323,11 @@
     std::vector<std::pair<ReplyFunction, AdapterReply>> replies;
     for (auto &waiter : m_waiters) {
         const auto name = Fleet::adapterName(waiter.request.model, waiter.request.adapter);
-        if (isServable(waiter)) {
-            replies.emplace_back(std::move(waiter.reply), AdapterReply {.version = m_slots.at(name).version});
+        if (isServable(waiter) && !m_replica.isDraining) {
+            // The request that waits will be sent now; until its host's notice comes, this keeps the adapter.
+            auto &slot = m_slots.at(name);
+            slot.lastUsed = m_scheduler.now();
+            replies.emplace_back(std::move(waiter.reply), AdapterReply {.version = slot.version});
         } else if (const auto reason = refusalReason(waiter); !reason.empty()) {
             logRefusal(waiter.request, reason);
             replies.emplace_back(std::move(waiter.reply),
@@ -326,6 +346,9 @@
 {
     ReplicaLoad load {.replica = m_replica.id};
     for (const auto &[host, use] : m_uses) {
+        if (m_scheduler.now() - use.at > m_options.useNoticeLifetime) {
+            continue;
+        }
         load.active += use.use.active;
         load.waitingTokens += use.use.waitingTokens;
     }
--- a/Libraries/LibHolding/ReplicaController.h
+++ b/Libraries/LibHolding/ReplicaController.h
@@ -27,6 +27,14 @@
     Core::Duration mostWaitForSlot = std::chrono::milliseconds(700); // While every adapter there is in use.
     Core::Duration idleBeforeEviction = std::chrono::milliseconds(250);
     Core::Duration useNoticeLifetime = std::chrono::milliseconds(1500);
+    // The requests of a host that has fallen silent may go on: about the length of a long run.
+    Core::Duration silentUseLifetime = std::chrono::milliseconds(4000);
+    // Of a request for an adapter while an earlier order waits for runs.
+    Core::Duration mostWaitForRuns = std::chrono::milliseconds(150);
+    // How long a refusal shows that the replica still refuses orders; the next request then tries again.
+    Core::Duration refusalLifetime = std::chrono::milliseconds(120);
+    // After this time an order that should wait for runs is no longer taken for the reason of a refusal.
+    Core::Duration longestRun = std::chrono::milliseconds(8000);
     std::size_t mostInTransit = 4; // Adapters that a replica loads at a time.
     std::size_t mostWaiting = 64; // Requests for adapters that wait for an order.
 };
@@ -70,6 +78,8 @@
         Core::TimePoint changedAt {};
         Core::TimePoint lastUsed {};
         Core::TimePoint readyAt {};
+        Core::TimePoint orderedAt {}; // When its load was sent.
+        Core::Duration loadTime {}; // How long that was expected to take.
     };
     struct Waiter {
         AdapterRequest request;
@@ -96,6 +106,14 @@
     void takeOutcome(const Fleet::ReplicaOrder &order, const std::string &name, Fleet::OrderOutcome outcome,
                      const std::string &detail);
     void settleUncertain(std::uint64_t acceptedAt);
+    // An order of ours waits for runs at the replica, which refuses every other order meanwhile.
+    [[nodiscard]] bool isWaitingForRuns() const;
+    // It has done so for a while, and just did again.
+    [[nodiscard]] bool isRefusingOrders() const;
+    // The replica carries out orders again, so what waited for runs is done.
+    void endWaitForRuns();
+    // Takes back an order that was refused because an earlier one waits for runs.
+    void takeRefusalWhileWaiting(const std::string &name, bool isRepeat);
     void readReport();
     void takeReport(const Fleet::ReplicaReport &report, Core::TimePoint askedAt);
     // Asks whether a load that should be complete is, by repeating its order. Returns whether it has asked.
@@ -127,6 +145,8 @@
     bool m_isOrdering = false;
     bool m_isReporting = false;
     bool m_isModelLoading = false;
+    std::optional<Core::TimePoint> m_waitsForRunsSince;
+    Core::TimePoint m_refusedAt {}; // While an order waited for runs.
     Core::TimePoint m_nextReport {};
     Core::TimerId m_timer = Core::TimerId::None;
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
--- a/Libraries/LibHolding/ReplicaControllerOrders.cpp
+++ b/Libraries/LibHolding/ReplicaControllerOrders.cpp
@@ -12,6 +12,8 @@
 
 // After a refused order the replica's own count of orders is read again, when its report has caught up.
 constexpr auto ConflictDelay = std::chrono::milliseconds(300);
+// Between two orders while an earlier one waits for runs: short against a run, long against an order's answer.
+constexpr auto WaitingRetryDelay = std::chrono::milliseconds(60);
 
 }
 
@@ -83,8 +85,7 @@
     if (!m_models.empty() || m_isModelLoading || m_engine.models.empty()) {
         return false;
     }
-    // FI!slot.second.uncertainAt.has_value() && inTransit()ME: With several models, load the one that is asked for most
-    // and has the fewest replicas.
+    // FIXME: With several models, load the one that is asked for most and has the fewest replicas.
     m_isModelLoading = true;
     orderLoad(m_engine.models.front().name, {}, 0);
     return true;
@@ -117,6 +118,8 @@
         slot.changedAt = now;
         slot.lastUsed = now;
         slot.readyAt = now + loadTime;
+        slot.orderedAt = now;
+        slot.loadTime = loadTime;
         if (!isReplacement) {
             slot.version = std::max<std::uint64_t>(version, 1);
         }
@@ -169,6 +172,14 @@
     if (isAccepted) {
         settleUncertain(order.expectedCount);
     }
+    if (!isRepeat && (outcome == Fleet::OrderOutcome::Accepted || outcome == Fleet::OrderOutcome::Holds)) {
+        endWaitForRuns();
+    }
+    if (outcome == Fleet::OrderOutcome::Conflict && isWaitingForRuns()) {
+        m_isModelLoading = m_isModelLoading && !order.adapter.empty();
+        takeRefusalWhileWaiting(name, isRepeat);
+        return;
+    }
     const auto slot = m_slots.find(name);
     switch (outcome) {
     case Fleet::OrderOutcome::Accepted:
@@ -183,6 +194,9 @@
             return;
         }
         slot->second.changedAt = now;
+        if (outcome == Fleet::OrderOutcome::Accepted && (isUnload || slot->second.state == SlotState::Replacing)) {
+            m_waitsForRunsSince = now;
+        }
         if (isUnload && outcome == Fleet::OrderOutcome::Holds) {
             m_slots.erase(slot);
         } else if (!isUnload) {
@@ -190,6 +204,7 @@
             if (outcome == Fleet::OrderOutcome::Holds) {
                 slot->second.state = SlotState::Resident;
                 slot->second.version = std::max(slot->second.version, order.version);
+                slot->second.lastUsed = now;
             }
         }
         return;
@@ -230,6 +245,53 @@
     m_nextReport = now + ConflictDelay;
 }
 
+bool ReplicaController::isWaitingForRuns() const
+{
+    return m_waitsForRunsSince.has_value() && m_scheduler.now() - *m_waitsForRunsSince < m_options.longestRun;
+}
+
+bool ReplicaController::isRefusingOrders() const
+{
+    const auto now = m_scheduler.now();
+    return isWaitingForRuns() && now - *m_waitsForRunsSince >= m_options.mostWaitForRuns
+        && now - m_refusedAt < m_options.refusalLifetime;
+}
+
+void ReplicaController::endWaitForRuns()
+{
+    if (m_waitsForRunsSince.has_value()) {
+        m_waitsForRunsSince.reset();
+        std::erase_if(m_slots, [](const auto &slot) {
+            return slot.second.state == SlotState::Unloading && !slot.second.uncertainAt.has_value();
+        });
+    }
+}
+
+void ReplicaController::takeRefusalWhileWaiting(const std::string &name, bool isRepeat)
+{
+    const auto now = m_scheduler.now();
+    m_refusedAt = now;
+    m_noOrderBefore = now + WaitingRetryDelay;
+    const auto slot = m_slots.find(name);
+    if (slot == m_slots.end()) {
+        return;
+    }
+    if (!isRepeat) {
+        if (slot->second.state == SlotState::Loading) {
+            m_slots.erase(slot);
+        } else {
+            slot->second.state = SlotState::Resident;
+        }
+        return;
+    }
+    slot->second.readyAt = now + WaitingRetryDelay;
+    if (now - slot->second.orderedAt >= slot->second.loadTime * 3 / 2) {
+        // Whether the load is complete can't be asked now; should it not be, the request is rejected and not run.
+        slot->second.state = SlotState::Resident;
+        slot->second.lastUsed = now;
+    }
+}
+
 void ReplicaController::settleUncertain(std::uint64_t acceptedAt)
 {
     // The replica accepted this order at the same count as an earlier one that had no answer, which therefore hasn't
--- a/Libraries/LibHolding/Tests/ReplicaControllerTest.cpp
+++ b/Libraries/LibHolding/Tests/ReplicaControllerTest.cpp
@@ -72,6 +72,8 @@
     std::uint64_t count = 0;
     std::size_t most = 0; // Adapters that were there or coming at one time.
     std::size_t orderCalls = 0;
+    std::size_t waits = 0; // Orders that had to wait for runs.
+    std::size_t conflicts = 0; // Orders that came meanwhile.
     std::vector<std::string> loads; // In the order in which they were accepted.
     Core::Duration loadTime = 250ms;
     bool isLosingAnswers = false;
@@ -112,6 +114,10 @@
     Fleet::OrderOutcome carryOut(const Fleet::ReplicaOrder &order)
     {
         settle();
+        if (isBusy()) {
+            ++conflicts;
+            return Fleet::OrderOutcome::Conflict;
+        }
         const auto found = adapters.find(order.adapter);
         const bool isPresent = found != adapters.end();
         const bool isLoad = order.verb == Fleet::OrderVerb::Load;
@@ -119,12 +125,13 @@
             return found->second.readyAt <= m_scheduler.now() ? Fleet::OrderOutcome::Holds
                                                               : Fleet::OrderOutcome::Accepted;
         }
-        if (isBusy() || order.expectedCount != count) {
+        if (order.expectedCount != count) {
             return Fleet::OrderOutcome::Conflict;
         }
         ++count;
         if (isPresent && found->second.runs > 0) {
             m_pending = order;
+            ++waits;
             return Fleet::OrderOutcome::Accepted;
         }
         apply(order);
@@ -148,6 +155,11 @@
     CPPUNIT_TEST(urgentRequestsComeFirstWhenPlacesAreShort);
     CPPUNIT_TEST(aNewHolderEvictsNothingThatMayBeInUse);
     CPPUNIT_TEST(capacityHoldsWhenAnswersAreLostOrLate);
+    CPPUNIT_TEST(aLoadedAdapterIsKeptForTheRequestThatAskedForIt);
+    CPPUNIT_TEST(whileAnOrderWaitsForRunsOthersAreSentElsewhere);
+    CPPUNIT_TEST(aFinishedLoadIsUsableWhileAnOrderWaitsForRuns);
+    CPPUNIT_TEST(whatASilentHostUsesIsKeptForARun);
+    CPPUNIT_TEST(aLeavingReplicaKeepsNobodyWaiting);
     CPPUNIT_TEST(withoutTheRightToOrderItRefusesAtOnce);
     CPPUNIT_TEST(waitingCostsNoTime);
     CPPUNIT_TEST_SUITE_END();
@@ -156,11 +168,12 @@
     FakeReplica m_fake {m_scheduler};
     bool m_hasRight = true;
     Fleet::ReleaseTable m_releases;
+    Routes::EngineSettings m_engine;
 
     std::unique_ptr<Holding::ReplicaController> controller()
     {
-        Routes::EngineSettings engine {.slots = 64, .weightMemory = 1000, .adapterSlots = Slots};
-        engine.models.push_back({.name = "m", .size = 100, .adapterSize = 1});
+        m_engine = {.slots = 64, .weightMemory = 1000, .adapterSlots = Slots};
+        m_engine.models.push_back({.name = "m", .size = 100, .adapterSize = 1});
         Fleet::Replica replica {.id = {"r"}, .service = "s", .address = "127.0.0.1:1"};
         replica.models.push_back({.model = "m"});
         auto made = std::make_unique<Holding::ReplicaController>(
@@ -168,7 +181,7 @@
             [this](const Core::TargetId &) -> std::optional<std::uint64_t> {
                 return m_hasRight ? std::optional<std::uint64_t>(7) : std::nullopt;
             },
-            m_releases, replica, engine);
+            m_releases, replica, m_engine);
         run(*made, 100ms);
         return made;
     }
@@ -339,6 +352,117 @@
         }
     }
 
+    // A surge of distinct adapters: the one just loaded was the least recently used, and unloading it waited for the
+    // run of the request that it had been loaded for.
+    void aLoadedAdapterIsKeptForTheRequestThatAskedForIt()
+    {
+        const auto made = controller();
+        std::vector<Answer> fill(2);
+        for (std::size_t i = 0; i < fill.size(); ++i) {
+            ask(*made, request("a" + std::to_string(i)), fill[i]);
+        }
+        run(*made, 600ms);
+        use(*made, {"a0", "a1"});
+        m_fake.loadTime = 290ms;
+        made->request(request("new"), [this](const Holding::AdapterReply &) {
+            m_fake.adapters.at("new").runs = 1;
+        });
+        Answer other;
+        ask(*made, request("other"), other);
+        for (int i = 0; i < 8; ++i) {
+            use(*made, {"a0", "a1"});
+            run(*made, 50ms);
+        }
+        CPPUNIT_ASSERT_EQUAL(1U, m_fake.adapters.at("new").runs);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_fake.waits);
+    }
+
+    // A zone is cut off: requests run there of which this host isn't told.
+    void whileAnOrderWaitsForRunsOthersAreSentElsewhere()
+    {
+        const auto made = controller();
+        std::vector<Answer> fill(Slots);
+        for (std::size_t i = 0; i < Slots; ++i) {
+            ask(*made, request("a" + std::to_string(i)), fill[i]);
+        }
+        run(*made, 1s);
+        for (auto &[name, copy] : m_fake.adapters) {
+            copy.runs = 1;
+        }
+        Answer first;
+        ask(*made, request("b0"), first);
+        run(*made, 400ms);
+        CPPUNIT_ASSERT(first.isGiven && !isReady(first));
+        Answer second;
+        ask(*made, request("b1"), second);
+        run(*made, 200ms);
+        CPPUNIT_ASSERT(second.isGiven && !isReady(second));
+        for (auto &[name, copy] : m_fake.adapters) {
+            copy.runs = 0;
+        }
+        run(*made, 200ms);
+        Answer third;
+        ask(*made, request("b2"), third);
+        run(*made, 500ms);
+        CPPUNIT_ASSERT(isReady(third) && third.wasThere);
+        CPPUNIT_ASSERT(m_fake.most <= Slots);
+    }
+
+    void aFinishedLoadIsUsableWhileAnOrderWaitsForRuns()
+    {
+        const auto made = controller();
+        std::vector<Answer> fill(Slots);
+        for (std::size_t i = 0; i < Slots; ++i) {
+            ask(*made, request("a" + std::to_string(i)), fill[i]);
+        }
+        run(*made, 1s);
+        m_fake.adapters.at("a1").runs = 1;
+        Answer loaded;
+        Answer waiting;
+        ask(*made, request("b0"), loaded); // In place of a0.
+        ask(*made, request("b1"), waiting); // Unloading a1 waits for its run.
+        run(*made, 600ms);
+        CPPUNIT_ASSERT(isReady(loaded) && loaded.wasThere);
+        CPPUNIT_ASSERT(!isReady(waiting));
+    }
+
+    void whatASilentHostUsesIsKeptForARun()
+    {
+        const auto made = controller();
+        std::vector<Answer> fill(Slots);
+        for (std::size_t i = 0; i < Slots; ++i) {
+            ask(*made, request("a" + std::to_string(i)), fill[i]);
+        }
+        run(*made, 600ms);
+        use(*made, {"a0", "a1"});
+        run(*made, 2s);
+        Answer first;
+        ask(*made, request("b0"), first); // In place of a2, though a0 and a1 haven't been used for longer.
+        run(*made, 500ms);
+        CPPUNIT_ASSERT(isReady(first));
+        Answer second;
+        ask(*made, request("b1"), second);
+        run(*made, 700ms);
+        CPPUNIT_ASSERT(isReady(second));
+        CPPUNIT_ASSERT(m_fake.isThere("a0") && m_fake.isThere("a1"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), m_fake.waits);
+    }
+
+    // A request that waited for its load reached the replica long after the replica had begun to leave.
+    void aLeavingReplicaKeepsNobodyWaiting()
+    {
+        m_fake.loadTime = 800ms;
+        const auto made = controller();
+        Answer answer;
+        ask(*made, request("a1"), answer);
+        run(*made, 300ms);
+        CPPUNIT_ASSERT(!answer.isGiven);
+        auto leaving = made->replica();
+        leaving.isDraining = true;
+        made->update(leaving, m_engine);
+        CPPUNIT_ASSERT(answer.isGiven && !isReady(answer));
+    }
+
     void withoutTheRightToOrderItRefusesAtOnce()
     {
         const auto made = controller();
