LibPlacement, LibGateway: Keep a rare adapter at its home, copy with demand, serve in the own zone

A copy beside the first now costs 250 ms, less with the adapter's demand, which each host estimates from its own requests and the number of hosts; further homes differ by 8 ms in place of 24 to 80. An answer from another zone costs 25 ms in place of 3 and one of two sampled copies is of the own zone: 447 streams that crossed a border broke at the cut. A replica that began to leave, or started anew, while its adapter was loaded isn't sent the request any more.

--- a/Libraries/LibGateway/FleetView.cpp
+++ b/Libraries/LibGateway/FleetView.cpp
@@ -46,8 +46,21 @@
     view.resident = std::move(fresh);
 }
 
+void FleetView::setHostCount(std::size_t count)
+{
+    m_hostCount = std::max<std::size_t>(count, 1);
+}
+
+void FleetView::noteDemand(const CallerRequest &request, Core::TimePoint now)
+{
+    if (!request.adapter.empty()) {
+        m_demand.note(adapterName(request), now);
+    }
+}
+
 void FleetView::refresh(Core::TimePoint now)
 {
+    m_demand.prune(now);
     std::erase_if(m_views, [this](const auto &view) {
         if (m_replicas.find(view.first) != nullptr || view.second.active > 0) {
             return false;
@@ -111,6 +124,12 @@
     m_views[replica].unloadableUntil = now + UnloadableTime;
 }
 
+bool FleetView::isAvailable(const Fleet::Replica &replica) const
+{
+    const auto *listed = m_replicas.find(replica.id);
+    return listed != nullptr && !listed->isDraining && listed->startedAt == replica.startedAt;
+}
+
 std::optional<std::uint64_t> FleetView::residentVersion(const View &view, const std::string &name, std::uint64_t newest)
 {
     const auto found = view.resident.find(name);
@@ -158,7 +177,11 @@
             candidates.push_back(candidate(*replica, adapter, newest, now));
         }
     }
-    const auto best = m_chooser.choose(adapter.empty() ? request.attemptId : adapter, request.attemptId, candidates);
+    // Every host sees about an equal part; the request itself isn't evidence of others.
+    const auto others = std::max(0.0, m_demand.count(adapter, now) - 1);
+    const auto demand = Placement::AdapterDemand::rateOf(others) * static_cast<double>(m_hostCount);
+    const auto best
+        = m_chooser.choose(adapter.empty() ? request.attemptId : adapter, request.attemptId, candidates, demand);
     return best.has_value() ? usable[*best] : nullptr;
 }
 
--- a/Libraries/LibGateway/FleetView.h
+++ b/Libraries/LibGateway/FleetView.h
@@ -4,6 +4,7 @@
 #include <LibFleet/ReplicaSet.h>
 #include <LibGateway/CallerRequest.h>
 #include <LibHolding/HoldingMessages.h>
+#include <LibPlacement/AdapterDemand.h>
 #include <LibPlacement/ReplicaChooser.h>
 #include <LibPlacement/ReplicaHealth.h>
 #include <functional>
@@ -33,9 +34,16 @@
     // The replica's holder can't have an adapter loaded there now.
     void setUnloadable(const Core::TargetId &replica, Core::TimePoint now);
 
+    // Takes the number of live hosts, this one included.
+    void setHostCount(std::size_t count);
+    // A caller's request has arrived; counts towards its adapter's demand.
+    void noteDemand(const CallerRequest &request, Core::TimePoint now);
+
     // The best replica of the service for the request that isn't among the excluded.
     [[nodiscard]] const Fleet::Replica *choose(const CallerRequest &request, const std::string &service,
                                                const std::set<Core::TargetId> &excluded, Core::TimePoint now) const;
+    // Whether the replica, as it was when it was chosen, may still be sent requests.
+    [[nodiscard]] bool isAvailable(const Fleet::Replica &replica) const;
     // The version of the adapter that the replica has in memory and that may be used; without a value there is none.
     [[nodiscard]] std::optional<std::uint64_t> residentVersion(const Core::TargetId &replica,
                                                                const std::string &name) const;
@@ -83,6 +91,8 @@
     Placement::ReplicaChooser m_chooser;
     IsHeldFunction m_isHeld;
     Placement::ReplicaHealth m_health;
+    Placement::AdapterDemand m_demand;
+    std::size_t m_hostCount = 1;
     std::map<Core::TargetId, View> m_views;
 };
 
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -321,6 +321,7 @@
 void Gateway::sendNotices()
 {
     const auto now = m_ports.scheduler.now();
+    m_fleet.setHostCount(m_holders.liveHosts().size());
     std::map<Core::HostId, Holding::UseNotice> notices;
     for (auto &use : m_fleet.takeUse()) {
         if (const auto holder = m_holders.holderOf(use.replica); holder.has_value()) {
--- a/Libraries/LibGateway/Passage.cpp
+++ b/Libraries/LibGateway/Passage.cpp
@@ -45,6 +45,7 @@
     m_deadline = m_startedAt + limit;
     m_service = Routes::chooseService(route, m_request.attemptId);
     m_ports.allowance.countRequest(m_service, m_startedAt);
+    m_ports.fleet.noteDemand(m_request, m_startedAt);
     if (m_request.lastEventId.has_value()) {
         m_events.setLastId(*m_request.lastEventId);
     }
@@ -134,6 +135,12 @@
         proceed();
         return;
     }
+    if (!m_ports.fleet.isAvailable(m_replica)) {
+        // It began to leave, or started again, while the adapter was being loaded.
+        m_excluded.insert(m_replica.id);
+        proceed();
+        return;
+    }
     m_version = reply.version;
     m_ports.fleet.setResident(m_replica.id, FleetView::adapterName(m_request), reply.version, m_ports.scheduler.now());
     send();
--- a/Libraries/LibPlacement/ReplicaChooser.cpp
+++ b/Libraries/LibPlacement/ReplicaChooser.cpp
@@ -20,7 +20,13 @@
 {
 }
 
-Core::Duration ReplicaChooser::cost(const Candidate &candidate, std::size_t rank, std::size_t fleetSize) const
+Core::Duration ReplicaChooser::furtherCopyCost(double demand) const
+{
+    return std::chrono::duration_cast<Core::Duration>(m_options.furtherCopy
+                                                      / (1 + demand / m_options.furtherCopyDemand));
+}
+
+Core::Duration ReplicaChooser::cost(const Candidate &candidate, std::size_t rank, Core::Duration copyCost) const
 {
     using Milliseconds = std::chrono::duration<double, std::milli>;
     const Milliseconds reading(static_cast<double>(candidate.waitingTokens) / m_options.promptTokensPerMillisecond);
@@ -33,10 +39,7 @@
         cost += m_options.perQueued * static_cast<int>(candidate.active - candidate.slots + 1);
     }
     if (candidate.residency != Residency::Resident) {
-        // One more copy takes a smaller part of a larger fleet's places.
-        const auto size = static_cast<int>(std::max(fleetSize, m_options.furtherHomeFleet));
-        cost += m_options.load
-            + m_options.furtherHome * static_cast<int>(rank) * static_cast<int>(m_options.furtherHomeFleet) / size;
+        cost += m_options.load + copyCost + m_options.furtherHome * static_cast<int>(rank);
     }
     if (candidate.residency == Residency::Unloadable) {
         cost += m_options.unloadable;
@@ -47,13 +50,17 @@
     return cost;
 }
 
-std::vector<bool> ReplicaChooser::considered(std::string_view request, std::span<const Candidate> candidates)
+std::vector<bool> ReplicaChooser::considered(std::string_view request, std::span<const Candidate> candidates) const
 {
     std::vector<std::size_t> ready;
+    std::vector<std::size_t> near;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const auto &candidate = candidates[i];
         if (candidate.residency == Residency::Resident && !candidate.isBlocked && candidate.penalty < LargePenalty) {
             ready.push_back(i);
+            if (candidate.zone == m_options.ownZone) {
+                near.push_back(i);
+            }
         }
     }
     std::vector<bool> isConsidered(candidates.size(), true);
@@ -63,15 +70,14 @@
     for (const auto index : ready) {
         isConsidered[index] = false;
     }
-    const auto first = Core::stableHash(request) % ready.size();
-    const auto second = (first + 1 + Core::stableHash(request, 1) % (ready.size() - 1)) % ready.size();
-    isConsidered[ready[first]] = true;
-    isConsidered[ready[second]] = true;
+    const auto &first = near.empty() ? ready : near;
+    isConsidered[first[Core::stableHash(request) % first.size()]] = true;
+    isConsidered[ready[Core::stableHash(request, 1) % ready.size()]] = true;
     return isConsidered;
 }
 
 std::optional<std::size_t> ReplicaChooser::choose(std::string_view key, std::string_view request,
-                                                  std::span<const Candidate> candidates) const
+                                                  std::span<const Candidate> candidates, double demand) const
 {
     if (candidates.empty()) {
         return std::nullopt;
@@ -94,13 +100,18 @@
         }
     }
     const auto isConsidered = considered(request, candidates);
+    const auto furtherCopy = furtherCopyCost(demand);
+    const bool hasCopy = std::any_of(candidates.begin(), candidates.end(), [](const auto &candidate) {
+        return candidate.residency == Residency::Resident && !candidate.isBlocked;
+    });
     std::optional<std::size_t> best;
     Core::Duration lowest {};
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         if (!isConsidered[i]) {
             continue;
         }
-        const auto expected = cost(candidates[i], ranks[i], candidates.size());
+        const bool isFirstCopy = ranks[i] == 0 && !hasCopy;
+        const auto expected = cost(candidates[i], ranks[i], isFirstCopy ? Core::Duration {} : furtherCopy);
         if (!best.has_value() || expected < lowest) {
             best = i;
             lowest = expected;
--- a/Libraries/LibPlacement/ReplicaChooser.h
+++ b/Libraries/LibPlacement/ReplicaChooser.h
@@ -35,11 +35,15 @@
 struct ReplicaChooserOptions {
     Core::ZoneId ownZone;
     double promptTokensPerMillisecond = 20; // Reading speed of the engines that are met: 19 and 22.
-    Core::Duration otherZone = std::chrono::milliseconds(3); // Round trip to another zone.
+    // What an answer from another zone costs: the round trip, the bytes, and that a cut between the zones ends it.
+    Core::Duration otherZone = std::chrono::milliseconds(25);
     Core::Duration load
         = std::chrono::milliseconds(60); // What a load delays, most being from the replica's own copies.
-    Core::Duration furtherHome = std::chrono::milliseconds(80); // What makes a load at each further home less good.
-    std::size_t furtherHomeFleet = 18; // Replicas up to which that holds; less in a larger fleet.
+    Core::Duration furtherHome = std::chrono::milliseconds(8); // What makes a load at each further home less good.
+    // What a copy beside the first costs while nothing shows that it will be used: about a load from the weight store.
+    Core::Duration furtherCopy = std::chrono::milliseconds(250);
+    // Requests a second for one adapter at which a further copy costs half as much: a fifth of what a replica reads.
+    double furtherCopyDemand = 4;
     Core::Duration perRank = std::chrono::microseconds(50); // Decides between replicas that are otherwise alike.
     Core::Duration perActive = std::chrono::milliseconds(1); // Added to an answer by each request that runs.
     Core::Duration perQueued = std::chrono::milliseconds(200); // And by each that is beyond the replica's places.
@@ -48,22 +52,27 @@
 };
 
 // Chooses the replica at which a request is expected to begin first. An adapter's homes are ranked alike on every host
-// by rendezvous hashing; a further home comes into use as soon as those before it are busier than a load takes.
+// by rendezvous hashing, so that one that is asked for again and again is loaded from its home's own copies. A further
+// home comes into use when those before it are busier than a load takes, for a popular adapter sooner.
 class ReplicaChooser
 {
 public:
     explicit ReplicaChooser(ReplicaChooserOptions options);
 
     // The index of the best candidate, without a value when there is none. The key is that of the adapter, or one of
-    // the request's own where it needs none; the request is told from others by its id.
+    // the request's own where it needs none; the request is told from others by its id. The demand is the estimated
+    // number of requests a second for the adapter, over all hosts.
     [[nodiscard]] std::optional<std::size_t> choose(std::string_view key, std::string_view request,
-                                                    std::span<const Candidate> candidates) const;
+                                                    std::span<const Candidate> candidates, double demand = 0) const;
 
 private:
-    [[nodiscard]] Core::Duration cost(const Candidate &candidate, std::size_t rank, std::size_t fleetSize) const;
+    // What a copy beside the first one costs, apart from the time that loading it takes.
+    [[nodiscard]] Core::Duration furtherCopyCost(double demand) const;
+    [[nodiscard]] Core::Duration cost(const Candidate &candidate, std::size_t rank, Core::Duration copyCost) const;
     // What is known of the other hosts' requests is a few hundred milliseconds old, so that all hosts would choose the
-    // same replica until they learn of it. Of many that can begin at once, the request therefore looks at two.
-    [[nodiscard]] static std::vector<bool> considered(std::string_view request, std::span<const Candidate> candidates);
+    // same replica until they learn of it. Of many that can begin at once, the request therefore looks at two, one of
+    // them of the own zone if there is one.
+    [[nodiscard]] std::vector<bool> considered(std::string_view request, std::span<const Candidate> candidates) const;
 
     ReplicaChooserOptions m_options;
 };
--- a/Libraries/LibPlacement/Tests/PlacementTest.cpp
+++ b/Libraries/LibPlacement/Tests/PlacementTest.cpp
@@ -1,3 +1,4 @@
+#include <LibPlacement/AdapterDemand.h>
 #include <LibPlacement/ReplicaChooser.h>
 #include <LibPlacement/ReplicaHealth.h>
 #include <cppunit/extensions/HelperMacros.h>
@@ -12,7 +13,12 @@
     CPPUNIT_TEST(aRareAdapterKeepsItsHome);
     CPPUNIT_TEST(aRestartOfAReplicaMovesNoHome);
     CPPUNIT_TEST(aPopularAdapterSpreadsToItsSecondHome);
+    CPPUNIT_TEST(aRareAdapterStaysAtABusyHome);
+    CPPUNIT_TEST(aRareAdapterIsntCopiedBesideABusyCopy);
+    CPPUNIT_TEST(demandLetsAnAdapterSpreadSooner);
+    CPPUNIT_TEST(demandFades);
     CPPUNIT_TEST(hostsThatKnowTheSameDontAllChooseTheSame);
+    CPPUNIT_TEST(aPopularAdapterIsServedInTheOwnZone);
     CPPUNIT_TEST(aFullReplicaIsPassedOver);
     CPPUNIT_TEST(aReplicaThatFailsRequestsIsUsedLess);
     CPPUNIT_TEST(aReplicaWithoutAHolderIsNotAskedForLoads);
@@ -80,6 +86,57 @@
                              withoutHome[*m_chooser.choose("m/a1", "request", withoutHome)].home);
     }
 
+    // Thousands of adapters that are asked for a few times each: a home that is a little busier than others must not
+    // send them to a replica that has to fetch them anew.
+    void aRareAdapterStaysAtABusyHome()
+    {
+        auto candidates = fleet(60);
+        const auto home = *m_chooser.choose("m/a1", "request", candidates);
+        candidates[home].active = 20;
+        candidates[home].waitingTokens = 3000;
+        CPPUNIT_ASSERT_EQUAL(home, *m_chooser.choose("m/a1", "request", candidates));
+        candidates[home].waitingTokens = 12000;
+        CPPUNIT_ASSERT(home != *m_chooser.choose("m/a1", "request", candidates));
+    }
+
+    void aRareAdapterIsntCopiedBesideABusyCopy()
+    {
+        auto candidates = fleet(60);
+        const auto home = *m_chooser.choose("m/a1", "request", candidates);
+        const auto copy = (home + 7) % candidates.size();
+        candidates[copy].residency = Placement::Residency::Resident;
+        candidates[copy].waitingTokens = 3000;
+        CPPUNIT_ASSERT_EQUAL(copy, *m_chooser.choose("m/a1", "request", candidates));
+        candidates[copy].isBlocked = true;
+        CPPUNIT_ASSERT_EQUAL(home, *m_chooser.choose("m/a1", "request", candidates));
+    }
+
+    // A shift of demand: an adapter that many ask for at once.
+    void demandLetsAnAdapterSpreadSooner()
+    {
+        auto candidates = fleet(60);
+        const auto home = *m_chooser.choose("m/a1", "request", candidates);
+        candidates[home].residency = Placement::Residency::Resident;
+        candidates[home].waitingTokens = 2500;
+        CPPUNIT_ASSERT_EQUAL(home, *m_chooser.choose("m/a1", "request", candidates));
+        CPPUNIT_ASSERT(home != *m_chooser.choose("m/a1", "request", candidates, 80));
+    }
+
+    void demandFades()
+    {
+        Placement::AdapterDemand demand;
+        for (int i = 0; i < 20; ++i) {
+            demand.note("m/a1", m_now + i * 100ms);
+        }
+        demand.note("m/a2", m_now);
+        const auto rate = Placement::AdapterDemand::rateOf(demand.count("m/a1", m_now + 2s));
+        CPPUNIT_ASSERT(rate > 5 && rate < 10);
+        CPPUNIT_ASSERT(demand.count("m/a1", m_now + 20s) < 0.01);
+        CPPUNIT_ASSERT(demand.count("m/a2", m_now + 2s) < 0.5);
+        demand.prune(m_now + 20s);
+        CPPUNIT_ASSERT_EQUAL(0.0, demand.count("m/a1", m_now + 2s));
+    }
+
     // A popular adapter on many replicas, and many hosts that learn of each other's requests late.
     void hostsThatKnowTheSameDontAllChooseTheSame()
     {
@@ -99,6 +156,28 @@
         CPPUNIT_ASSERT(counts[0] > counts[4]);
     }
 
+    // A zone is cut off while streams run: those that cross its border end.
+    void aPopularAdapterIsServedInTheOwnZone()
+    {
+        constexpr int Requests = 1000;
+        for (const std::size_t copies : {6, 24}) {
+            auto candidates = fleet(copies);
+            for (std::size_t i = 0; i < copies; ++i) {
+                candidates[i].residency = Placement::Residency::Resident;
+                candidates[i].zone = {std::string(1, static_cast<char>('a' + i % 3))};
+            }
+            int crossing = 0;
+            for (int i = 0; i < Requests; ++i) {
+                crossing += *m_chooser.choose("m/a1", "request" + std::to_string(i), candidates) % 3 == 0 ? 0 : 1;
+            }
+            CPPUNIT_ASSERT(crossing < Requests / 10);
+            for (std::size_t i = 0; i < copies; i += 3) {
+                candidates[i].waitingTokens = 2000;
+            }
+            CPPUNIT_ASSERT(*m_chooser.choose("m/a1", "request", candidates) % 3 != 0);
+        }
+    }
+
     void aFullReplicaIsPassedOver()
     {
         auto candidates = fleet(2);
