LibHolding: Repeat an order without an answer at once, and use a restarted replica when its entry shows the model

An unanswered order was waited for 600 ms, then its controller paused 300 ms and waited for a report before the next one. A refusal of the repeat shows that the first one was. With another order uncertain the report decides as before.

--- a/Libraries/LibHolding/ReplicaController.cpp
+++ b/Libraries/LibHolding/ReplicaController.cpp
@@ -45,6 +45,9 @@
     }
     m_replica = replica;
     m_engine = engine;
+    for (const auto &model : m_replica.models) {
+        m_models.insert(model.model);
+    }
     if (m_replica.isDraining) {
         serveWaiters();
     }
@@ -115,7 +118,7 @@
 {
     m_isReporting = true;
     const auto askedAt = m_scheduler.now();
-    m_nextReport = askedAt + m_options.reportPeriod;
+    m_nextReport = askedAt + (m_models.empty() ? m_options.reportPeriodWithoutModel : m_options.reportPeriod);
     m_link.report(m_replica, [this, isAlive = m_isAlive, askedAt](const std::optional<Fleet::ReplicaReport> &report) {
         if (!*isAlive) {
             return;
--- a/Libraries/LibHolding/ReplicaController.h
+++ b/Libraries/LibHolding/ReplicaController.h
@@ -16,6 +16,8 @@
 struct ReplicaControllerOptions {
     Core::HostId self;
     Core::Duration reportPeriod = std::chrono::milliseconds(1000);
+    // Until a model is in memory, nothing can be served; a report tells sooner than the replica's entry.
+    Core::Duration reportPeriodWithoutModel = std::chrono::milliseconds(250);
     // A report shows the state of some hundred milliseconds ago; what changed here since isn't corrected by it.
     Core::Duration reportLag = std::chrono::milliseconds(700);
     // Load times of an adapter: from the replica's own memory, and from the weight store.
@@ -35,6 +37,7 @@
     Core::Duration refusalLifetime = std::chrono::milliseconds(120);
     // After this time an order that should wait for runs is no longer taken for the reason of a refusal.
     Core::Duration longestRun = std::chrono::milliseconds(8000);
+    unsigned mostRepeats = 3; // Of an order without an answer, before the replica's report is waited for.
     std::size_t mostInTransit = 4; // Adapters that a replica loads at a time.
     std::size_t mostWaiting = 64; // Requests for adapters that wait for an order.
 };
@@ -106,6 +109,13 @@
     void takeOutcome(const Fleet::ReplicaOrder &order, const std::string &name, Fleet::OrderOutcome outcome,
                      const std::string &detail);
     void settleUncertain(std::uint64_t acceptedAt);
+    // Sends an order without an answer once more, at the same count: whichever of the two is carried out, the other one
+    // can't be any more. Returns false when this isn't tried again.
+    [[nodiscard]] bool repeatUnanswered(const Fleet::ReplicaOrder &order, const std::string &name);
+    // No other adapter's order may still be carried out.
+    [[nodiscard]] bool isOnlyUncertain(const std::string &name) const;
+    // The replica refused the repeat, so it has carried out the order that had no answer.
+    void takeAsCarriedOut(const Fleet::ReplicaOrder &order, const std::string &name);
     // An order of ours waits for runs at the replica, which refuses every other order meanwhile.
     [[nodiscard]] bool isWaitingForRuns() const;
     // It has done so for a while, and just did again.
@@ -145,6 +155,8 @@
     bool m_isOrdering = false;
     bool m_isReporting = false;
     bool m_isModelLoading = false;
+    unsigned m_unanswered = 0; // Orders in a row that had no answer.
+    bool m_isSecondCopy = false; // The order under way repeats one that had no answer.
     std::optional<Core::TimePoint> m_waitsForRunsSince;
     Core::TimePoint m_refusedAt {}; // While an order waited for runs.
     Core::TimePoint m_nextReport {};
--- a/Libraries/LibHolding/ReplicaControllerOrders.cpp
+++ b/Libraries/LibHolding/ReplicaControllerOrders.cpp
@@ -167,12 +167,38 @@
     // An order for an adapter that is on its way already isn't counted; the answer says whether it has arrived.
     const auto repeated = m_slots.find(name);
     const bool isRepeat = repeated != m_slots.end() && std::exchange(repeated->second.isConfirming, false);
-    const bool isAccepted = (outcome == Fleet::OrderOutcome::Accepted && !isRepeat)
-        || (outcome == Fleet::OrderOutcome::Holds && isUnload);
+    const bool isSecondCopy = std::exchange(m_isSecondCopy, false);
+    const auto unanswered = std::exchange(m_unanswered, 0);
+    const bool isAnswered = outcome == Fleet::OrderOutcome::Accepted || outcome == Fleet::OrderOutcome::Holds;
+    if (isSecondCopy && !isAnswered) {
+        if (outcome == Fleet::OrderOutcome::Conflict && !isWaitingForRuns() && isOnlyUncertain(name)) {
+            takeAsCarriedOut(order, name);
+            return;
+        }
+        // The first copy may still be carried out.
+        outcome = Fleet::OrderOutcome::Unknown;
+    }
+    if (outcome == Fleet::OrderOutcome::Unknown) {
+        m_unanswered = unanswered + 1;
+        Log::write(Log::Event::OrderUnanswered, {{"replica", m_replica.id.value}, {"order", name}, {"reason", detail}});
+        if (isRepeat && m_unanswered <= m_options.mostRepeats) {
+            repeated->second.readyAt = now + m_options.confirmPeriod;
+            return;
+        }
+        if (!isRepeat && repeatUnanswered(order, name)) {
+            return;
+        }
+    }
+    // Either this order or its first copy was carried out, so the count has risen by one.
+    const bool isAccepted
+        = !isRepeat && isAnswered && (outcome == Fleet::OrderOutcome::Accepted || isUnload || isSecondCopy);
+    if (isAccepted && isSecondCopy && repeated != m_slots.end()) {
+        repeated->second.uncertainAt.reset();
+    }
     if (isAccepted) {
         settleUncertain(order.expectedCount);
     }
-    if (!isRepeat && (outcome == Fleet::OrderOutcome::Accepted || outcome == Fleet::OrderOutcome::Holds)) {
+    if (!isRepeat && isAnswered) {
         endWaitForRuns();
     }
     if (outcome == Fleet::OrderOutcome::Conflict && isWaitingForRuns()) {
@@ -210,7 +236,6 @@
         return;
     }
     case Fleet::OrderOutcome::Unknown:
-        Log::write(Log::Event::OrderUnanswered, {{"replica", m_replica.id.value}, {"order", name}, {"reason", detail}});
         if (slot != m_slots.end()) {
             if (!isRepeat) {
                 slot->second.uncertainAt = order.expectedCount;
@@ -245,6 +270,43 @@
     m_nextReport = now + ConflictDelay;
 }
 
+bool ReplicaController::repeatUnanswered(const Fleet::ReplicaOrder &order, const std::string &name)
+{
+    const auto slot = m_slots.find(name);
+    if (m_unanswered > m_options.mostRepeats || slot == m_slots.end() || order.adapter.empty()
+        || m_orderCount != order.expectedCount || !m_fence(m_replica.id).has_value()) {
+        return false;
+    }
+    slot->second.uncertainAt = order.expectedCount;
+    slot->second.changedAt = m_scheduler.now();
+    sendOrder(order, name);
+    m_isSecondCopy = true;
+    return true;
+}
+
+bool ReplicaController::isOnlyUncertain(const std::string &name) const
+{
+    return std::none_of(m_slots.begin(), m_slots.end(), [&name](const auto &slot) {
+        return slot.first != name && slot.second.uncertainAt.has_value();
+    });
+}
+
+void ReplicaController::takeAsCarriedOut(const Fleet::ReplicaOrder &order, const std::string &name)
+{
+    const auto now = m_scheduler.now();
+    m_orderCount = order.expectedCount + 1;
+    m_countAsOf = now;
+    if (const auto slot = m_slots.find(name); slot != m_slots.end()) {
+        slot->second.uncertainAt.reset();
+        slot->second.changedAt = now;
+        if (order.verb == Fleet::OrderVerb::Unload || slot->second.state == SlotState::Replacing) {
+            // Done or waiting for runs; the answer to the next order tells.
+            m_waitsForRunsSince = now;
+        }
+    }
+    settleUncertain(order.expectedCount);
+}
+
 bool ReplicaController::isWaitingForRuns() const
 {
     return m_waitsForRunsSince.has_value() && m_scheduler.now() - *m_waitsForRunsSince < m_options.longestRun;
--- a/Libraries/LibHolding/Tests/ReplicaControllerTest.cpp
+++ b/Libraries/LibHolding/Tests/ReplicaControllerTest.cpp
@@ -24,7 +24,7 @@
     void order(const Fleet::Replica & /*replica*/, const Fleet::ReplicaOrder &order, OrderFunction done) override
     {
         ++orderCalls;
-        if (isLosingAnswers) {
+        if (isLosingAnswers || (loseEvery != 0 && orderCalls % loseEvery == 0)) {
             if (lateBy > Core::Duration::zero()) {
                 m_scheduler.runAfter(lateBy, [this, order] {
                     (void)carryOut(order);
@@ -77,6 +77,8 @@
     std::vector<std::string> loads; // In the order in which they were accepted.
     Core::Duration loadTime = 250ms;
     bool isLosingAnswers = false;
+    std::size_t loseEvery = 0; // Every so many orders has no answer; zero for none.
+    bool isCountCheckedFirst = false; // Before it is looked whether the order holds already.
     Core::Duration lateBy {};
 
 private:
@@ -118,6 +120,9 @@
             ++conflicts;
             return Fleet::OrderOutcome::Conflict;
         }
+        if (isCountCheckedFirst && order.expectedCount != count) {
+            return Fleet::OrderOutcome::Conflict;
+        }
         const auto found = adapters.find(order.adapter);
         const bool isPresent = found != adapters.end();
         const bool isLoad = order.verb == Fleet::OrderVerb::Load;
@@ -160,6 +165,8 @@
     CPPUNIT_TEST(aFinishedLoadIsUsableWhileAnOrderWaitsForRuns);
     CPPUNIT_TEST(whatASilentHostUsesIsKeptForARun);
     CPPUNIT_TEST(aLeavingReplicaKeepsNobodyWaiting);
+    CPPUNIT_TEST(lostAnswersDontStopLoads);
+    CPPUNIT_TEST(aReplicaIsUsableAsSoonAsItsEntryShowsTheModel);
     CPPUNIT_TEST(withoutTheRightToOrderItRefusesAtOnce);
     CPPUNIT_TEST(waitingCostsNoTime);
     CPPUNIT_TEST_SUITE_END();
@@ -463,6 +470,52 @@
         CPPUNIT_ASSERT(answer.isGiven && !isReady(answer));
     }
 
+    // Some orders get no answer, and are carried out at once or seconds later, while many adapters are asked for.
+    void lostAnswersDontStopLoads()
+    {
+        for (const bool isCountCheckedFirst : {false, true}) {
+            for (const auto lateBy : {Core::Duration {}, Core::Duration(3s)}) {
+                m_fake.adapters.clear();
+                m_fake.count = 0;
+                m_fake.lateBy = lateBy;
+                m_fake.isCountCheckedFirst = isCountCheckedFirst;
+                m_fake.loseEvery = 3;
+                const auto made = controller();
+                std::vector<Answer> answers(20);
+                for (std::size_t i = 0; i < answers.size(); ++i) {
+                    ask(*made, request("a" + std::to_string(i)), answers[i]);
+                    run(*made, 350ms);
+                }
+                run(*made, 500ms);
+                CPPUNIT_ASSERT(std::all_of(answers.begin(), answers.end(), &isReady));
+                CPPUNIT_ASSERT(m_fake.most <= Slots);
+                m_fake.loseEvery = 0;
+                run(*made, 5s);
+                CPPUNIT_ASSERT(m_fake.most <= Slots);
+            }
+        }
+    }
+
+    // A fifth of the replicas comes back empty: hosts chose them by their entries, and their holders refused.
+    void aReplicaIsUsableAsSoonAsItsEntryShowsTheModel()
+    {
+        const auto made = controller();
+        auto restarted = made->replica();
+        restarted.startedAt = 2;
+        restarted.models.clear();
+        made->update(restarted, m_engine);
+        Answer before;
+        ask(*made, request("a1"), before);
+        CPPUNIT_ASSERT(before.isGiven && !isReady(before));
+        restarted.models.push_back({.model = "m"});
+        made->update(restarted, m_engine);
+        Answer after;
+        ask(*made, request("a1"), after);
+        CPPUNIT_ASSERT(!after.isGiven);
+        run(*made, 600ms);
+        CPPUNIT_ASSERT(isReady(after));
+    }
+
     void withoutTheRightToOrderItRefusesAtOnce()
     {
         const auto made = controller();
