LibHolding: Keep nobody waiting for a replica that can't be reached

Now waiters are sent elsewhere after an order that could not be sent, until the replica answers a report, which is asked for four times a second meanwhile; an order's answer is waited for 120 ms, doubled with each repeat.

--- a/Libraries/LibEngine/EngineJson.cpp
+++ b/Libraries/LibEngine/EngineJson.cpp
@@ -44,12 +44,14 @@
 
 nlohmann::json toJson(const AdapterOrder &order)
 {
-    return {{"adapter", adapterToJson(order.adapter)}, {"fence", order.fence}};
+    return {{"adapter", adapterToJson(order.adapter)}, {"fence", order.fence}, {"incarnation", order.incarnation}};
 }
 
 AdapterOrder orderFromJson(const nlohmann::json &json)
 {
-    return {.adapter = adapterFromJson(json.at("adapter")), .fence = json.at("fence").get<std::uint64_t>()};
+    return {.adapter = adapterFromJson(json.at("adapter")),
+            .fence = json.at("fence").get<std::uint64_t>(),
+            .incarnation = json.value("incarnation", std::string())};
 }
 
 nlohmann::json toJson(const EngineStatus &status)
--- a/Libraries/LibEngine/EngineLink.h
+++ b/Libraries/LibEngine/EngineLink.h
@@ -21,12 +21,16 @@
 struct AdapterOrder {
     Core::AdapterVersion adapter;
     std::uint64_t fence = 0;
+    // The start of the engine that is meant; another one refuses the order. Empty for any.
+    std::string incarnation;
 };
 
 enum class OrderOutcome {
     Done,
     // The engine knows a higher fencing number; nothing was changed.
     StaleFence,
+    // The order names another start of the engine; nothing was changed.
+    OtherStart,
     // The engine tried and failed, for example because the weights could not be read.
     Failed,
     // No slot is free, or the adapter is in use.
--- a/Libraries/LibEngine/HttpEngineLink.cpp
+++ b/Libraries/LibEngine/HttpEngineLink.cpp
@@ -95,6 +95,8 @@
                            done(OrderOutcome::Done);
                        } else if (result.status == Core::HttpStatus::Conflict) {
                            done(OrderOutcome::StaleFence);
+                       } else if (result.status == Core::HttpStatus::MisdirectedRequest) {
+                           done(OrderOutcome::OtherStart);
                        } else {
                            done(result.status == Core::HttpStatus::TooEarly ? OrderOutcome::Busy
                                                                             : OrderOutcome::Failed);
--- a/Libraries/LibFleet/OrderLink.h
+++ b/Libraries/LibFleet/OrderLink.h
@@ -16,6 +16,7 @@
     std::uint64_t expectedCount = 0; // Orders that the replica must have accepted so far.
     Core::HostId holder; // The host that gives orders to this replica.
     std::uint64_t fence = 0; // The number of that right; rises with each holder.
+    Core::Duration answerTimeout {}; // How long an answer is waited for.
 };
 
 enum class OrderOutcome {
--- a/Libraries/LibHolding/ReplicaController.cpp
+++ b/Libraries/LibHolding/ReplicaController.cpp
@@ -118,13 +118,15 @@
 {
     m_isReporting = true;
     const auto askedAt = m_scheduler.now();
-    m_nextReport = askedAt + (m_models.empty() ? m_options.reportPeriodWithoutModel : m_options.reportPeriod);
+    const bool isAwaited = m_models.empty() || m_isUnreachable;
+    m_nextReport = askedAt + (isAwaited ? m_options.awaitedReportPeriod : m_options.reportPeriod);
     m_link.report(m_replica, [this, isAlive = m_isAlive, askedAt](const std::optional<Fleet::ReplicaReport> &report) {
         if (!*isAlive) {
             return;
         }
         m_isReporting = false;
         if (report.has_value()) {
+            m_isUnreachable = false;
             takeReport(*report, askedAt);
             pump();
         }
@@ -278,6 +280,9 @@
     if (m_replica.isDraining) {
         return "the replica is leaving";
     }
+    if (m_isUnreachable) {
+        return "the replica can't be reached";
+    }
     if (isOutdatedInUse(waiter)) {
         return "an older version is in use";
     }
--- a/Libraries/LibHolding/ReplicaController.h
+++ b/Libraries/LibHolding/ReplicaController.h
@@ -16,8 +16,8 @@
 struct ReplicaControllerOptions {
     Core::HostId self;
     Core::Duration reportPeriod = std::chrono::milliseconds(1000);
-    // Until a model is in memory, nothing can be served; a report tells sooner than the replica's entry.
-    Core::Duration reportPeriodWithoutModel = std::chrono::milliseconds(250);
+    // While nothing can be loaded before the replica answers again or has its model.
+    Core::Duration awaitedReportPeriod = std::chrono::milliseconds(250);
     // A report shows the state of some hundred milliseconds ago; what changed here since isn't corrected by it.
     Core::Duration reportLag = std::chrono::milliseconds(700);
     // Load times of an adapter: from the replica's own memory, and from the weight store.
@@ -37,6 +37,9 @@
     Core::Duration refusalLifetime = std::chrono::milliseconds(120);
     // After this time an order that should wait for runs is no longer taken for the reason of a refusal.
     Core::Duration longestRun = std::chrono::milliseconds(8000);
+    // Of an order, which is answered as soon as it is accepted, a few milliseconds after it was sent; doubles with each
+    // repeat, for a host or a link that is slow.
+    Core::Duration orderTimeout = std::chrono::milliseconds(120);
     unsigned mostRepeats = 3; // Of an order without an answer, before the replica's report is waited for.
     std::size_t mostInTransit = 4; // Adapters that a replica loads at a time.
     std::size_t mostWaiting = 64; // Requests for adapters that wait for an order.
@@ -155,6 +158,7 @@
     bool m_isOrdering = false;
     bool m_isReporting = false;
     bool m_isModelLoading = false;
+    bool m_isUnreachable = false; // By the last order.
     unsigned m_unanswered = 0; // Orders in a row that had no answer.
     bool m_isSecondCopy = false; // The order under way repeats one that had no answer.
     std::optional<Core::TimePoint> m_waitsForRunsSince;
--- a/Libraries/LibHolding/ReplicaControllerOrders.cpp
+++ b/Libraries/LibHolding/ReplicaControllerOrders.cpp
@@ -143,6 +143,7 @@
     order.expectedCount = *m_orderCount;
     order.holder = m_options.self;
     order.fence = *m_fence(m_replica.id);
+    order.answerTimeout = m_options.orderTimeout * (1U << std::min(m_unanswered, m_options.mostRepeats));
     m_link.order(m_replica, order,
                  [this, isAlive = m_isAlive, order, name](Fleet::OrderOutcome outcome, const std::string &detail) {
                      if (*isAlive) {
@@ -169,6 +170,8 @@
     const bool isRepeat = repeated != m_slots.end() && std::exchange(repeated->second.isConfirming, false);
     const bool isSecondCopy = std::exchange(m_isSecondCopy, false);
     const auto unanswered = std::exchange(m_unanswered, 0);
+    m_isUnreachable = outcome == Fleet::OrderOutcome::NotSent
+        || (outcome == Fleet::OrderOutcome::Unknown && unanswered >= m_options.mostRepeats);
     const bool isAnswered = outcome == Fleet::OrderOutcome::Accepted || outcome == Fleet::OrderOutcome::Holds;
     if (isSecondCopy && !isAnswered) {
         if (outcome == Fleet::OrderOutcome::Conflict && !isWaitingForRuns() && isOnlyUncertain(name)) {
--- a/Libraries/LibHolding/Tests/ReplicaControllerTest.cpp
+++ b/Libraries/LibHolding/Tests/ReplicaControllerTest.cpp
@@ -24,6 +24,10 @@
     void order(const Fleet::Replica & /*replica*/, const Fleet::ReplicaOrder &order, OrderFunction done) override
     {
         ++orderCalls;
+        if (isUnreachable) {
+            answer(done, Fleet::OrderOutcome::NotSent);
+            return;
+        }
         if (isLosingAnswers || (loseEvery != 0 && orderCalls % loseEvery == 0)) {
             if (lateBy > Core::Duration::zero()) {
                 m_scheduler.runAfter(lateBy, [this, order] {
@@ -40,6 +44,12 @@
 
     void report(const Fleet::Replica & /*replica*/, ReportFunction done) override
     {
+        if (isUnreachable) {
+            m_scheduler.runAfter(2ms, [done = std::move(done)] {
+                done(std::nullopt);
+            });
+            return;
+        }
         settle();
         Fleet::ReplicaReport report {.orderCount = count, .isBusy = isBusy()};
         report.models.push_back({.model = "m", .version = 1});
@@ -76,6 +86,7 @@
     std::size_t conflicts = 0; // Orders that came meanwhile.
     std::vector<std::string> loads; // In the order in which they were accepted.
     Core::Duration loadTime = 250ms;
+    bool isUnreachable = false;
     bool isLosingAnswers = false;
     std::size_t loseEvery = 0; // Every so many orders has no answer; zero for none.
     bool isCountCheckedFirst = false; // Before it is looked whether the order holds already.
@@ -167,6 +178,7 @@
     CPPUNIT_TEST(aLeavingReplicaKeepsNobodyWaiting);
     CPPUNIT_TEST(lostAnswersDontStopLoads);
     CPPUNIT_TEST(aReplicaIsUsableAsSoonAsItsEntryShowsTheModel);
+    CPPUNIT_TEST(nobodyWaitsForAReplicaThatCantBeReached);
     CPPUNIT_TEST(withoutTheRightToOrderItRefusesAtOnce);
     CPPUNIT_TEST(waitingCostsNoTime);
     CPPUNIT_TEST_SUITE_END();
@@ -516,6 +528,26 @@
         CPPUNIT_ASSERT(isReady(after));
     }
 
+    // A fifth of the replicas crashes: their entries stay for seconds, and each request waited for a second.
+    void nobodyWaitsForAReplicaThatCantBeReached()
+    {
+        const auto made = controller();
+        m_fake.isUnreachable = true;
+        Answer first;
+        Answer second;
+        ask(*made, request("a1"), first);
+        ask(*made, request("a2"), second);
+        run(*made, 100ms);
+        CPPUNIT_ASSERT(first.isGiven && !isReady(first));
+        CPPUNIT_ASSERT(second.isGiven && !isReady(second));
+        m_fake.isUnreachable = false;
+        run(*made, 600ms);
+        Answer third;
+        ask(*made, request("a3"), third);
+        run(*made, 600ms);
+        CPPUNIT_ASSERT(isReady(third));
+    }
+
     void withoutTheRightToOrderItRefusesAtOnce()
     {
         const auto made = controller();
--- a/Libraries/LibOwner/OwnedTargets.cpp
+++ b/Libraries/LibOwner/OwnedTargets.cpp
@@ -144,7 +144,7 @@
     for (const auto &slot : status.slots) {
         resident.push_back(slot.adapter);
     }
-    if (!isCurrent(target, status.incarnation)) {
+    if (!isKnown(target, status.incarnation)) {
         m_dispatcher.resetTarget(target, status.incarnation, status.slotCount, resident, m_scheduler.now());
     }
     m_dispatcher.forgetMissing(target, resident, askedAt);
@@ -229,44 +229,48 @@
 
 void OwnedTargets::act(const LoadAction &action)
 {
-    orderLoad(action, m_dispatcher.tables().at(action.target).incarnation());
+    orderLoad(action, tenureOf(action.target));
 }
 
-void OwnedTargets::orderLoad(const LoadAction &action, const std::string &incarnation)
+void OwnedTargets::orderLoad(const LoadAction &action, const Tenure &tenure)
 {
-    const Engine::AdapterOrder order {.adapter = action.adapter, .fence = fenceOf(action.target)};
-    m_engines.load(addressOf(action.target), order, [this, action, incarnation](Engine::OrderOutcome outcome) {
-        if (outcome == Engine::OrderOutcome::Unknown) {
-            m_scheduler.runAfter(UnknownLoadRetry, [this, action, incarnation] {
-                if (isCurrent(action.target, incarnation)) {
-                    orderLoad(action, incarnation);
+    const Engine::AdapterOrder order {
+        .adapter = action.adapter, .fence = tenure.fence, .incarnation = tenure.incarnation};
+    m_engines.load(addressOf(action.target), order, [this, action, tenure](Engine::OrderOutcome outcome) {
+        if (!isCurrent(action.target, tenure)) {
+            return;
+        }
+        if (outcome == Engine::OrderOutcome::Unknown || outcome == Engine::OrderOutcome::OtherStart) {
+            m_scheduler.runAfter(UnknownLoadRetry, [this, action, tenure] {
+                if (isCurrent(action.target, tenure)) {
+                    orderLoad(action, tenure);
                 }
             });
             return;
         }
-        m_dispatcher.finishLoad(action.target, incarnation, action.adapter, outcome == Engine::OrderOutcome::Done);
+        m_dispatcher.finishLoad(action.target, tenure.incarnation, action.adapter, outcome == Engine::OrderOutcome::Done);
         step();
     });
 }
 
 void OwnedTargets::act(const UnloadAction &action)
 {
-    sendUnload(action, m_dispatcher.tables().at(action.target).incarnation());
+    sendUnload(action, tenureOf(action.target));
 }
 
-void OwnedTargets::sendUnload(const UnloadAction &action, const std::string &incarnation)
+void OwnedTargets::sendUnload(const UnloadAction &action, const Tenure &tenure)
 {
-    const Engine::AdapterOrder order {.adapter = action.adapter, .fence = fenceOf(action.target)};
-    m_engines.unload(addressOf(action.target), order, [this, action, incarnation](Engine::OrderOutcome outcome) {
-        finishUnload(action, incarnation, outcome);
+    const Engine::AdapterOrder order {
+        .adapter = action.adapter, .fence = tenure.fence, .incarnation = tenure.incarnation};
+    m_engines.unload(addressOf(action.target), order, [this, action, tenure](Engine::OrderOutcome outcome) {
+        finishUnload(action, tenure, outcome);
     });
 }
 
-void OwnedTargets::finishUnload(const UnloadAction &action, const std::string &incarnation,
-                                Engine::OrderOutcome outcome)
+void OwnedTargets::finishUnload(const UnloadAction &action, const Tenure &tenure, Engine::OrderOutcome outcome)
 {
     const std::pair key(action.target, action.adapter);
-    if (!isCurrent(action.target, incarnation)) {
+    if (!isCurrent(action.target, tenure)) {
         m_uncertainUnloads.erase(key);
         return;
     }
@@ -275,9 +279,9 @@
     if (!isDone && isUncertain) {
         // The order may still take effect, so nothing is placed on the adapter until one has been answered.
         m_uncertainUnloads.insert(key);
-        m_scheduler.runAfter(m_options.statusPeriod, [this, action, incarnation, key] {
-            if (isCurrent(action.target, incarnation)) {
-                sendUnload(action, incarnation);
+        m_scheduler.runAfter(m_options.statusPeriod, [this, action, tenure, key] {
+            if (isCurrent(action.target, tenure)) {
+                sendUnload(action, tenure);
             } else {
                 m_uncertainUnloads.erase(key);
             }
@@ -285,11 +289,22 @@
         return;
     }
     m_uncertainUnloads.erase(key);
-    m_dispatcher.finishUnload(action.target, incarnation, action.adapter, isDone, m_scheduler.now());
+    m_dispatcher.finishUnload(action.target, tenure.incarnation, action.adapter, isDone, m_scheduler.now());
     step();
 }
 
-bool OwnedTargets::isCurrent(const Core::TargetId &target, const std::string &incarnation) const
+OwnedTargets::Tenure OwnedTargets::tenureOf(const Core::TargetId &target) const
+{
+    return {.incarnation = m_dispatcher.tables().at(target).incarnation(), .fence = fenceOf(target)};
+}
+
+bool OwnedTargets::isCurrent(const Core::TargetId &target, const Tenure &tenure) const
+{
+    const auto owned = m_ownership.ownerOf(target).value_or(Membership::Ownership {});
+    return owned.owner == m_router.self() && owned.fence == tenure.fence && isKnown(target, tenure.incarnation);
+}
+
+bool OwnedTargets::isKnown(const Core::TargetId &target, const std::string &incarnation) const
 {
     const auto found = m_dispatcher.tables().find(target);
     return found != m_dispatcher.tables().end() && found->second.incarnation() == incarnation;
--- a/Libraries/LibOwner/OwnedTargets.h
+++ b/Libraries/LibOwner/OwnedTargets.h
@@ -54,10 +54,18 @@
     void act(const RefuseAction &action);
     void act(const LoadAction &action);
     void act(const UnloadAction &action);
-    void orderLoad(const LoadAction &action, const std::string &incarnation);
-    void sendUnload(const UnloadAction &action, const std::string &incarnation);
-    void finishUnload(const UnloadAction &action, const std::string &incarnation, Engine::OrderOutcome outcome);
-    [[nodiscard]] bool isCurrent(const Core::TargetId &target, const std::string &incarnation) const;
+    // One ownership of one start of a target. What was decided in an earlier one isn't ordered in a later one, nor do
+    // its late results count there.
+    struct Tenure {
+        std::string incarnation; // Of the target.
+        std::uint64_t fence = 0; // Of the ownership.
+    };
+    void orderLoad(const LoadAction &action, const Tenure &tenure);
+    void sendUnload(const UnloadAction &action, const Tenure &tenure);
+    void finishUnload(const UnloadAction &action, const Tenure &tenure, Engine::OrderOutcome outcome);
+    [[nodiscard]] Tenure tenureOf(const Core::TargetId &target) const;
+    [[nodiscard]] bool isCurrent(const Core::TargetId &target, const Tenure &tenure) const;
+    [[nodiscard]] bool isKnown(const Core::TargetId &target, const std::string &incarnation) const;
     void answer(const GrantReply &reply);
     void seekPermit();
     void takePermit(bool isGiven);
