--- a/Libraries/LibOwner/IssuedGrants.cpp
+++ b/Libraries/LibOwner/IssuedGrants.cpp
@@ -72,12 +72,13 @@
     std::erase_if(m_issued, [&](const auto &entry) {
         return entry.second.target == target;
     });
-    m_busy.erase(target);
+    m_reports.erase(target);
 }
 
-void IssuedGrants::takeReport(const Core::TargetId &target, std::set<Core::AdapterVersion> busy)
+void IssuedGrants::takeReport(const Core::TargetId &target, Core::TimePoint askedAt,
+                              std::set<Core::AdapterVersion> busy)
 {
-    m_busy[target] = std::move(busy);
+    m_reports[target] = {.askedAt = askedAt, .busy = std::move(busy)};
 }
 
 bool IssuedGrants::isAdopted(const Core::TargetId &target, const Core::AdapterVersion &adapter) const
@@ -94,21 +95,19 @@
 
 void IssuedGrants::queryFronts()
 {
+    const auto now = m_scheduler.now();
     std::map<Core::HostId, std::vector<Core::GrantId>> aged;
-    std::vector<Core::GrantId> ended;
-    for (const auto &[grant, issued] : m_issued) {
-        if (m_scheduler.now() - issued.since < m_options.queryAge) {
+    for (auto &[grant, issued] : m_issued) {
+        if (now - issued.since < m_options.queryAge || issued.endedAt.has_value()) {
             continue;
         }
-        if (isEndedWithFront(issued)) {
-            ended.push_back(grant);
+        if (isFrontGone(issued)) {
+            issued.endedAt = now;
         } else {
             aged[issued.front].push_back(grant);
         }
     }
-    for (const auto &grant : ended) {
-        m_release(grant);
-    }
+    releaseEnded();
     for (auto &[front, grants] : aged) {
         queryFront(front, std::move(grants));
     }
@@ -117,6 +116,19 @@
     });
 }
 
+void IssuedGrants::releaseEnded()
+{
+    std::vector<Core::GrantId> ended;
+    for (const auto &[grant, issued] : m_issued) {
+        if (issued.endedAt.has_value() && isIdleSinceEnd(issued)) {
+            ended.push_back(grant);
+        }
+    }
+    for (const auto &grant : ended) {
+        m_release(grant);
+    }
+}
+
 void IssuedGrants::queryFront(const Core::HostId &front, std::vector<Core::GrantId> grants)
 {
     const GrantQuery query {.grants = grants};
@@ -131,20 +143,28 @@
                 const bool isHeld = std::any_of(held.begin(), held.end(), [&](const AnnouncedGrant &announced) {
                     return announced.grant == grant;
                 });
-                if (!isHeld) {
-                    m_release(grant);
+                if (const auto issued = m_issued.find(grant); !isHeld && issued != m_issued.end()) {
+                    issued->second.endedAt = m_scheduler.now();
                 }
             }
+            releaseEnded();
         });
 }
 
-// A front that has gone without a word may have left a request running; only the target can tell.
-bool IssuedGrants::isEndedWithFront(const Issued &issued) const
+bool IssuedGrants::isFrontGone(const Issued &issued) const
 {
-    const bool isGone = m_directory.isHostGone(issued.front.value) || m_leases.isReleased(issued.front)
+    return m_directory.isHostGone(issued.front.value) || m_leases.isReleased(issued.front)
         || m_leases.isLapsed(issued.front);
-    const auto busy = m_busy.find(issued.target);
-    return isGone && busy != m_busy.end() && !busy->second.contains(issued.adapter);
+}
+
+bool IssuedGrants::isIdleSinceEnd(const Issued &issued) const
+{
+    if (issued.target.isEmpty()) {
+        return true;
+    }
+    const auto report = m_reports.find(issued.target);
+    return report != m_reports.end() && report->second.askedAt > *issued.endedAt
+        && !report->second.busy.contains(issued.adapter);
 }
 
 }
--- a/Libraries/LibOwner/IssuedGrants.h
+++ b/Libraries/LibOwner/IssuedGrants.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 
 namespace Owner {
@@ -20,8 +21,9 @@
 };
 
 // Which front holds each grant that this host has given, or has taken over with a target. A grant ends by evidence and
-// never by time alone: its front's release, its front's word that it doesn't hold it, or the front being gone while
-// the target reports the adapter idle.
+// never by time alone: its front's release; or its front's word that it doesn't hold it, or the front being gone, and a
+// report of the target that was asked for later and shows the adapter idle. Without that report, a request that the
+// front's earlier process sent could begin to run later.
 class IssuedGrants
 {
 public:
@@ -41,8 +43,8 @@
     void release(const Core::GrantId &grant);
     // The host has lost the target.
     void dropTarget(const Core::TargetId &target);
-    // Adapters that the target's report showed idle, by target.
-    void takeReport(const Core::TargetId &target, std::set<Core::AdapterVersion> busy);
+    // Adapters on which the target runs requests, by a report that was asked for at the given time.
+    void takeReport(const Core::TargetId &target, Core::TimePoint askedAt, std::set<Core::AdapterVersion> busy);
     // True while a grant that was taken over keeps the adapter resident.
     [[nodiscard]] bool isAdopted(const Core::TargetId &target, const Core::AdapterVersion &adapter) const;
     [[nodiscard]] std::size_t count() const;
@@ -54,11 +56,19 @@
         Core::AdapterVersion adapter;
         Core::TimePoint since {};
         bool isAdopted = false;
+        std::optional<Core::TimePoint> endedAt; // When the front was first known not to hold it.
+    };
+    struct Report {
+        Core::TimePoint askedAt {};
+        std::set<Core::AdapterVersion> busy;
     };
 
     void queryFronts();
     void queryFront(const Core::HostId &front, std::vector<Core::GrantId> grants);
-    [[nodiscard]] bool isEndedWithFront(const Issued &issued) const;
+    [[nodiscard]] bool isFrontGone(const Issued &issued) const;
+    // Nothing runs under a grant that its front doesn't hold.
+    [[nodiscard]] bool isIdleSinceEnd(const Issued &issued) const;
+    void releaseEnded();
 
     Core::Scheduler &m_scheduler;
     Peer::PeerRouter &m_router;
@@ -69,7 +79,7 @@
     std::map<Core::GrantId, Issued> m_issued;
     std::set<Core::GrantId> m_released;
     std::deque<Core::GrantId> m_releasedInOrder;
-    std::map<Core::TargetId, std::set<Core::AdapterVersion>> m_busy; // By each target's last report.
+    std::map<Core::TargetId, Report> m_reports; // Each target's last.
 };
 
 }
--- a/Libraries/LibOwner/TakeoverGuard.cpp
+++ b/Libraries/LibOwner/TakeoverGuard.cpp
@@ -48,7 +48,7 @@
 void TakeoverGuard::takeReport(const Core::TargetId &target, Core::TimePoint askedAt,
                                const std::set<Core::AdapterVersion> &busy)
 {
-    m_grants.takeReport(target, busy);
+    m_grants.takeReport(target, askedAt, busy);
     if (const auto found = m_takeovers.find(target); found != m_takeovers.end()) {
         found->second.reportAskedAt = askedAt;
         found->second.busy = busy;
--- a/StandIns/EngineModel.cpp
+++ b/StandIns/EngineModel.cpp
@@ -23,8 +23,16 @@
 {
 }
 
+bool EngineModel::isForAnotherStart(const Engine::AdapterOrder &order) const
+{
+    return !order.incarnation.empty() && order.incarnation != m_options.incarnation;
+}
+
 Engine::OrderOutcome EngineModel::beginLoad(const Engine::AdapterOrder &order)
 {
+    if (isForAnotherStart(order)) {
+        return Engine::OrderOutcome::OtherStart;
+    }
     if (isStale(order.fence)) {
         return Engine::OrderOutcome::StaleFence;
     }
@@ -50,6 +58,9 @@
 
 Engine::OrderOutcome EngineModel::unload(const Engine::AdapterOrder &order)
 {
+    if (isForAnotherStart(order)) {
+        return Engine::OrderOutcome::OtherStart;
+    }
     if (isStale(order.fence)) {
         return Engine::OrderOutcome::StaleFence;
     }
--- a/StandIns/EngineModel.h
+++ b/StandIns/EngineModel.h
@@ -44,6 +44,7 @@
         std::uint32_t running = 0;
     };
 
+    [[nodiscard]] bool isForAnotherStart(const Engine::AdapterOrder &order) const;
     [[nodiscard]] bool isStale(std::uint64_t fence);
 
     EngineModelOptions m_options;
--- a/StandIns/EngineStandIn.cpp
+++ b/StandIns/EngineStandIn.cpp
@@ -51,8 +51,9 @@
             load(exchange, Engine::orderFromJson(nlohmann::json::parse(request.body)));
         } else if (request.path == "/v1/adapters/unload") {
             const auto outcome = m_model.unload(Engine::orderFromJson(nlohmann::json::parse(request.body)));
-            exchange->respond({.status = outcome == Engine::OrderOutcome::Done ? 200 : Core::HttpStatus::Conflict},
-                              "{}");
+            const auto refusal = outcome == Engine::OrderOutcome::OtherStart ? Core::HttpStatus::MisdirectedRequest
+                                                                             : Core::HttpStatus::Conflict;
+            exchange->respond({.status = outcome == Engine::OrderOutcome::Done ? Core::HttpStatus::Ok : refusal}, "{}");
         } else if (request.path == "/v1/generate") {
             generate(exchange, Engine::generateFromJson(nlohmann::json::parse(request.body)));
         } else if (request.path == "/fault") {
@@ -77,6 +78,9 @@
         case Engine::OrderOutcome::StaleFence:
             exchange->respond({.status = Core::HttpStatus::Conflict}, "{}");
             return;
+        case Engine::OrderOutcome::OtherStart:
+            exchange->respond({.status = Core::HttpStatus::MisdirectedRequest}, "{}");
+            return;
         case Engine::OrderOutcome::Done:
             break;
         default:
