LibRelay, LibGateway: Let every host know how busy every replica is

They met replicas with 50 requests for 24 places while 45 of 87 replicas had none late: a holder told only the hosts that had used its replicas in the last two seconds, and with 87 hosts and 90 replicas a host uses one every eight. Noor's 1,328 late streams with one load waited at homes whose places were all in use, 700 ms long. Holders now post their replicas' load to their zone's reader, which sends one digest to its zone and to the other zones' readers, four times a second. The load names how long one more adapter would wait there, which the choice of a home takes into account, and a request that has other replicas to go to waits 150 ms for a place. Weighed: every holder to every host (24,000 messages a second). In the tests of places that are short everywhere the requests now say that they have nowhere else to go; what they check is as before.

--- a/Libraries/LibGateway/FleetView.cpp
+++ b/Libraries/LibGateway/FleetView.cpp
@@ -9,6 +9,8 @@
 
 // A holder's notice is newer than the list for this long.
 constexpr auto NoticeLifetime = std::chrono::milliseconds(1500);
+// What comes by way of the readers is about this old, so that a notice younger than this is newer.
+constexpr auto SpreadAge = std::chrono::milliseconds(500);
 // After its holder's refusal a replica isn't asked for loads for this long, about that of a few runs.
 constexpr auto UnloadableTime = std::chrono::milliseconds(300);
 // What this host learnt itself about an adapter is newer than a notice or an entry for this long.
@@ -75,12 +77,16 @@
             view.resident.clear();
             view.changedAt.clear();
             view.noticedAt = {};
+            view.loadNotedAt = {};
+        }
+        if (now - view.loadNotedAt >= NoticeLifetime) {
+            view.noticedActive = 0;
+            view.noticedTokens = 0;
+            view.loadDelay = {};
         }
         if (now - view.noticedAt < NoticeLifetime) {
             continue;
         }
-        view.noticedActive = 0;
-        view.noticedTokens = 0;
         std::map<std::string, std::uint64_t> listed;
         for (const auto &model : replica.models) {
             for (const auto &adapter : model.adapters) {
@@ -91,12 +97,28 @@
     }
 }
 
+void FleetView::takeLoad(View &view, unsigned active, std::uint64_t waitingTokens, unsigned loadDelayMilliseconds,
+                         Core::TimePoint now)
+{
+    view.loadNotedAt = now;
+    view.loadDelay = std::chrono::milliseconds(loadDelayMilliseconds);
+    view.noticedActive = active - std::min(active, view.reportedActive);
+    view.noticedTokens = waitingTokens - std::min(waitingTokens, view.reportedTokens);
+}
+
+void FleetView::noteSpread(const Relay::SpreadLoad &load, Core::TimePoint now)
+{
+    const auto found = m_views.find(load.replica);
+    if (found != m_views.end() && now - found->second.noticedAt >= SpreadAge) {
+        takeLoad(found->second, load.active, load.waitingTokens, load.loadDelayMilliseconds, now);
+    }
+}
+
 void FleetView::note(const Holding::ReplicaLoad &load, Core::TimePoint now)
 {
     auto &view = m_views[load.replica];
     view.noticedAt = now;
-    view.noticedActive = load.active - std::min(load.active, view.reportedActive);
-    view.noticedTokens = load.waitingTokens - std::min(load.waitingTokens, view.reportedTokens);
+    takeLoad(view, load.active, load.waitingTokens, load.loadDelayMilliseconds, now);
     std::map<std::string, std::uint64_t> resident;
     for (const auto &adapter : load.adapters) {
         resident[adapter.adapter] = adapter.version;
@@ -154,6 +176,7 @@
                                     .slots = replica.slots,
                                     .active = view.active + view.noticedActive,
                                     .waitingTokens = view.waitingTokens + view.noticedTokens,
+                                    .loadDelay = view.loadDelay,
                                     .penalty = m_health.penalty(replica.id, now),
                                     .isBlocked = m_health.isBlocked(replica.id, replica.zone, now)};
     if (!adapter.empty() && !residentVersion(view, adapter, newest).has_value()) {
--- a/Libraries/LibGateway/FleetView.h
+++ b/Libraries/LibGateway/FleetView.h
@@ -7,6 +7,7 @@
 #include <LibPlacement/AdapterDemand.h>
 #include <LibPlacement/ReplicaChooser.h>
 #include <LibPlacement/ReplicaHealth.h>
+#include <LibRelay/RelayMessages.h>
 #include <functional>
 #include <map>
 #include <set>
@@ -27,6 +28,8 @@
     void refresh(Core::TimePoint now);
     // Takes what a holder says of a replica.
     void note(const Holding::ReplicaLoad &load, Core::TimePoint now);
+    // Takes how busy a replica is, by way of the readers; older than what its holder says itself.
+    void noteSpread(const Relay::SpreadLoad &load, Core::TimePoint now);
     // The adapter is in the replica's memory, as its holder or an answer has shown, or isn't.
     void setResident(const Core::TargetId &replica, const std::string &name, std::uint64_t version,
                      Core::TimePoint now);
@@ -65,7 +68,9 @@
     struct View {
         std::map<std::string, std::uint64_t> resident; // Version by "model/adapter".
         std::map<std::string, Core::TimePoint> changedAt; // By what this host learnt itself.
-        Core::TimePoint noticedAt {};
+        Core::TimePoint noticedAt {}; // When its holder last told this host of it.
+        Core::TimePoint loadNotedAt {}; // When this host last learnt its load, in one way or the other.
+        Core::Duration loadDelay {};
         Core::TimePoint unloadableUntil {};
         std::uint64_t startedAt = 0;
         unsigned noticedActive = 0;
@@ -79,6 +84,8 @@
         bool wasReported = false; // The last notice showed some use.
     };
 
+    static void takeLoad(View &view, unsigned active, std::uint64_t waitingTokens, unsigned loadDelayMilliseconds,
+                         Core::TimePoint now);
     static void replaceResident(View &view, const std::map<std::string, std::uint64_t> &resident, Core::TimePoint asOf);
     // The adapter's name is empty for requests that need none.
     [[nodiscard]] Placement::Candidate candidate(const Fleet::Replica &replica, const std::string &adapter,
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -35,13 +35,24 @@
     , m_reader(
           m_ports.scheduler, m_router, {},
           [this] {
-              return zoneHosts();
+              return hostsOf(m_options.holding.self.zone);
           },
           [this] {
               return m_replicaFeed.healthySince().has_value() && m_configurationFeed.healthySince().has_value();
           })
     , m_rows(m_ports.scheduler, m_router, m_ports.rows, m_reader)
     , m_writer(m_ports.scheduler, m_router, m_ports.table, m_reader, {})
+    , m_spread(
+          m_ports.scheduler, m_router, m_reader, {},
+          [this] {
+              return heldLoads();
+          },
+          [this] {
+              return otherReaders();
+          },
+          [this](const Relay::SpreadLoad &load) {
+              m_fleet.noteSpread(load, m_ports.scheduler.now());
+          })
     , m_deployment(m_ports.makeSource(m_rows))
     , m_holders(
           m_ports.scheduler, m_ports.table, m_options.holding,
@@ -107,6 +118,7 @@
     m_holderFeed.start();
     m_holders.start();
     m_reader.start();
+    m_spread.start();
     tick();
 }
 
@@ -257,17 +269,45 @@
             }};
 }
 
-std::vector<Relay::ZoneHost> Gateway::zoneHosts() const
+std::vector<Relay::ZoneHost> Gateway::hostsOf(const Core::ZoneId &zone) const
 {
     std::vector<Relay::ZoneHost> hosts;
     for (const auto &host : m_holders.liveHosts()) {
-        if (host.zone == m_options.holding.self.zone) {
+        if (host.zone == zone) {
             hosts.push_back({.host = host.host, .weight = host.weight});
         }
     }
     return hosts;
 }
 
+std::vector<Core::HostId> Gateway::otherReaders() const
+{
+    std::set<Core::ZoneId> zones;
+    for (const auto &host : m_holders.liveHosts()) {
+        zones.insert(host.zone);
+    }
+    zones.erase(m_options.holding.self.zone);
+    std::vector<Core::HostId> readers;
+    for (const auto &zone : zones) {
+        const auto candidates = Relay::ZoneReader::candidates(hostsOf(zone));
+        readers.insert(readers.end(), candidates.begin(), candidates.end());
+    }
+    return readers;
+}
+
+std::vector<Relay::SpreadLoad> Gateway::heldLoads() const
+{
+    std::vector<Relay::SpreadLoad> loads;
+    for (const auto &[id, controller] : m_controllers) {
+        const auto load = controller->load();
+        loads.push_back({.replica = load.replica,
+                         .active = load.active,
+                         .waitingTokens = load.waitingTokens,
+                         .loadDelayMilliseconds = load.loadDelayMilliseconds});
+    }
+    return loads;
+}
+
 void Gateway::matchControllersToHolds()
 {
     const auto held = m_holders.held();
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -6,6 +6,7 @@
 #include <LibHolding/HolderTable.h>
 #include <LibHolding/ReplicaController.h>
 #include <LibPeer/PeerRouter.h>
+#include <LibRelay/LoadSpread.h>
 #include <LibRelay/SharedRowFeed.h>
 #include <LibRelay/SharedWriter.h>
 
@@ -74,8 +75,12 @@
     void takeUse(const Core::HostId &from, const Holding::UseNotice &notice);
     [[nodiscard]] std::vector<Holding::HoldableReplica> holdableReplicas() const;
     [[nodiscard]] Fleet::FeedOptions feedOptions(std::string name, Core::Duration pace) const;
-    // The live hosts of this host's zone.
-    [[nodiscard]] std::vector<Relay::ZoneHost> zoneHosts() const;
+    // The loads of the replicas that this host holds.
+    [[nodiscard]] std::vector<Relay::SpreadLoad> heldLoads() const;
+    // Of each other zone the hosts that may read the store for it.
+    [[nodiscard]] std::vector<Core::HostId> otherReaders() const;
+    // The live hosts of a zone.
+    [[nodiscard]] std::vector<Relay::ZoneHost> hostsOf(const Core::ZoneId &zone) const;
 
     GatewayPorts m_ports;
     GatewayOptions m_options;
@@ -88,6 +93,7 @@
     Relay::ZoneReader m_reader;
     Relay::SharedRowFeed m_rows;
     Relay::SharedWriter m_writer;
+    Relay::LoadSpread m_spread;
     std::unique_ptr<Fleet::DeploymentSource> m_deployment;
     Holding::HolderTable m_holders;
     Fleet::Feed<Fleet::ReplicaChanges> m_replicaFeed;
--- a/Libraries/LibGateway/Passage.cpp
+++ b/Libraries/LibGateway/Passage.cpp
@@ -118,7 +118,8 @@
                          .adapter = m_request.adapter,
                          .version = m_ports.releases.newest(FleetView::adapterName(m_request)),
                          .isRefuted = m_isRefuted,
-                         .priority = m_route.route->priority},
+                         .priority = m_route.route->priority,
+                         .isLastTry = m_loads >= MostLoads},
                         [self = shared_from_this(), load = m_loads](const Holding::AdapterReply &reply) {
                             if (self->m_stage == Stage::Loading && self->m_loads == load) {
                                 self->takeAdapterReply(reply);
--- a/Libraries/LibGateway/Tests/GatewayPartsTest.cpp
+++ b/Libraries/LibGateway/Tests/GatewayPartsTest.cpp
@@ -17,6 +17,8 @@
     CPPUNIT_TEST(clearFramingIsAccepted);
     CPPUNIT_TEST(anOutdatedCopyIsNotUsed);
     CPPUNIT_TEST(ownKnowledgeOutlivesAnOlderEntry);
+    CPPUNIT_TEST(aCrowdedReplicaIsAvoidedByHostsThatRarelyUseIt);
+    CPPUNIT_TEST(aHoldersOwnWordIsNewerThanTheReaders);
     CPPUNIT_TEST_SUITE_END();
 
     void eventsArePassedWhole()
@@ -157,6 +159,49 @@
         view.refresh(now + 2s);
         CPPUNIT_ASSERT(!view.residentVersion({"r"}, "m/a1").has_value());
     }
+
+    // Two replicas have the adapter; this host has sent nothing to either.
+    static Fleet::ReplicaChanges twoCopies()
+    {
+        auto changes = listed(1);
+        changes.present.push_back(changes.present.front());
+        changes.present.back().id = {"other"};
+        changes.present.back().address = "10.0.0.2:1";
+        return changes;
+    }
+
+    void aCrowdedReplicaIsAvoidedByHostsThatRarelyUseIt()
+    {
+        const Core::TimePoint now {1h};
+        Fleet::ReplicaSet replicas;
+        Fleet::ReleaseTable releases;
+        Gateway::FleetView view(replicas, releases, {.ownZone = {"a"}}, [](const auto &) {
+            return true;
+        });
+        replicas.apply(twoCopies(), true, now, now - 1min);
+        view.refresh(now);
+        const auto first = view.choose(request(), "s", {}, now)->id;
+        view.noteSpread({.replica = first, .active = 30, .waitingTokens = 20000}, now);
+        CPPUNIT_ASSERT(view.choose(request(), "s", {}, now)->id != first);
+        view.refresh(now + 3s);
+        CPPUNIT_ASSERT_EQUAL(first.value, view.choose(request(), "s", {}, now + 3s)->id.value);
+    }
+
+    void aHoldersOwnWordIsNewerThanTheReaders()
+    {
+        const Core::TimePoint now {1h};
+        Fleet::ReplicaSet replicas;
+        Fleet::ReleaseTable releases;
+        Gateway::FleetView view(replicas, releases, {.ownZone = {"a"}}, [](const auto &) {
+            return true;
+        });
+        replicas.apply(twoCopies(), true, now, now - 1min);
+        view.refresh(now);
+        const auto first = view.choose(request(), "s", {}, now)->id;
+        view.note({.replica = first, .adapters = {{.adapter = "m/a1", .version = 1}}}, now);
+        view.noteSpread({.replica = first, .active = 30, .waitingTokens = 20000}, now + 100ms);
+        CPPUNIT_ASSERT_EQUAL(first.value, view.choose(request(), "s", {}, now + 100ms)->id.value);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayPartsTest);
--- a/Libraries/LibHolding/HoldingMessages.h
+++ b/Libraries/LibHolding/HoldingMessages.h
@@ -19,8 +19,9 @@
     std::uint64_t version = 0; // The least that will do; zero for any.
     bool isRefuted = false; // The replica has just said that it doesn't have the adapter.
     std::int32_t priority = 0; // 0 is the most urgent.
+    bool isLastTry = false; // No other replica will be asked, so that it is worth waiting for a place.
 
-    MSGPACK_DEFINE(replica, model, adapter, version, isRefuted, priority)
+    MSGPACK_DEFINE(replica, model, adapter, version, isRefuted, priority, isLastTry)
 };
 
 enum class AdapterOutcome : std::uint8_t {
@@ -68,9 +69,10 @@
     Core::TargetId replica;
     std::uint32_t active = 0; // Over all hosts, the receiver included.
     std::uint64_t waitingTokens = 0;
+    std::uint32_t loadDelayMilliseconds = 0; // Until the load of one more adapter would begin.
     std::vector<ResidentAdapter> adapters;
 
-    MSGPACK_DEFINE(replica, active, waitingTokens, adapters)
+    MSGPACK_DEFINE(replica, active, waitingTokens, loadDelayMilliseconds, adapters)
 };
 
 // Sent to the hosts that use the sender's replicas.
--- a/Libraries/LibHolding/ReplicaController.cpp
+++ b/Libraries/LibHolding/ReplicaController.cpp
@@ -294,7 +294,8 @@
     if (!isComing && isRefusingOrders()) {
         return "an earlier order waits for requests to end";
     }
-    return !isComing && waited >= m_options.mostWaitForSlot && m_slots.size() >= capacity() && !victim().has_value()
+    const auto mostWait = waiter.request.isLastTry ? m_options.mostWaitForSlot : m_options.shortWaitForSlot;
+    return !isComing && waited >= mostWait && m_slots.size() >= capacity() && !victim().has_value()
         ? "every adapter there is in use"
         : "";
 }
@@ -350,9 +351,23 @@
     }
 }
 
+Core::Duration ReplicaController::loadDelay() const
+{
+    if (m_isUnreachable || m_models.empty() || isRefusingOrders() || !m_fence(m_replica.id).has_value()) {
+        return m_options.noLoadDelay;
+    }
+    // Those that wait are loaded several at a time.
+    const auto most = static_cast<int>(m_options.mostInTransit);
+    const auto ahead = static_cast<int>(inTransit() + m_waiters.size());
+    const bool hasPlace = m_slots.size() < capacity() || victim().has_value();
+    return m_options.coldLoad * std::max(0, ahead - most + 1) / most
+        + (hasPlace ? Core::Duration {} : m_options.placeDelay);
+}
+
 ReplicaLoad ReplicaController::load() const
 {
-    ReplicaLoad load {.replica = m_replica.id};
+    ReplicaLoad load {.replica = m_replica.id,
+                      .loadDelayMilliseconds = static_cast<std::uint32_t>(Core::toMilliseconds(loadDelay()))};
     for (const auto &[host, use] : m_uses) {
         if (m_scheduler.now() - use.at > m_options.useNoticeLifetime) {
             continue;
--- a/Libraries/LibHolding/ReplicaController.h
+++ b/Libraries/LibHolding/ReplicaController.h
@@ -26,7 +26,12 @@
     // Between two questions whether a load is complete.
     Core::Duration confirmPeriod = std::chrono::milliseconds(25);
     Core::Duration mostWait = std::chrono::milliseconds(1000); // Of a request for an adapter.
-    Core::Duration mostWaitForSlot = std::chrono::milliseconds(700); // While every adapter there is in use.
+    // While every adapter there is in use, of a request that has no other replica to go to, and of one that has.
+    Core::Duration mostWaitForSlot = std::chrono::milliseconds(700);
+    Core::Duration shortWaitForSlot = std::chrono::milliseconds(150);
+    // Expected until a place becomes free where every adapter is in use: part of a run.
+    Core::Duration placeDelay = std::chrono::milliseconds(400);
+    Core::Duration noLoadDelay = std::chrono::milliseconds(10000); // Stands for a replica at which nothing can be loaded.
     Core::Duration idleBeforeEviction = std::chrono::milliseconds(250);
     Core::Duration useNoticeLifetime = std::chrono::milliseconds(1500);
     // The requests of a host that has fallen silent may go on: about the length of a long run.
@@ -136,6 +141,8 @@
     [[nodiscard]] std::size_t capacity() const;
     [[nodiscard]] std::size_t inTransit() const;
     [[nodiscard]] std::optional<std::string> victim() const;
+    // Until the load of one more adapter would begin.
+    [[nodiscard]] Core::Duration loadDelay() const;
     [[nodiscard]] bool isIdle(const std::pair<const std::string, Slot> &slot) const;
     [[nodiscard]] bool isInUse(const std::string &name) const;
     [[nodiscard]] Core::Duration expectedLoadTime(const std::string &name, std::uint64_t version) const;
--- a/Libraries/LibHolding/Tests/ReplicaControllerTest.cpp
+++ b/Libraries/LibHolding/Tests/ReplicaControllerTest.cpp
@@ -169,6 +169,7 @@
     CPPUNIT_TEST(anAdapterInUseIsNotReplaced);
     CPPUNIT_TEST(anIdleAdapterIsReplaced);
     CPPUNIT_TEST(urgentRequestsComeFirstWhenPlacesAreShort);
+    CPPUNIT_TEST(withoutAPlaceOthersAreAskedSoon);
     CPPUNIT_TEST(aNewHolderEvictsNothingThatMayBeInUse);
     CPPUNIT_TEST(capacityHoldsWhenAnswersAreLostOrLate);
     CPPUNIT_TEST(aLoadedAdapterIsKeptForTheRequestThatAskedForIt);
@@ -323,8 +324,11 @@
         use(*made, {"a0", "a1", "a2"});
         Answer calm;
         Answer urgent;
-        ask(*made, request("calm", 2), calm);
-        ask(*made, request("urgent", 0), urgent);
+        auto calmRequest = request("calm", 2);
+        auto urgentRequest = request("urgent", 0);
+        calmRequest.isLastTry = urgentRequest.isLastTry = true;
+        ask(*made, calmRequest, calm);
+        ask(*made, urgentRequest, urgent);
         run(*made, 100ms);
         m_fake.adapters.at("a1").runs = 0;
         use(*made, {"a0", "a2"});
@@ -333,6 +337,24 @@
         CPPUNIT_ASSERT(!isReady(calm));
     }
 
+    // The same surge while other replicas have places: waiting here for a run to end makes the answer late.
+    void withoutAPlaceOthersAreAskedSoon()
+    {
+        const auto made = controller();
+        std::vector<Answer> fill(Slots);
+        for (std::size_t i = 0; i < Slots; ++i) {
+            ask(*made, request("a" + std::to_string(i)), fill[i]);
+        }
+        run(*made, 600ms);
+        CPPUNIT_ASSERT_EQUAL(0U, made->load().loadDelayMilliseconds);
+        use(*made, {"a0", "a1", "a2"});
+        CPPUNIT_ASSERT(made->load().loadDelayMilliseconds >= 400);
+        Answer answer;
+        ask(*made, request("b0"), answer);
+        run(*made, 250ms);
+        CPPUNIT_ASSERT(answer.isGiven && !isReady(answer));
+    }
+
     void aNewHolderEvictsNothingThatMayBeInUse()
     {
         for (const auto *name : {"a0", "a1", "a2"}) {
--- a/Libraries/LibPeer/MessageKind.h
+++ b/Libraries/LibPeer/MessageKind.h
@@ -33,6 +33,8 @@
     ReaderBeat = 80,
     RowsNotice = 81,
     WriteRequest = 82,
+    LoadPost = 84,
+    LoadDigest = 85,
 };
 
 }
--- a/Libraries/LibPlacement/ReplicaChooser.cpp
+++ b/Libraries/LibPlacement/ReplicaChooser.cpp
@@ -39,7 +39,7 @@
         cost += m_options.perQueued * static_cast<int>(candidate.active - candidate.slots + 1);
     }
     if (candidate.residency != Residency::Resident) {
-        cost += m_options.load + copyCost + m_options.furtherHome * static_cast<int>(rank);
+        cost += m_options.load + candidate.loadDelay + copyCost + m_options.furtherHome * static_cast<int>(rank);
     }
     if (candidate.residency == Residency::Unloadable) {
         cost += m_options.unloadable;
--- a/Libraries/LibPlacement/ReplicaChooser.h
+++ b/Libraries/LibPlacement/ReplicaChooser.h
@@ -28,6 +28,7 @@
     unsigned slots = 0;
     unsigned active = 0; // Requests that run or wait there, of all hosts as far as known.
     std::uint64_t waitingTokens = 0; // Prompt tokens that wait to be read.
+    Core::Duration loadDelay {}; // Until a load would begin there.
     Core::Duration penalty {}; // For failures of late.
     bool isBlocked = false; // Only for want of another.
 };
--- a/Libraries/LibPlacement/Tests/PlacementTest.cpp
+++ b/Libraries/LibPlacement/Tests/PlacementTest.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(aPopularAdapterSpreadsToItsSecondHome);
     CPPUNIT_TEST(aRareAdapterStaysAtABusyHome);
     CPPUNIT_TEST(aRareAdapterIsntCopiedBesideABusyCopy);
+    CPPUNIT_TEST(aHomeWithoutAPlaceIsPassedOver);
     CPPUNIT_TEST(demandLetsAnAdapterSpreadSooner);
     CPPUNIT_TEST(demandFades);
     CPPUNIT_TEST(hostsThatKnowTheSameDontAllChooseTheSame);
@@ -111,6 +112,19 @@
         CPPUNIT_ASSERT_EQUAL(home, *m_chooser.choose("m/a1", "request", candidates));
     }
 
+    // A surge of distinct adapters: some homes have all their places in use, others haven't.
+    void aHomeWithoutAPlaceIsPassedOver()
+    {
+        auto candidates = fleet(60);
+        const auto home = *m_chooser.choose("m/a1", "request", candidates);
+        candidates[home].loadDelay = 150ms;
+        CPPUNIT_ASSERT_EQUAL(home, *m_chooser.choose("m/a1", "request", candidates));
+        candidates[home].loadDelay = 400ms;
+        CPPUNIT_ASSERT(home != *m_chooser.choose("m/a1", "request", candidates));
+        candidates[home].residency = Placement::Residency::Resident;
+        CPPUNIT_ASSERT_EQUAL(home, *m_chooser.choose("m/a1", "request", candidates));
+    }
+
     // A shift of demand: an adapter that many ask for at once.
     void demandLetsAnAdapterSpreadSooner()
     {
--- /dev/null
+++ b/Libraries/LibRelay/LoadSpread.cpp
@@ -0,0 +1,83 @@
+#include <LibRelay/LoadSpread.h>
+
+#include <utility>
+
+namespace Relay {
+
+LoadSpread::LoadSpread(Core::Scheduler &scheduler, Peer::PeerRouter &router, const ZoneReader &reader,
+                       LoadSpreadOptions options, LoadsFunction loads, HostsFunction otherReaders, TakeFunction take)
+    : m_scheduler(scheduler)
+    , m_router(router)
+    , m_reader(reader)
+    , m_options(options)
+    , m_loads(std::move(loads))
+    , m_otherReaders(std::move(otherReaders))
+    , m_take(std::move(take))
+{
+    m_router.onMessage<LoadPost>([this](const Core::HostId & /*from*/, const LoadPost &post) {
+        keep(m_zone, post.loads);
+    });
+    m_router.onMessage<LoadDigest>([this](const Core::HostId & /*from*/, const LoadDigest &digest) {
+        if (digest.isOfOtherZone) {
+            keep(m_elsewhere, digest.loads);
+            return;
+        }
+        for (const auto &load : digest.loads) {
+            m_take(load);
+        }
+    });
+}
+
+void LoadSpread::start()
+{
+    beat();
+}
+
+void LoadSpread::keep(KnownLoads &known, const std::vector<SpreadLoad> &loads)
+{
+    const auto now = m_scheduler.now();
+    for (const auto &load : loads) {
+        known[load.replica] = {.load = load, .at = now};
+        m_take(load);
+    }
+    std::erase_if(known, [this, now](const auto &entry) {
+        return now - entry.second.at > m_options.lifetime;
+    });
+}
+
+std::vector<SpreadLoad> LoadSpread::fresh(const KnownLoads &known) const
+{
+    std::vector<SpreadLoad> loads;
+    for (const auto &[replica, entry] : known) {
+        if (m_scheduler.now() - entry.at <= m_options.lifetime) {
+            loads.push_back(entry.load);
+        }
+    }
+    return loads;
+}
+
+void LoadSpread::beat()
+{
+    if (const auto reader = m_reader.reader(); reader.has_value()) {
+        if (LoadPost post {.loads = m_loads()}; !post.loads.empty()) {
+            m_router.send(*reader, post);
+        }
+    } else if (m_reader.isReading()) {
+        keep(m_zone, m_loads());
+        LoadDigest digest {.isOfOtherZone = true, .loads = fresh(m_zone)};
+        for (const auto &host : m_otherReaders()) {
+            m_router.send(host, digest);
+        }
+        digest.isOfOtherZone = false;
+        const auto elsewhere = fresh(m_elsewhere);
+        digest.loads.insert(digest.loads.end(), elsewhere.begin(), elsewhere.end());
+        for (const auto &host : m_reader.followers()) {
+            m_router.send(host, digest);
+        }
+    }
+    m_scheduler.runAfter(m_options.period, [this] {
+        beat();
+    });
+}
+
+}
--- a/Libraries/LibRelay/ZoneReader.cpp
+++ b/Libraries/LibRelay/ZoneReader.cpp
@@ -34,9 +34,8 @@
     beat();
 }
 
-std::vector<Core::HostId> ZoneReader::ranking() const
+std::vector<Core::HostId> ZoneReader::rank(std::vector<ZoneHost> hosts)
 {
-    auto hosts = m_hosts();
     std::sort(hosts.begin(), hosts.end(), [](const auto &left, const auto &right) {
         return left.weight != right.weight ? left.weight > right.weight
                                            : Core::stableHash(left.host.value) > Core::stableHash(right.host.value);
@@ -48,6 +47,18 @@
     return ranked;
 }
 
+std::vector<Core::HostId> ZoneReader::ranking() const
+{
+    return rank(m_hosts());
+}
+
+std::vector<Core::HostId> ZoneReader::candidates(std::vector<ZoneHost> hosts)
+{
+    auto ranked = rank(std::move(hosts));
+    ranked.resize(std::min(ranked.size(), Readers));
+    return ranked;
+}
+
 bool ZoneReader::isHeard(const Core::HostId &host) const
 {
     const auto found = m_heard.find(host);
--- a/Libraries/LibRelay/ZoneReader.h
+++ b/Libraries/LibRelay/ZoneReader.h
@@ -40,11 +40,14 @@
     [[nodiscard]] std::optional<Core::HostId> reader() const;
     // True when others may rely on this host.
     [[nodiscard]] bool isReading() const;
+    // Which of a zone's hosts may read for it, the first one first.
+    [[nodiscard]] static std::vector<Core::HostId> candidates(std::vector<ZoneHost> hosts);
     // The hosts that may rely on this one.
     [[nodiscard]] std::vector<Core::HostId> followers() const;
 
 private:
     void beat();
+    [[nodiscard]] static std::vector<Core::HostId> rank(std::vector<ZoneHost> hosts);
     [[nodiscard]] std::vector<Core::HostId> ranking() const;
     [[nodiscard]] bool isHeard(const Core::HostId &host) const;
 
