--- a/Libraries/LibGateway/FleetView.cpp
+++ b/Libraries/LibGateway/FleetView.cpp
@@ -203,8 +203,11 @@
     // Every host sees about an equal part; the request itself isn't evidence of others.
     const auto others = std::max(0.0, m_demand.count(adapter, now) - 1);
     const auto demand = Placement::AdapterDemand::rateOf(others) * static_cast<double>(m_hostCount);
-    const auto best
-        = m_chooser.choose(adapter.empty() ? request.attemptId : adapter, request.attemptId, candidates, demand);
+    const auto best = m_chooser.choose({.key = adapter.empty() ? request.attemptId : adapter,
+                                        .request = request.attemptId,
+                                        .demand = demand,
+                                        .isStream = !request.model.empty()},
+                                       candidates);
     return best.has_value() ? usable[*best] : nullptr;
 }
 
--- a/Libraries/LibPlacement/ReplicaChooser.cpp
+++ b/Libraries/LibPlacement/ReplicaChooser.cpp
@@ -26,14 +26,15 @@
                                                       / (1 + demand / m_options.furtherCopyDemand));
 }
 
-Core::Duration ReplicaChooser::cost(const Candidate &candidate, std::size_t rank, Core::Duration copyCost) const
+Core::Duration ReplicaChooser::cost(const Wanted &wanted, const Candidate &candidate, std::size_t rank,
+                                    Core::Duration copyCost) const
 {
     using Milliseconds = std::chrono::duration<double, std::milli>;
     const Milliseconds reading(static_cast<double>(candidate.waitingTokens) / m_options.promptTokensPerMillisecond);
     auto cost = std::chrono::duration_cast<Core::Duration>(reading) + candidate.penalty
         + m_options.perActive * static_cast<int>(candidate.active) + m_options.perRank * static_cast<int>(rank);
     if (candidate.zone != m_options.ownZone) {
-        cost += m_options.otherZone;
+        cost += wanted.isStream ? m_options.otherZoneStream : m_options.otherZone;
     }
     if (candidate.slots > 0 && candidate.active >= candidate.slots) {
         cost += m_options.perQueued * static_cast<int>(candidate.active - candidate.slots + 1);
@@ -76,16 +77,15 @@
     return isConsidered;
 }
 
-std::optional<std::size_t> ReplicaChooser::choose(std::string_view key, std::string_view request,
-                                                  std::span<const Candidate> candidates, double demand) const
+std::optional<std::size_t> ReplicaChooser::choose(const Wanted &wanted, std::span<const Candidate> candidates) const
 {
     if (candidates.empty()) {
         return std::nullopt;
     }
     std::vector<std::size_t> ranks(candidates.size(), 0);
-    if (!key.empty()) {
+    if (!wanted.key.empty()) {
         // Only the order of the hashes matters, so the weights of the hashing are all alike.
-        const auto keyHash = Core::stableHash(key);
+        const auto keyHash = Core::stableHash(wanted.key);
         std::vector<std::size_t> order(candidates.size());
         std::iota(order.begin(), order.end(), 0);
         std::vector<std::uint64_t> scores(candidates.size());
@@ -99,8 +99,8 @@
             ranks[order[rank]] = rank;
         }
     }
-    const auto isConsidered = considered(request, candidates);
-    const auto furtherCopy = furtherCopyCost(demand);
+    const auto isConsidered = considered(wanted.request, candidates);
+    const auto furtherCopy = furtherCopyCost(wanted.demand);
     const bool hasCopy = std::any_of(candidates.begin(), candidates.end(), [](const auto &candidate) {
         return candidate.residency == Residency::Resident && !candidate.isBlocked;
     });
@@ -111,7 +111,7 @@
             continue;
         }
         const bool isFirstCopy = ranks[i] == 0 && !hasCopy;
-        const auto expected = cost(candidates[i], ranks[i], isFirstCopy ? Core::Duration {} : furtherCopy);
+        const auto expected = cost(wanted, candidates[i], ranks[i], isFirstCopy ? Core::Duration {} : furtherCopy);
         if (!best.has_value() || expected < lowest) {
             best = i;
             lowest = expected;
--- a/Libraries/LibPlacement/ReplicaChooser.h
+++ b/Libraries/LibPlacement/ReplicaChooser.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Placement {
@@ -33,11 +34,20 @@
     bool isBlocked = false; // Only for want of another.
 };
 
+// What a replica is wanted for.
+struct Wanted {
+    std::string_view key; // Of the adapter, or one of the request's own where it needs none.
+    std::string_view request; // Tells the request from others.
+    double demand = 0; // Estimated requests a second for the adapter, over all hosts.
+    bool isStream = true; // Its answer takes seconds.
+};
+
 struct ReplicaChooserOptions {
     Core::ZoneId ownZone;
     double promptTokensPerMillisecond = 20; // Reading speed of the engines that are met: 19 and 22.
-    // What an answer from another zone costs: the round trip, the bytes, and that a cut between the zones ends it.
-    Core::Duration otherZone = std::chrono::milliseconds(25);
+    Core::Duration otherZone = std::chrono::milliseconds(3); // Round trip to another zone.
+    // What a stream from another zone costs: the bytes, and that a cut between the zones ends it.
+    Core::Duration otherZoneStream = std::chrono::milliseconds(25);
     Core::Duration load
         = std::chrono::milliseconds(60); // What a load delays, most being from the replica's own copies.
     Core::Duration furtherHome = std::chrono::milliseconds(8); // What makes a load at each further home less good.
@@ -60,16 +70,14 @@
 public:
     explicit ReplicaChooser(ReplicaChooserOptions options);
 
-    // The index of the best candidate, without a value when there is none. The key is that of the adapter, or one of
-    // the request's own where it needs none; the request is told from others by its id. The demand is the estimated
-    // number of requests a second for the adapter, over all hosts.
-    [[nodiscard]] std::optional<std::size_t> choose(std::string_view key, std::string_view request,
-                                                    std::span<const Candidate> candidates, double demand = 0) const;
+    // The index of the best candidate, without a value when there is none.
+    [[nodiscard]] std::optional<std::size_t> choose(const Wanted &wanted, std::span<const Candidate> candidates) const;
 
 private:
     // What a copy beside the first one costs, apart from the time that loading it takes.
     [[nodiscard]] Core::Duration furtherCopyCost(double demand) const;
-    [[nodiscard]] Core::Duration cost(const Candidate &candidate, std::size_t rank, Core::Duration copyCost) const;
+    [[nodiscard]] Core::Duration cost(const Wanted &wanted, const Candidate &candidate, std::size_t rank,
+                                      Core::Duration copyCost) const;
     // What is known of the other hosts' requests is a few hundred milliseconds old, so that all hosts would choose the
     // same replica until they learn of it. Of many that can begin at once, the request therefore looks at two, one of
     // them of the own zone if there is one.
--- a/Libraries/LibPlacement/Tests/PlacementTest.cpp
+++ b/Libraries/LibPlacement/Tests/PlacementTest.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(demandFades);
     CPPUNIT_TEST(hostsThatKnowTheSameDontAllChooseTheSame);
     CPPUNIT_TEST(aPopularAdapterIsServedInTheOwnZone);
+    CPPUNIT_TEST(shortRequestsGoToEveryZone);
     CPPUNIT_TEST(aFullReplicaIsPassedOver);
     CPPUNIT_TEST(aReplicaThatFailsRequestsIsUsedLess);
     CPPUNIT_TEST(aReplicaWithoutAHolderIsNotAskedForLoads);
@@ -48,8 +49,8 @@
         std::map<std::size_t, int> homes;
         for (int adapter = 0; adapter < 900; ++adapter) {
             const auto key = "m/a" + std::to_string(adapter);
-            const auto home = *m_chooser.choose(key, "request", fleet(9));
-            CPPUNIT_ASSERT_EQUAL(home, *m_chooser.choose(key, "request", fleet(9)));
+            const auto home = *m_chooser.choose({.key = key, .request = "request"}, fleet(9));
+            CPPUNIT_ASSERT_EQUAL(home, *m_chooser.choose({.key = key, .request = "request"}, fleet(9)));
             ++homes[home];
         }
         for (const auto &[home, count] : homes) {
@@ -65,8 +66,8 @@
         }
         for (int adapter = 0; adapter < 50; ++adapter) {
             const auto key = "m/a" + std::to_string(adapter);
-            CPPUNIT_ASSERT_EQUAL(*m_chooser.choose(key, "request", fleet(9)),
-                                 *m_chooser.choose(key, "request", restarted));
+            CPPUNIT_ASSERT_EQUAL(*m_chooser.choose({.key = key, .request = "request"}, fleet(9)),
+                                 *m_chooser.choose({.key = key, .request = "request"}, restarted));
         }
     }
 
@@ -74,17 +75,17 @@
     void aPopularAdapterSpreadsToItsSecondHome()
     {
         auto candidates = fleet(9);
-        const auto home = *m_chooser.choose("m/a1", "request", candidates);
+        const auto home = *m_chooser.choose({.key = "m/a1", .request = "request"}, candidates);
         candidates[home].residency = Placement::Residency::Resident;
         candidates[home].waitingTokens = 2000;
-        CPPUNIT_ASSERT_EQUAL(home, *m_chooser.choose("m/a1", "request", candidates));
+        CPPUNIT_ASSERT_EQUAL(home, *m_chooser.choose({.key = "m/a1", .request = "request"}, candidates));
         candidates[home].waitingTokens = 8000;
-        const auto second = *m_chooser.choose("m/a1", "request", candidates);
+        const auto second = *m_chooser.choose({.key = "m/a1", .request = "request"}, candidates);
         CPPUNIT_ASSERT(second != home);
         auto withoutHome = candidates;
         withoutHome.erase(withoutHome.begin() + static_cast<std::ptrdiff_t>(home));
         CPPUNIT_ASSERT_EQUAL(candidates[second].home,
-                             withoutHome[*m_chooser.choose("m/a1", "request", withoutHome)].home);
+                             withoutHome[*m_chooser.choose({.key = "m/a1", .request = "request"}, withoutHome)].home);
     }
 
     // Thousands of adapters that are asked for a few times each: a home that is a little busier than others must not
@@ -92,48 +93,48 @@
     void aRareAdapterStaysAtABusyHome()
     {
         auto candidates = fleet(60);
-        const auto home = *m_chooser.choose("m/a1", "request", candidates);
+        const auto home = *m_chooser.choose({.key = "m/a1", .request = "request"}, candidates);
         candidates[home].active = 20;
         candidates[home].waitingTokens = 3000;
-        CPPUNIT_ASSERT_EQUAL(home, *m_chooser.choose("m/a1", "request", candidates));
+        CPPUNIT_ASSERT_EQUAL(home, *m_chooser.choose({.key = "m/a1", .request = "request"}, candidates));
         candidates[home].waitingTokens = 12000;
-        CPPUNIT_ASSERT(home != *m_chooser.choose("m/a1", "request", candidates));
+        CPPUNIT_ASSERT(home != *m_chooser.choose({.key = "m/a1", .request = "request"}, candidates));
     }
 
     void aRareAdapterIsntCopiedBesideABusyCopy()
     {
         auto candidates = fleet(60);
-        const auto home = *m_chooser.choose("m/a1", "request", candidates);
+        const auto home = *m_chooser.choose({.key = "m/a1", .request = "request"}, candidates);
         const auto copy = (home + 7) % candidates.size();
         candidates[copy].residency = Placement::Residency::Resident;
         candidates[copy].waitingTokens = 3000;
-        CPPUNIT_ASSERT_EQUAL(copy, *m_chooser.choose("m/a1", "request", candidates));
+        CPPUNIT_ASSERT_EQUAL(copy, *m_chooser.choose({.key = "m/a1", .request = "request"}, candidates));
         candidates[copy].isBlocked = true;
-        CPPUNIT_ASSERT_EQUAL(home, *m_chooser.choose("m/a1", "request", candidates));
+        CPPUNIT_ASSERT_EQUAL(home, *m_chooser.choose({.key = "m/a1", .request = "request"}, candidates));
     }
 
     // A surge of distinct adapters: some homes have all their places in use, others haven't.
     void aHomeWithoutAPlaceIsPassedOver()
     {
         auto candidates = fleet(60);
-        const auto home = *m_chooser.choose("m/a1", "request", candidates);
+        const auto home = *m_chooser.choose({.key = "m/a1", .request = "request"}, candidates);
         candidates[home].loadDelay = 150ms;
-        CPPUNIT_ASSERT_EQUAL(home, *m_chooser.choose("m/a1", "request", candidates));
+        CPPUNIT_ASSERT_EQUAL(home, *m_chooser.choose({.key = "m/a1", .request = "request"}, candidates));
         candidates[home].loadDelay = 400ms;
-        CPPUNIT_ASSERT(home != *m_chooser.choose("m/a1", "request", candidates));
+        CPPUNIT_ASSERT(home != *m_chooser.choose({.key = "m/a1", .request = "request"}, candidates));
         candidates[home].residency = Placement::Residency::Resident;
-        CPPUNIT_ASSERT_EQUAL(home, *m_chooser.choose("m/a1", "request", candidates));
+        CPPUNIT_ASSERT_EQUAL(home, *m_chooser.choose({.key = "m/a1", .request = "request"}, candidates));
     }
 
     // A shift of demand: an adapter that many ask for at once.
     void demandLetsAnAdapterSpreadSooner()
     {
         auto candidates = fleet(60);
-        const auto home = *m_chooser.choose("m/a1", "request", candidates);
+        const auto home = *m_chooser.choose({.key = "m/a1", .request = "request"}, candidates);
         candidates[home].residency = Placement::Residency::Resident;
         candidates[home].waitingTokens = 2500;
-        CPPUNIT_ASSERT_EQUAL(home, *m_chooser.choose("m/a1", "request", candidates));
-        CPPUNIT_ASSERT(home != *m_chooser.choose("m/a1", "request", candidates, 80));
+        CPPUNIT_ASSERT_EQUAL(home, *m_chooser.choose({.key = "m/a1", .request = "request"}, candidates));
+        CPPUNIT_ASSERT(home != *m_chooser.choose({.key = "m/a1", .request = "request", .demand = 80}, candidates));
     }
 
     void demandFades()
@@ -162,7 +163,8 @@
         }
         std::map<std::size_t, int> counts;
         for (int i = 0; i < Requests; ++i) {
-            ++counts[*m_chooser.choose("m/a1", "request" + std::to_string(i), candidates)];
+            const auto name = "request" + std::to_string(i);
+            ++counts[*m_chooser.choose({.key = "m/a1", .request = name}, candidates)];
         }
         for (const auto &[index, count] : counts) {
             CPPUNIT_ASSERT(count < Requests / 8);
@@ -182,22 +184,38 @@
             }
             int crossing = 0;
             for (int i = 0; i < Requests; ++i) {
-                crossing += *m_chooser.choose("m/a1", "request" + std::to_string(i), candidates) % 3 == 0 ? 0 : 1;
+                const auto name = "request" + std::to_string(i);
+                crossing += *m_chooser.choose({.key = "m/a1", .request = name}, candidates) % 3 == 0 ? 0 : 1;
             }
             CPPUNIT_ASSERT(crossing < Requests / 10);
             for (std::size_t i = 0; i < copies; i += 3) {
                 candidates[i].waitingTokens = 2000;
             }
-            CPPUNIT_ASSERT(*m_chooser.choose("m/a1", "request", candidates) % 3 != 0);
+            CPPUNIT_ASSERT(*m_chooser.choose({.key = "m/a1", .request = "request"}, candidates) % 3 != 0);
         }
     }
 
+    // A plain service with a few places in each zone, and more callers in one zone than in the others.
+    void shortRequestsGoToEveryZone()
+    {
+        auto candidates = fleet(3);
+        candidates[1].zone = {"b"};
+        candidates[2].zone = {"c"};
+        for (auto &candidate : candidates) {
+            candidate.residency = Placement::Residency::Resident;
+            candidate.slots = 6;
+        }
+        candidates[0].active = 4;
+        const auto chosen = *m_chooser.choose({.key = "1", .request = "1", .isStream = false}, candidates);
+        CPPUNIT_ASSERT(chosen != 0);
+    }
+
     void aFullReplicaIsPassedOver()
     {
         auto candidates = fleet(2);
         candidates[0].residency = candidates[1].residency = Placement::Residency::Resident;
         candidates[0].active = 64;
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), *m_chooser.choose("m/a1", "request", candidates));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), *m_chooser.choose({.key = "m/a1", .request = "request"}, candidates));
     }
 
     void aReplicaThatFailsRequestsIsUsedLess()
@@ -211,15 +229,15 @@
         auto candidates = fleet(2);
         candidates[0].residency = Placement::Residency::Resident;
         candidates[0].penalty = health.penalty({"id0"}, m_now);
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), *m_chooser.choose("m/a1", "request", candidates));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), *m_chooser.choose({.key = "m/a1", .request = "request"}, candidates));
     }
 
     void aReplicaWithoutAHolderIsNotAskedForLoads()
     {
         auto candidates = fleet(3);
-        const auto home = *m_chooser.choose("m/a1", "request", candidates);
+        const auto home = *m_chooser.choose({.key = "m/a1", .request = "request"}, candidates);
         candidates[home].residency = Placement::Residency::Unloadable;
-        CPPUNIT_ASSERT(*m_chooser.choose("m/a1", "request", candidates) != home);
+        CPPUNIT_ASSERT(*m_chooser.choose({.key = "m/a1", .request = "request"}, candidates) != home);
     }
 
     void aCutZoneIsSeenFromTwoReplicas()
