LibGateway, LibFleet: Ask the store less often at the start and while nothing changes

The first calls to follow come 0.4 and 0.9 s after the first whole read, a host waits for its reader's first word, the configuration is followed by calls of 1.4 s and the replicas every 650 ms; reports are read every 2.5 s while nothing is uncertain.

--- a/Libraries/LibFleet/Feed.h
+++ b/Libraries/LibFleet/Feed.h
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <functional>
 #include <string>
+#include <utility>
 
 namespace Fleet {
 
@@ -15,6 +16,8 @@
     // connection that fell silent goes unnoticed.
     Core::Duration wait = std::chrono::milliseconds(700);
     Core::Duration pace = std::chrono::milliseconds(500); // Between two calls, so that many changes come together.
+    // After the first of all calls. Hosts that start together find out in this time which of them reads for the others.
+    Core::Duration firstPace = std::chrono::milliseconds(0);
     // Whether another host makes the calls and passes the changes on; then there is nothing to save by waiting.
     std::function<bool()> isRelayed = [] {
         return false;
@@ -83,11 +86,12 @@
         if (changes.outcome == Platform::FeedOutcome::Read && !isStale) {
             succeed();
             m_version = changes.version;
-            m_isFilled = true;
+            const bool isFirst = !std::exchange(m_isFilled, true);
             m_isHistoryLost = false;
             m_nextRetryDelay = m_options.retryDelay;
             m_apply(std::move(changes), extent);
-            m_scheduler.runAfter(m_options.isRelayed() ? m_options.relayedPace : m_options.pace, [this] {
+            const auto pace = m_options.isRelayed() ? m_options.relayedPace : m_options.pace;
+            m_scheduler.runAfter(isFirst ? std::max(pace, m_options.firstPace) : pace, [this] {
                 followOn();
             });
             return;
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -12,8 +12,14 @@
 
 // The operators' rows change rarely, the replicas' entries all the time; hosts' rows with each renewal.
 constexpr auto ConfigurationPace = std::chrono::milliseconds(20);
-constexpr auto ReplicaPace = std::chrono::milliseconds(500);
+constexpr auto ReplicaPace = std::chrono::milliseconds(650);
 constexpr auto HolderPace = std::chrono::milliseconds(1000);
+// A silent connection is noticed after this and the client's time limit, before a change would be overdue.
+constexpr auto ConfigurationWait = std::chrono::milliseconds(1400);
+constexpr auto ReplicaWait = std::chrono::milliseconds(700);
+// Hosts that start together write their rows within a third of a second; the reader's first word comes a beat later.
+constexpr auto FirstHolderPace = std::chrono::milliseconds(400);
+constexpr auto FirstPace = std::chrono::milliseconds(900);
 // A host that has said nothing for this long isn't sent notices any more.
 constexpr auto UserLifetime = std::chrono::seconds(2);
 constexpr auto RetryAfterStart = std::chrono::milliseconds(100);
@@ -63,7 +69,7 @@
               m_writer.write(std::move(row), std::move(done));
           })
     , m_replicaFeed(
-          m_ports.scheduler, feedOptions("replicas", ReplicaPace),
+          m_ports.scheduler, feedOptions("replicas", ReplicaPace, ReplicaWait, FirstPace),
           [this](auto done) {
               m_deployment->readReplicas(std::move(done));
           },
@@ -74,7 +80,7 @@
               takeReplicas(changes, extent == decltype(m_replicaFeed)::Extent::Whole);
           })
     , m_configurationFeed(
-          m_ports.scheduler, feedOptions("configuration", ConfigurationPace),
+          m_ports.scheduler, feedOptions("configuration", ConfigurationPace, ConfigurationWait, FirstPace),
           [this](auto done) {
               m_deployment->readConfiguration(std::move(done));
           },
@@ -85,7 +91,7 @@
               takeConfiguration(std::move(changes));
           })
     , m_holderFeed(
-          m_ports.scheduler, feedOptions("holders", HolderPace),
+          m_ports.scheduler, feedOptions("holders", HolderPace, ReplicaWait, FirstHolderPace),
           [this](auto done) {
               m_rows.readTable(Holding::HolderTable::Table, std::move(done));
           },
@@ -262,9 +268,10 @@
     return holdable;
 }
 
-Fleet::FeedOptions Gateway::feedOptions(std::string name, Core::Duration pace) const
+Fleet::FeedOptions Gateway::feedOptions(std::string name, Core::Duration pace, Core::Duration wait,
+                                        Core::Duration firstPace) const
 {
-    return {.name = std::move(name), .pace = pace, .isRelayed = [this] {
+    return {.name = std::move(name), .wait = wait, .pace = pace, .firstPace = firstPace, .isRelayed = [this] {
                 return m_reader.reader().has_value();
             }};
 }
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -74,7 +74,8 @@
                              const std::function<void(const Holding::AdapterReply &)> &reply);
     void takeUse(const Core::HostId &from, const Holding::UseNotice &notice);
     [[nodiscard]] std::vector<Holding::HoldableReplica> holdableReplicas() const;
-    [[nodiscard]] Fleet::FeedOptions feedOptions(std::string name, Core::Duration pace) const;
+    [[nodiscard]] Fleet::FeedOptions feedOptions(std::string name, Core::Duration pace, Core::Duration wait,
+                                                 Core::Duration firstPace) const;
     // The loads of the replicas that this host holds.
     [[nodiscard]] std::vector<Relay::SpreadLoad> heldLoads() const;
     // Of each other zone the hosts that may read the store for it.
--- a/Libraries/LibHolding/ReplicaController.cpp
+++ b/Libraries/LibHolding/ReplicaController.cpp
@@ -108,18 +108,31 @@
     std::erase_if(m_uses, [this, now](const auto &use) {
         return now - use.second.at > m_options.silentUseLifetime;
     });
+    m_nextReport = std::min(m_nextReport, now + reportDelay());
     if (now >= m_nextReport && !m_isReporting) {
         readReport();
     }
     pump();
 }
 
+Core::Duration ReplicaController::reportDelay() const
+{
+    if (m_models.empty() || m_isUnreachable) {
+        return m_options.awaitedReportPeriod;
+    }
+    const bool isCalm = m_orderCount.has_value() && !m_waitsForRunsSince.has_value()
+        && std::all_of(m_slots.begin(), m_slots.end(), [](const auto &slot) {
+               return !slot.second.uncertainAt.has_value()
+                   && (slot.second.state == SlotState::Resident || slot.second.state == SlotState::Loading);
+           });
+    return isCalm ? m_options.calmReportPeriod : m_options.reportPeriod;
+}
+
 void ReplicaController::readReport()
 {
     m_isReporting = true;
     const auto askedAt = m_scheduler.now();
-    const bool isAwaited = m_models.empty() || m_isUnreachable;
-    m_nextReport = askedAt + (isAwaited ? m_options.awaitedReportPeriod : m_options.reportPeriod);
+    m_nextReport = askedAt + reportDelay();
     m_link.report(m_replica, [this, isAlive = m_isAlive, askedAt](const std::optional<Fleet::ReplicaReport> &report) {
         if (!*isAlive) {
             return;
--- a/Libraries/LibHolding/ReplicaController.h
+++ b/Libraries/LibHolding/ReplicaController.h
@@ -16,6 +16,8 @@
 struct ReplicaControllerOptions {
     Core::HostId self;
     Core::Duration reportPeriod = std::chrono::milliseconds(1000);
+    // While nothing is uncertain; reports are priced like probes.
+    Core::Duration calmReportPeriod = std::chrono::milliseconds(2500);
     // While nothing can be loaded before the replica answers again or has its model.
     Core::Duration awaitedReportPeriod = std::chrono::milliseconds(250);
     // A report shows the state of some hundred milliseconds ago; what changed here since isn't corrected by it.
@@ -143,6 +145,8 @@
     [[nodiscard]] std::optional<std::string> victim() const;
     // Until the load of one more adapter would begin.
     [[nodiscard]] Core::Duration loadDelay() const;
+    // How long after a report the next one is read.
+    [[nodiscard]] Core::Duration reportDelay() const;
     [[nodiscard]] bool isIdle(const std::pair<const std::string, Slot> &slot) const;
     [[nodiscard]] bool isInUse(const std::string &name) const;
     [[nodiscard]] Core::Duration expectedLoadTime(const std::string &name, std::uint64_t version) const;
--- a/Libraries/LibRelay/SharedRowFeed.cpp
+++ b/Libraries/LibRelay/SharedRowFeed.cpp
@@ -112,7 +112,8 @@
     const bool isRelied = m_reader.reader().has_value();
     auto changes = isRelied ? collect(table, table.waiting->after) : std::nullopt;
     const bool isOver = m_scheduler.now() >= table.waiting->until;
-    if (changes.has_value() && changes->rows.empty() && !isOver) {
+    const bool isAwaitingFirstNotice = isRelied && table.notices.empty();
+    if ((isAwaitingFirstNotice || (changes.has_value() && changes->rows.empty())) && !isOver) {
         return;
     }
     auto waiting = std::move(*table.waiting);
