--- a/Libraries/LibOwner/OwnedTargets.cpp
+++ b/Libraries/LibOwner/OwnedTargets.cpp
@@ -145,6 +145,7 @@
         resident.push_back(slot.adapter);
     }
     if (!isKnown(target, status.incarnation)) {
+        m_tenures[target] = ++m_lastTenure;
         m_dispatcher.resetTarget(target, status.incarnation, status.slotCount, resident, m_scheduler.now());
     }
     m_dispatcher.forgetMissing(target, resident, askedAt);
@@ -234,8 +235,7 @@
 
 void OwnedTargets::orderLoad(const LoadAction &action, const Tenure &tenure)
 {
-    const Engine::AdapterOrder order {
-        .adapter = action.adapter, .fence = tenure.fence, .incarnation = tenure.incarnation};
+    const auto order = orderFor(action.target, action.adapter, tenure);
     m_engines.load(addressOf(action.target), order, [this, action, tenure](Engine::OrderOutcome outcome) {
         if (!isCurrent(action.target, tenure)) {
             return;
@@ -260,8 +260,7 @@
 
 void OwnedTargets::sendUnload(const UnloadAction &action, const Tenure &tenure)
 {
-    const Engine::AdapterOrder order {
-        .adapter = action.adapter, .fence = tenure.fence, .incarnation = tenure.incarnation};
+    const auto order = orderFor(action.target, action.adapter, tenure);
     m_engines.unload(addressOf(action.target), order, [this, action, tenure](Engine::OrderOutcome outcome) {
         finishUnload(action, tenure, outcome);
     });
@@ -295,13 +294,20 @@
 
 OwnedTargets::Tenure OwnedTargets::tenureOf(const Core::TargetId &target) const
 {
-    return {.incarnation = m_dispatcher.tables().at(target).incarnation(), .fence = fenceOf(target)};
+    return {.incarnation = m_dispatcher.tables().at(target).incarnation(), .number = m_tenures.at(target)};
+}
+
+Engine::AdapterOrder OwnedTargets::orderFor(const Core::TargetId &target, const Core::AdapterVersion &adapter,
+                                            const Tenure &tenure) const
+{
+    return {.adapter = adapter, .fence = fenceOf(target), .incarnation = tenure.incarnation};
 }
 
 bool OwnedTargets::isCurrent(const Core::TargetId &target, const Tenure &tenure) const
 {
     const auto owned = m_ownership.ownerOf(target).value_or(Membership::Ownership {});
-    return owned.owner == m_router.self() && owned.fence == tenure.fence && isKnown(target, tenure.incarnation);
+    const auto number = m_tenures.find(target);
+    return owned.owner == m_router.self() && number != m_tenures.end() && number->second == tenure.number && isKnown(target, tenure.incarnation);
 }
 
 bool OwnedTargets::isKnown(const Core::TargetId &target, const std::string &incarnation) const
--- a/Libraries/LibOwner/OwnedTargets.h
+++ b/Libraries/LibOwner/OwnedTargets.h
@@ -54,16 +54,18 @@
     void act(const RefuseAction &action);
     void act(const LoadAction &action);
     void act(const UnloadAction &action);
-    // One ownership of one start of a target. What was decided in an earlier one isn't ordered in a later one, nor do
-    // its late results count there.
+    // One start of a target for as long as this host has owned it without a break. What was decided in an earlier
+    // tenure isn't ordered in a later one, nor do its late results count there.
     struct Tenure {
         std::string incarnation; // Of the target.
-        std::uint64_t fence = 0; // Of the ownership.
+        std::uint64_t number = 0;
     };
     void orderLoad(const LoadAction &action, const Tenure &tenure);
     void sendUnload(const UnloadAction &action, const Tenure &tenure);
     void finishUnload(const UnloadAction &action, const Tenure &tenure, Engine::OrderOutcome outcome);
     [[nodiscard]] Tenure tenureOf(const Core::TargetId &target) const;
+    [[nodiscard]] Engine::AdapterOrder orderFor(const Core::TargetId &target, const Core::AdapterVersion &adapter,
+                                                const Tenure &tenure) const;
     [[nodiscard]] bool isCurrent(const Core::TargetId &target, const Tenure &tenure) const;
     [[nodiscard]] bool isKnown(const Core::TargetId &target, const std::string &incarnation) const;
     void answer(const GrantReply &reply);
@@ -83,6 +85,8 @@
     Trace::Tracer &m_tracer;
     OwnedTargetsOptions m_options;
     Dispatcher m_dispatcher;
+    std::map<Core::TargetId, std::uint64_t> m_tenures; // The number of each target's tenure.
+    std::uint64_t m_lastTenure = 0;
     std::map<Core::GrantId, ReplyFunction> m_replies; // Of the requests that wait.
     std::set<std::pair<Core::TargetId, Core::AdapterVersion>> m_uncertainUnloads; // Unanswered, and sent again.
     bool m_seeksPermit = false;
