--- a/Services/currantbayd/GatewayDaemon.cpp
+++ b/Services/currantbayd/GatewayDaemon.cpp
@@ -17,8 +17,8 @@
 constexpr auto ServeWhileStopping = std::chrono::milliseconds(2900);
 // For the store to take the replicas back, at the end of a planned stop.
 constexpr auto GiveUpTimeout = std::chrono::milliseconds(250);
-// Left of the grace period for the process to end by itself.
-constexpr auto ExitReserve = std::chrono::milliseconds(900);
+// Left of the grace period for giving the replicas up and for the process to end by itself.
+constexpr auto ExitReserve = std::chrono::milliseconds(450);
 // Work for a caller who has left is to stop within half a second.
 constexpr auto GoneCheckPeriod = std::chrono::milliseconds(150);
 constexpr auto SettingsWatchPeriod = std::chrono::seconds(2);
