--- a/Libraries/LibHolding/ReplicaController.cpp
+++ b/Libraries/LibHolding/ReplicaController.cpp
@@ -120,7 +120,8 @@
     if (m_models.empty() || m_isUnreachable) {
         return m_options.awaitedReportPeriod;
     }
-    const bool isCalm = m_orderCount.has_value() && !m_waitsForRunsSince.has_value()
+    const bool isCalm
+        = m_orderCount.has_value() && !m_waitsForRunsSince.has_value()
         && std::all_of(m_slots.begin(), m_slots.end(), [](const auto &slot) {
                return !slot.second.uncertainAt.has_value()
                    && (slot.second.state == SlotState::Resident || slot.second.state == SlotState::Loading);
--- a/Libraries/LibHolding/ReplicaController.h
+++ b/Libraries/LibHolding/ReplicaController.h
@@ -33,7 +33,8 @@
     Core::Duration shortWaitForSlot = std::chrono::milliseconds(150);
     // Expected until a place becomes free where every adapter is in use: part of a run.
     Core::Duration placeDelay = std::chrono::milliseconds(400);
-    Core::Duration noLoadDelay = std::chrono::milliseconds(10000); // Stands for a replica at which nothing can be loaded.
+    Core::Duration noLoadDelay
+        = std::chrono::milliseconds(10000); // Stands for a replica at which nothing can be loaded.
     Core::Duration idleBeforeEviction = std::chrono::milliseconds(250);
     Core::Duration useNoticeLifetime = std::chrono::milliseconds(1500);
     // The requests of a host that has fallen silent may go on: about the length of a long run.
--- a/Libraries/LibOwner/OwnedTargets.cpp
+++ b/Libraries/LibOwner/OwnedTargets.cpp
@@ -248,7 +248,8 @@
             });
             return;
         }
-        m_dispatcher.finishLoad(action.target, tenure.incarnation, action.adapter, outcome == Engine::OrderOutcome::Done);
+        m_dispatcher.finishLoad(action.target, tenure.incarnation, action.adapter,
+                                outcome == Engine::OrderOutcome::Done);
         step();
     });
 }
@@ -307,7 +308,8 @@
 {
     const auto owned = m_ownership.ownerOf(target).value_or(Membership::Ownership {});
     const auto number = m_tenures.find(target);
-    return owned.owner == m_router.self() && number != m_tenures.end() && number->second == tenure.number && isKnown(target, tenure.incarnation);
+    return owned.owner == m_router.self() && number != m_tenures.end() && number->second == tenure.number
+        && isKnown(target, tenure.incarnation);
 }
 
 bool OwnedTargets::isKnown(const Core::TargetId &target, const std::string &incarnation) const
--- a/Libraries/LibRelay/LoadSpread.h
+++ b/Libraries/LibRelay/LoadSpread.h
@@ -17,8 +17,8 @@
 };
 
 // Spreads what holders know of their replicas' load to every host, so that a host that rarely uses a replica knows how
-// busy it is. Holders post to their zone's reader; the reader sends one digest to its zone, and what is its zone's own to
-// the readers of the other zones, which pass it on. A host sends a message or two a period, however many there are.
+// busy it is. Holders post to their zone's reader; the reader sends one digest to its zone, and what is its zone's own
+// to the readers of the other zones, which pass it on. A host sends a message or two a period, however many there are.
 class LoadSpread
 {
 public:
@@ -28,8 +28,8 @@
 
     // The loads are those of replicas that this host holds; the other readers are hosts of other zones, of each zone
     // those that may read for it. Every load that arrives is taken.
-    LoadSpread(Core::Scheduler &scheduler, Peer::PeerRouter &router, const ZoneReader &reader, LoadSpreadOptions options,
-               LoadsFunction loads, HostsFunction otherReaders, TakeFunction take);
+    LoadSpread(Core::Scheduler &scheduler, Peer::PeerRouter &router, const ZoneReader &reader,
+               LoadSpreadOptions options, LoadsFunction loads, HostsFunction otherReaders, TakeFunction take);
 
     void start();
 
