--- a/Libraries/LibFleet/Tests/FleetTest.cpp
+++ b/Libraries/LibFleet/Tests/FleetTest.cpp
@@ -10,6 +10,7 @@
 {
     CPPUNIT_TEST_SUITE(FleetTest);
     CPPUNIT_TEST(changesArriveInTime);
+    CPPUNIT_TEST(theFirstCallToFollowComesLater);
     CPPUNIT_TEST(relayedChangesAreTakenAtOnce);
     CPPUNIT_TEST(aForgottenHistoryIsReadAgain);
     CPPUNIT_TEST(anOutageEndsByItself);
@@ -52,6 +53,32 @@
                          }
                      }};
 
+    // Hosts that start together leave each other the time to find out who reads.
+    void theFirstCallToFollowComesLater()
+    {
+        std::vector<Core::TimePoint> calls;
+        RowsFeed feed(
+            m_scheduler, {.name = "late", .pace = 100ms, .firstPace = 900ms},
+            [this](auto done) {
+                m_rows.readTable("t", std::move(done));
+            },
+            [this, &calls](auto after, auto wait, auto done) {
+                calls.push_back(m_scheduler.now());
+                m_rows.follow("t", after, wait, std::move(done));
+            },
+            [](Platform::FeedResult &&, RowsFeed::Extent) {
+            });
+        const auto startedAt = m_scheduler.now();
+        feed.start();
+        m_scheduler.advance(800ms);
+        CPPUNIT_ASSERT(feed.isFilled());
+        CPPUNIT_ASSERT(calls.empty());
+        m_rows.put("t", "k", "1");
+        m_scheduler.advance(400ms);
+        CPPUNIT_ASSERT(calls.front() - startedAt >= 900ms);
+        CPPUNIT_ASSERT(calls.size() >= 2);
+    }
+
     void changesArriveInTime()
     {
         m_feed.start();
--- a/Libraries/LibHolding/Tests/ReplicaControllerTest.cpp
+++ b/Libraries/LibHolding/Tests/ReplicaControllerTest.cpp
@@ -44,6 +44,7 @@
 
     void report(const Fleet::Replica & /*replica*/, ReportFunction done) override
     {
+        ++reportCalls;
         if (isUnreachable) {
             m_scheduler.runAfter(2ms, [done = std::move(done)] {
                 done(std::nullopt);
@@ -82,6 +83,7 @@
     std::uint64_t count = 0;
     std::size_t most = 0; // Adapters that were there or coming at one time.
     std::size_t orderCalls = 0;
+    std::size_t reportCalls = 0;
     std::size_t waits = 0; // Orders that had to wait for runs.
     std::size_t conflicts = 0; // Orders that came meanwhile.
     std::vector<std::string> loads; // In the order in which they were accepted.
@@ -180,6 +182,7 @@
     CPPUNIT_TEST(lostAnswersDontStopLoads);
     CPPUNIT_TEST(aReplicaIsUsableAsSoonAsItsEntryShowsTheModel);
     CPPUNIT_TEST(nobodyWaitsForAReplicaThatCantBeReached);
+    CPPUNIT_TEST(aCalmReplicaIsRarelyAskedForItsReport);
     CPPUNIT_TEST(withoutTheRightToOrderItRefusesAtOnce);
     CPPUNIT_TEST(waitingCostsNoTime);
     CPPUNIT_TEST_SUITE_END();
@@ -570,6 +573,24 @@
         CPPUNIT_ASSERT(isReady(third));
     }
 
+    void aCalmReplicaIsRarelyAskedForItsReport()
+    {
+        const auto made = controller();
+        Answer answer;
+        ask(*made, request("a1"), answer);
+        run(*made, 1s);
+        m_fake.reportCalls = 0;
+        run(*made, 10s);
+        CPPUNIT_ASSERT(m_fake.reportCalls >= 3 && m_fake.reportCalls <= 5);
+        m_fake.isUnreachable = true;
+        Answer refused;
+        ask(*made, request("a2"), refused);
+        run(*made, 100ms);
+        m_fake.reportCalls = 0;
+        run(*made, 2s);
+        CPPUNIT_ASSERT(m_fake.reportCalls >= 5);
+    }
+
     void withoutTheRightToOrderItRefusesAtOnce()
     {
         const auto made = controller();
--- a/Libraries/LibRelay/Tests/RelayTest.cpp
+++ b/Libraries/LibRelay/Tests/RelayTest.cpp
@@ -147,6 +147,7 @@
     CPPUNIT_TEST(aSilentReaderIsReplacedWithinTheBound);
     CPPUNIT_TEST(aReaderWithoutTheStoreIsNotReliedOn);
     CPPUNIT_TEST(aHostThatMissedAPartReadsTheStore);
+    CPPUNIT_TEST(aHostWaitsForItsReadersFirstWord);
     CPPUNIT_TEST(renewalsOfAZoneShareATransaction);
     CPPUNIT_TEST(aRowIsWrittenWithoutTheReader);
     CPPUNIT_TEST_SUITE_END();
@@ -248,6 +249,32 @@
         expectEverywhere("later", "2");
     }
 
+    // All hosts start together: none but the reader has to ask the store for what the reader is about to tell.
+    void aHostWaitsForItsReadersFirstWord()
+    {
+        auto &last = *m_hosts.back();
+        std::string told;
+        bool isAnswered = false;
+        last.feed.follow("other", 0, 1400ms, [&](const Platform::FeedResult &result) {
+            isAnswered = true;
+            told = result.rows.empty() ? "" : result.rows.front().value;
+        });
+        m_scheduler.advance(500ms);
+        CPPUNIT_ASSERT(!isAnswered);
+        CPPUNIT_ASSERT_EQUAL(0, last.store.calls);
+        m_hosts.front()->feed.follow("other", 0, 700ms, [](const Platform::FeedResult &) {
+        });
+        m_rows.put("other", "k", "v");
+        m_scheduler.advance(100ms);
+        CPPUNIT_ASSERT_EQUAL(std::string("v"), told);
+        CPPUNIT_ASSERT_EQUAL(0, last.store.calls);
+        // Without a word in its time it asks the store after all.
+        last.feed.follow("third", 0, 700ms, [](const Platform::FeedResult &) {
+        });
+        m_scheduler.advance(1s);
+        CPPUNIT_ASSERT(last.store.calls > 0);
+    }
+
     void renewalsOfAZoneShareATransaction()
     {
         int written = 0;
