--- a/Libraries/LibFleet/Tests/FleetTest.cpp
+++ b/Libraries/LibFleet/Tests/FleetTest.cpp
@@ -66,8 +66,7 @@
                 calls.push_back(m_scheduler.now());
                 m_rows.follow("t", after, wait, std::move(done));
             },
-            [](Platform::FeedResult &&, RowsFeed::Extent) {
-            });
+            [](Platform::FeedResult &&, RowsFeed::Extent) {});
         const auto startedAt = m_scheduler.now();
         feed.start();
         m_scheduler.advance(800ms);
--- a/Libraries/LibRelay/Tests/RelayTest.cpp
+++ b/Libraries/LibRelay/Tests/RelayTest.cpp
@@ -262,15 +262,13 @@
         m_scheduler.advance(500ms);
         CPPUNIT_ASSERT(!isAnswered);
         CPPUNIT_ASSERT_EQUAL(0, last.store.calls);
-        m_hosts.front()->feed.follow("other", 0, 700ms, [](const Platform::FeedResult &) {
-        });
+        m_hosts.front()->feed.follow("other", 0, 700ms, [](const Platform::FeedResult &) {});
         m_rows.put("other", "k", "v");
         m_scheduler.advance(100ms);
         CPPUNIT_ASSERT_EQUAL(std::string("v"), told);
         CPPUNIT_ASSERT_EQUAL(0, last.store.calls);
         // Without a word in its time it asks the store after all.
-        last.feed.follow("third", 0, 700ms, [](const Platform::FeedResult &) {
-        });
+        last.feed.follow("third", 0, 700ms, [](const Platform::FeedResult &) {});
         m_scheduler.advance(1s);
         CPPUNIT_ASSERT(last.store.calls > 0);
     }
