LibHolding: Unload nothing that may still be on its way

Cause, by reading: while an order waits for runs, a load that took one and a half times what was expected counted as complete, so that it could become the victim of the next load. With many loads at once it took longer; unloading it did nothing, and it arrived beside the one that had been given its place. The test plays this and failed before. Such a load now serves requests, which the replica rejects should it not be there, but isn't unloaded before a repeated order or a report shows it.

--- a/Libraries/LibHolding/ReplicaController.cpp
+++ b/Libraries/LibHolding/ReplicaController.cpp
@@ -66,6 +66,9 @@
         if (slot->second.version >= request.version) {
             slot->second.lastUsed = now;
         }
+        if (request.isRefuted) {
+            slot->second.isAssumedReady = false;
+        }
         if (request.isRefuted && slot->second.state == SlotState::Resident) {
             // The adapter may be gone after all; the replica's answer to a repeated order tells.
             slot->second.state = SlotState::Loading;
@@ -188,6 +191,7 @@
             const bool isOutdated
                 = state.state == SlotState::Replacing && found->second < m_releases.newest(slot->first);
             state.state = isOutdated ? SlotState::Replacing : SlotState::Resident;
+            state.isAssumedReady = false;
             ++slot;
         } else if (isSettled && !coming.contains(slot->first)) {
             slot = m_slots.erase(slot);
@@ -275,8 +279,13 @@
 bool ReplicaController::isServable(const Waiter &waiter) const
 {
     const auto slot = m_slots.find(Fleet::adapterName(waiter.request.model, waiter.request.adapter));
-    return slot != m_slots.end() && slot->second.state == SlotState::Resident && !slot->second.uncertainAt.has_value()
-        && slot->second.version >= waiter.request.version;
+    if (slot == m_slots.end()) {
+        return false;
+    }
+    const auto &state = slot->second;
+    const bool isThere
+        = state.state == SlotState::Resident || (state.state == SlotState::Loading && state.isAssumedReady);
+    return isThere && !state.uncertainAt.has_value() && state.version >= waiter.request.version;
 }
 
 bool ReplicaController::isOutdatedInUse(const Waiter &waiter) const
--- a/Libraries/LibHolding/ReplicaController.h
+++ b/Libraries/LibHolding/ReplicaController.h
@@ -89,6 +89,7 @@
         // The count of orders that the order named which would bring or drop it, while that order had no answer.
         std::optional<std::uint64_t> uncertainAt;
         bool isConfirming = false; // Its order is being repeated, to learn whether it is complete.
+        bool isAssumedReady = false; // Its load must be complete, but the replica can't be asked now.
         Core::TimePoint changedAt {};
         Core::TimePoint lastUsed {};
         Core::TimePoint readyAt {};
--- a/Libraries/LibHolding/ReplicaControllerOrders.cpp
+++ b/Libraries/LibHolding/ReplicaControllerOrders.cpp
@@ -232,6 +232,7 @@
             m_atHand.insert(Fleet::versionedName(name, order.version));
             if (outcome == Fleet::OrderOutcome::Holds) {
                 slot->second.state = SlotState::Resident;
+                slot->second.isAssumedReady = false;
                 slot->second.version = std::max(slot->second.version, order.version);
                 slot->second.lastUsed = now;
             }
@@ -351,9 +352,9 @@
     }
     slot->second.readyAt = now + WaitingRetryDelay;
     if (now - slot->second.orderedAt >= slot->second.loadTime * 3 / 2) {
-        // Whether the load is complete can't be asked now; should it not be, the request is rejected and not run.
-        slot->second.state = SlotState::Resident;
-        slot->second.lastUsed = now;
+        // Should it not be, the request is rejected and hasn't run. It isn't unloaded before it is known to be there:
+        // an adapter on its way can't be, and would take its place when it arrives.
+        slot->second.isAssumedReady = true;
     }
 }
 
--- a/Libraries/LibHolding/Tests/ReplicaControllerTest.cpp
+++ b/Libraries/LibHolding/Tests/ReplicaControllerTest.cpp
@@ -117,7 +117,11 @@
     void apply(const Fleet::ReplicaOrder &order)
     {
         if (order.verb == Fleet::OrderVerb::Unload) {
-            adapters.erase(order.adapter);
+            // One that is on its way arrives all the same.
+            if (const auto found = adapters.find(order.adapter);
+                found != adapters.end() && found->second.readyAt <= m_scheduler.now()) {
+                adapters.erase(found);
+            }
             return;
         }
         adapters[order.adapter]
@@ -177,6 +181,7 @@
     CPPUNIT_TEST(aLoadedAdapterIsKeptForTheRequestThatAskedForIt);
     CPPUNIT_TEST(whileAnOrderWaitsForRunsOthersAreSentElsewhere);
     CPPUNIT_TEST(aFinishedLoadIsUsableWhileAnOrderWaitsForRuns);
+    CPPUNIT_TEST(aSlowLoadIsNotUnloadedBeforeItHasArrived);
     CPPUNIT_TEST(whatASilentHostUsesIsKeptForARun);
     CPPUNIT_TEST(aLeavingReplicaKeepsNobodyWaiting);
     CPPUNIT_TEST(lostAnswersDontStopLoads);
@@ -470,6 +475,29 @@
         CPPUNIT_ASSERT(!isReady(waiting));
     }
 
+    // A quarter of the replicas comes back at once: loads take seconds, and an unload waits for a run meanwhile.
+    void aSlowLoadIsNotUnloadedBeforeItHasArrived()
+    {
+        const auto made = controller();
+        std::vector<Answer> fill(Slots);
+        for (std::size_t i = 0; i < Slots; ++i) {
+            ask(*made, request("a" + std::to_string(i)), fill[i]);
+        }
+        run(*made, 1s);
+        m_fake.adapters.at("a1").runs = 1;
+        m_fake.loadTime = 3s;
+        std::vector<Answer> answers(8);
+        for (std::size_t i = 0; i < answers.size(); ++i) {
+            ask(*made, request("b" + std::to_string(i)), answers[i]);
+            run(*made, 350ms);
+            if (i == 3) {
+                m_fake.adapters.at("a1").runs = 0;
+            }
+        }
+        run(*made, 4s);
+        CPPUNIT_ASSERT(m_fake.most <= Slots);
+    }
+
     void whatASilentHostUsesIsKeptForARun()
     {
         const auto made = controller();
