StandIns: Say once why an engine refuses an order, and with which status

The two reasons stood in the load and in the unload, and the status that tells them in both of the stand-in's paths. Behaviour stays as it is: LibOwnerTests, LibEngineTests and the random cases pass.

--- a/StandIns/EngineModel.cpp
+++ b/StandIns/EngineModel.cpp
@@ -23,18 +23,18 @@
 {
 }
 
-bool EngineModel::isForAnotherStart(const Engine::AdapterOrder &order) const
+std::optional<Engine::OrderOutcome> EngineModel::refusalOf(const Engine::AdapterOrder &order)
 {
-    return !order.incarnation.empty() && order.incarnation != m_options.incarnation;
+    if (!order.incarnation.empty() && order.incarnation != m_options.incarnation) {
+        return Engine::OrderOutcome::OtherStart;
+    }
+    return isStale(order.fence) ? std::optional(Engine::OrderOutcome::StaleFence) : std::nullopt;
 }
 
 Engine::OrderOutcome EngineModel::beginLoad(const Engine::AdapterOrder &order)
 {
-    if (isForAnotherStart(order)) {
-        return Engine::OrderOutcome::OtherStart;
-    }
-    if (isStale(order.fence)) {
-        return Engine::OrderOutcome::StaleFence;
+    if (const auto refusal = refusalOf(order); refusal.has_value()) {
+        return *refusal;
     }
     if (const auto found = m_slots.find(order.adapter); found != m_slots.end()) {
         return found->second.isResident ? Engine::OrderOutcome::Done : Engine::OrderOutcome::Busy;
@@ -58,11 +58,8 @@
 
 Engine::OrderOutcome EngineModel::unload(const Engine::AdapterOrder &order)
 {
-    if (isForAnotherStart(order)) {
-        return Engine::OrderOutcome::OtherStart;
-    }
-    if (isStale(order.fence)) {
-        return Engine::OrderOutcome::StaleFence;
+    if (const auto refusal = refusalOf(order); refusal.has_value()) {
+        return *refusal;
     }
     if (const auto found = m_slots.find(order.adapter); found != m_slots.end()) {
         m_evictionsInUse += found->second.running > 0 ? 1 : 0;
--- a/StandIns/EngineModel.h
+++ b/StandIns/EngineModel.h
@@ -3,6 +3,7 @@
 #include <LibEngine/EngineLink.h>
 #include <LibPlatform/HostList.h>
 #include <map>
+#include <optional>
 
 namespace StandIns {
 
@@ -44,7 +45,8 @@
         std::uint32_t running = 0;
     };
 
-    [[nodiscard]] bool isForAnotherStart(const Engine::AdapterOrder &order) const;
+    // Why the order isn't carried out, whatever it orders.
+    [[nodiscard]] std::optional<Engine::OrderOutcome> refusalOf(const Engine::AdapterOrder &order);
     [[nodiscard]] bool isStale(std::uint64_t fence);
 
     EngineModelOptions m_options;
--- a/StandIns/EngineStandIn.cpp
+++ b/StandIns/EngineStandIn.cpp
@@ -51,9 +51,7 @@
             load(exchange, Engine::orderFromJson(nlohmann::json::parse(request.body)));
         } else if (request.path == "/v1/adapters/unload") {
             const auto outcome = m_model.unload(Engine::orderFromJson(nlohmann::json::parse(request.body)));
-            const auto refusal = outcome == Engine::OrderOutcome::OtherStart ? Core::HttpStatus::MisdirectedRequest
-                                                                             : Core::HttpStatus::Conflict;
-            exchange->respond({.status = outcome == Engine::OrderOutcome::Done ? Core::HttpStatus::Ok : refusal}, "{}");
+            exchange->respond({.status = statusOf(outcome)}, "{}");
         } else if (request.path == "/v1/generate") {
             generate(exchange, Engine::generateFromJson(nlohmann::json::parse(request.body)));
         } else if (request.path == "/fault") {
@@ -71,20 +69,25 @@
         }
     }
 
-    void load(const std::shared_ptr<Net::Exchange> &exchange, const Engine::AdapterOrder &order)
+    static unsigned statusOf(Engine::OrderOutcome outcome)
     {
-        const bool wasResident = isResident(order.adapter);
-        switch (m_model.beginLoad(order)) {
+        switch (outcome) {
+        case Engine::OrderOutcome::Done:
+            return Core::HttpStatus::Ok;
         case Engine::OrderOutcome::StaleFence:
-            exchange->respond({.status = Core::HttpStatus::Conflict}, "{}");
-            return;
+            return Core::HttpStatus::Conflict;
         case Engine::OrderOutcome::OtherStart:
-            exchange->respond({.status = Core::HttpStatus::MisdirectedRequest}, "{}");
-            return;
-        case Engine::OrderOutcome::Done:
-            break;
+            return Core::HttpStatus::MisdirectedRequest;
         default:
-            exchange->respond({.status = Core::HttpStatus::TooEarly}, "{}");
+            return Core::HttpStatus::TooEarly;
+        }
+    }
+
+    void load(const std::shared_ptr<Net::Exchange> &exchange, const Engine::AdapterOrder &order)
+    {
+        const bool wasResident = isResident(order.adapter);
+        if (const auto outcome = m_model.beginLoad(order); outcome != Engine::OrderOutcome::Done) {
+            exchange->respond({.status = statusOf(outcome)}, "{}");
             return;
         }
         if (wasResident) {
