--- a/Libraries/LibGateway/FleetView.cpp
+++ b/Libraries/LibGateway/FleetView.cpp
@@ -19,11 +19,12 @@
 }
 
 FleetView::FleetView(const Fleet::ReplicaSet &replicas, const Fleet::ReleaseTable &releases,
-                     Placement::ReplicaChooserOptions chooser, IsHeldFunction isHeld)
+                     Placement::ReplicaChooserOptions chooser, IsHeldFunction isHeld, HostCountFunction hostCount)
     : m_replicas(replicas)
     , m_releases(releases)
     , m_chooser(std::move(chooser))
     , m_isHeld(std::move(isHeld))
+    , m_hostCount(std::move(hostCount))
 {
 }
 
@@ -48,11 +49,6 @@
     view.resident = std::move(fresh);
 }
 
-void FleetView::setHostCount(std::size_t count)
-{
-    m_hostCount = std::max<std::size_t>(count, 1);
-}
-
 void FleetView::noteDemand(const CallerRequest &request, Core::TimePoint now)
 {
     if (!request.adapter.empty()) {
@@ -97,30 +93,29 @@
     }
 }
 
-void FleetView::takeLoad(View &view, unsigned active, std::uint64_t waitingTokens, unsigned loadDelayMilliseconds,
-                         Core::TimePoint now)
+void FleetView::takeLoad(View &view, const Holding::ReplicaLoad &load, Core::TimePoint now)
 {
     view.loadNotedAt = now;
-    view.loadDelay = std::chrono::milliseconds(loadDelayMilliseconds);
-    view.noticedActive = active - std::min(active, view.reportedActive);
-    view.noticedTokens = waitingTokens - std::min(waitingTokens, view.reportedTokens);
+    view.loadDelay = std::chrono::milliseconds(load.loadDelayMilliseconds);
+    view.noticedActive = load.active - std::min(load.active, view.reportedActive);
+    view.noticedTokens = load.waitingTokens - std::min(load.waitingTokens, view.reportedTokens);
 }
 
-void FleetView::noteSpread(const Relay::SpreadLoad &load, Core::TimePoint now)
+void FleetView::noteSpread(const Holding::ReplicaLoad &load, Core::TimePoint now)
 {
     const auto found = m_views.find(load.replica);
     if (found != m_views.end() && now - found->second.noticedAt >= SpreadAge) {
-        takeLoad(found->second, load.active, load.waitingTokens, load.loadDelayMilliseconds, now);
+        takeLoad(found->second, load, now);
     }
 }
 
-void FleetView::note(const Holding::ReplicaLoad &load, Core::TimePoint now)
+void FleetView::note(const Holding::ReplicaNotice &notice, Core::TimePoint now)
 {
-    auto &view = m_views[load.replica];
+    auto &view = m_views[notice.load.replica];
     view.noticedAt = now;
-    takeLoad(view, load.active, load.waitingTokens, load.loadDelayMilliseconds, now);
+    takeLoad(view, notice.load, now);
     std::map<std::string, std::uint64_t> resident;
-    for (const auto &adapter : load.adapters) {
+    for (const auto &adapter : notice.adapters) {
         resident[adapter.adapter] = adapter.version;
     }
     replaceResident(view, resident, now);
@@ -186,6 +181,13 @@
     return candidate;
 }
 
+double FleetView::demandFor(const std::string &adapter, Core::TimePoint now) const
+{
+    // Every host sees about an equal part; the request itself isn't evidence of others.
+    const auto others = m_demand.count(adapter, now) - 1;
+    return others <= 0 ? 0 : Placement::AdapterDemand::rateOf(others) * static_cast<double>(m_hostCount());
+}
+
 const Fleet::Replica *FleetView::choose(const CallerRequest &request, const std::string &service,
                                         const std::set<Core::TargetId> &excluded, Core::TimePoint now) const
 {
@@ -200,12 +202,9 @@
             candidates.push_back(candidate(*replica, adapter, newest, now));
         }
     }
-    // Every host sees about an equal part; the request itself isn't evidence of others.
-    const auto others = std::max(0.0, m_demand.count(adapter, now) - 1);
-    const auto demand = Placement::AdapterDemand::rateOf(others) * static_cast<double>(m_hostCount);
     const auto best = m_chooser.choose({.key = adapter.empty() ? request.attemptId : adapter,
                                         .request = request.attemptId,
-                                        .demand = demand,
+                                        .demand = demandFor(adapter, now),
                                         .isStream = !request.model.empty()},
                                        candidates);
     return best.has_value() ? usable[*best] : nullptr;
--- a/Libraries/LibGateway/FleetView.h
+++ b/Libraries/LibGateway/FleetView.h
@@ -7,7 +7,6 @@
 #include <LibPlacement/AdapterDemand.h>
 #include <LibPlacement/ReplicaChooser.h>
 #include <LibPlacement/ReplicaHealth.h>
-#include <LibRelay/RelayMessages.h>
 #include <functional>
 #include <map>
 #include <set>
@@ -21,15 +20,18 @@
     // Tells whether a live host gives orders to the replica.
     using IsHeldFunction = std::function<bool(const Core::TargetId &)>;
 
+    // The number of live hosts, this one included.
+    using HostCountFunction = std::function<std::size_t()>;
+
     FleetView(const Fleet::ReplicaSet &replicas, const Fleet::ReleaseTable &releases,
-              Placement::ReplicaChooserOptions chooser, IsHeldFunction isHeld);
+              Placement::ReplicaChooserOptions chooser, IsHeldFunction isHeld, HostCountFunction hostCount);
 
     // Takes the entries of the list after a change.
     void refresh(Core::TimePoint now);
     // Takes what a holder says of a replica.
-    void note(const Holding::ReplicaLoad &load, Core::TimePoint now);
+    void note(const Holding::ReplicaNotice &notice, Core::TimePoint now);
     // Takes how busy a replica is, by way of the readers; older than what its holder says itself.
-    void noteSpread(const Relay::SpreadLoad &load, Core::TimePoint now);
+    void noteSpread(const Holding::ReplicaLoad &load, Core::TimePoint now);
     // The adapter is in the replica's memory, as its holder or an answer has shown, or isn't.
     void setResident(const Core::TargetId &replica, const std::string &name, std::uint64_t version,
                      Core::TimePoint now);
@@ -37,8 +39,6 @@
     // The replica's holder can't have an adapter loaded there now.
     void setUnloadable(const Core::TargetId &replica, Core::TimePoint now);
 
-    // Takes the number of live hosts, this one included.
-    void setHostCount(std::size_t count);
     // A caller's request has arrived; counts towards its adapter's demand.
     void noteDemand(const CallerRequest &request, Core::TimePoint now);
 
@@ -84,8 +84,9 @@
         bool wasReported = false; // The last notice showed some use.
     };
 
-    static void takeLoad(View &view, unsigned active, std::uint64_t waitingTokens, unsigned loadDelayMilliseconds,
-                         Core::TimePoint now);
+    static void takeLoad(View &view, const Holding::ReplicaLoad &load, Core::TimePoint now);
+    // Estimated requests a second for the adapter, over all hosts.
+    [[nodiscard]] double demandFor(const std::string &adapter, Core::TimePoint now) const;
     static void replaceResident(View &view, const std::map<std::string, std::uint64_t> &resident, Core::TimePoint asOf);
     // The adapter's name is empty for requests that need none.
     [[nodiscard]] Placement::Candidate candidate(const Fleet::Replica &replica, const std::string &adapter,
@@ -97,9 +98,9 @@
     const Fleet::ReleaseTable &m_releases; // Copies of older versions aren't used.
     Placement::ReplicaChooser m_chooser;
     IsHeldFunction m_isHeld;
+    HostCountFunction m_hostCount;
     Placement::ReplicaHealth m_health;
     Placement::AdapterDemand m_demand;
-    std::size_t m_hostCount = 1;
     std::map<Core::TargetId, View> m_views;
 };
 
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -20,8 +20,6 @@
 // Hosts that start together write their rows within a third of a second; the reader's first word comes a beat later.
 constexpr auto FirstHolderPace = std::chrono::milliseconds(400);
 constexpr auto FirstPace = std::chrono::milliseconds(900);
-// A host that has said nothing for this long isn't sent notices any more.
-constexpr auto UserLifetime = std::chrono::seconds(2);
 constexpr auto RetryAfterStart = std::chrono::milliseconds(100);
 
 }
@@ -33,15 +31,19 @@
                {.self = m_options.holding.self.host,
                 .incarnation = m_options.holding.self.incarnation,
                 .key = m_options.peerKey})
-    , m_fleet(m_replicas, m_releases, {.ownZone = m_options.holding.self.zone},
-              [this](const Core::TargetId &replica) {
-                  return m_holders.holderOf(replica).has_value();
-              })
+    , m_fleet(
+          m_replicas, m_releases, {.ownZone = m_options.holding.self.zone},
+          [this](const Core::TargetId &replica) {
+              return m_holders.holderOf(replica).has_value();
+          },
+          [this] {
+              return m_holders.liveHostCount();
+          })
     , m_allowance(m_options.retries)
     , m_reader(
           m_ports.scheduler, m_router, {},
           [this] {
-              return hostsOf(m_options.holding.self.zone);
+              return zoneHosts();
           },
           [this] {
               return m_replicaFeed.healthySince().has_value() && m_configurationFeed.healthySince().has_value();
@@ -56,7 +58,7 @@
           [this] {
               return otherReaders();
           },
-          [this](const Relay::SpreadLoad &load) {
+          [this](const Holding::ReplicaLoad &load) {
               m_fleet.noteSpread(load, m_ports.scheduler.now());
           })
     , m_deployment(m_ports.makeSource(m_rows))
@@ -111,8 +113,8 @@
         takeUse(from, notice);
     });
     m_router.onMessage<Holding::LoadNotice>([this](const Core::HostId & /*from*/, const Holding::LoadNotice &notice) {
-        for (const auto &load : notice.loads) {
-            m_fleet.note(load, m_ports.scheduler.now());
+        for (const auto &replica : notice.replicas) {
+            m_fleet.note(replica, m_ports.scheduler.now());
         }
     });
 }
@@ -196,7 +198,7 @@
                                                 },
                                             .hostCount =
                                                 [this] {
-                                                    return m_holders.liveHosts().size();
+                                                    return m_holders.liveHostCount();
                                                 }},
                               exchange, std::move(request), std::move(route))
         ->start();
@@ -276,11 +278,11 @@
             }};
 }
 
-std::vector<Relay::ZoneHost> Gateway::hostsOf(const Core::ZoneId &zone) const
+std::vector<Relay::ZoneHost> Gateway::zoneHosts() const
 {
     std::vector<Relay::ZoneHost> hosts;
     for (const auto &host : m_holders.liveHosts()) {
-        if (host.zone == zone) {
+        if (host.zone == m_options.holding.self.zone) {
             hosts.push_back({.host = host.host, .weight = host.weight});
         }
     }
@@ -289,154 +291,27 @@
 
 std::vector<Core::HostId> Gateway::otherReaders() const
 {
-    std::set<Core::ZoneId> zones;
+    std::map<Core::ZoneId, std::vector<Relay::ZoneHost>> zones;
     for (const auto &host : m_holders.liveHosts()) {
-        zones.insert(host.zone);
+        if (host.zone != m_options.holding.self.zone) {
+            zones[host.zone].push_back({.host = host.host, .weight = host.weight});
+        }
     }
-    zones.erase(m_options.holding.self.zone);
     std::vector<Core::HostId> readers;
-    for (const auto &zone : zones) {
-        const auto candidates = Relay::ZoneReader::candidates(hostsOf(zone));
+    for (auto &[zone, hosts] : zones) {
+        const auto candidates = Relay::ZoneReader::candidates(std::move(hosts));
         readers.insert(readers.end(), candidates.begin(), candidates.end());
     }
     return readers;
 }
 
-std::vector<Relay::SpreadLoad> Gateway::heldLoads() const
+std::vector<Holding::ReplicaLoad> Gateway::heldLoads() const
 {
-    std::vector<Relay::SpreadLoad> loads;
+    std::vector<Holding::ReplicaLoad> loads;
     for (const auto &[id, controller] : m_controllers) {
-        const auto load = controller->load();
-        loads.push_back({.replica = load.replica,
-                         .active = load.active,
-                         .waitingTokens = load.waitingTokens,
-                         .loadDelayMilliseconds = load.loadDelayMilliseconds});
+        loads.push_back(controller->load());
     }
     return loads;
 }
 
-void Gateway::matchControllersToHolds()
-{
-    const auto held = m_holders.held();
-    std::erase_if(m_controllers, [&held](const auto &entry) {
-        return std::find(held.begin(), held.end(), entry.first) == held.end();
-    });
-    for (const auto &id : held) {
-        const auto *replica = m_replicas.find(id);
-        const auto *engine = replica == nullptr ? nullptr : engineOf(*replica);
-        if (engine == nullptr) {
-            m_controllers.erase(id);
-        } else if (!m_controllers.contains(id)) {
-            m_controllers.emplace(id,
-                                  std::make_unique<Holding::ReplicaController>(
-                                      m_ports.scheduler, m_ports.orders,
-                                      Holding::ReplicaControllerOptions {.self = m_options.holding.self.host},
-                                      [this](const Core::TargetId &target) {
-                                          return m_holders.orderFence(target);
-                                      },
-                                      m_releases, *replica, *engine));
-        }
-    }
-}
-
-void Gateway::updateControllers()
-{
-    matchControllersToHolds();
-    for (const auto &[id, controller] : m_controllers) {
-        const auto *replica = m_replicas.find(id);
-        controller->update(*replica, *engineOf(*replica));
-    }
-}
-
-void Gateway::tick()
-{
-    const auto now = m_ports.scheduler.now();
-    m_replicas.settle(now, m_replicaFeed.healthySince());
-    matchControllersToHolds();
-    for (const auto &[id, controller] : m_controllers) {
-        controller->tick();
-    }
-    if (now >= m_nextNotice) {
-        m_nextNotice = now + m_options.noticePeriod;
-        sendNotices();
-    }
-    m_ports.scheduler.runAfter(m_options.tickPeriod, [this] {
-        tick();
-    });
-}
-
-void Gateway::sendNotices()
-{
-    const auto now = m_ports.scheduler.now();
-    m_fleet.setHostCount(m_holders.liveHosts().size());
-    std::map<Core::HostId, Holding::UseNotice> notices;
-    for (auto &use : m_fleet.takeUse()) {
-        if (const auto holder = m_holders.holderOf(use.replica); holder.has_value()) {
-            notices[*holder].uses.push_back(std::move(use));
-        }
-    }
-    for (const auto &[holder, notice] : notices) {
-        if (holder == m_options.holding.self.host) {
-            takeUse(holder, notice);
-        } else {
-            m_router.send(holder, notice);
-        }
-    }
-    std::erase_if(m_users, [now](const auto &user) {
-        return now - user.second > UserLifetime;
-    });
-    Holding::LoadNotice loads;
-    for (const auto &[id, controller] : m_controllers) {
-        loads.loads.push_back(controller->load());
-    }
-    for (const auto &[user, at] : m_users) {
-        if (user != m_options.holding.self.host) {
-            m_router.send(user, loads);
-        }
-    }
-    for (const auto &load : loads.loads) {
-        m_fleet.note(load, now);
-    }
-}
-
-void Gateway::takeUse(const Core::HostId &from, const Holding::UseNotice &notice)
-{
-    m_users[from] = m_ports.scheduler.now();
-    for (const auto &use : notice.uses) {
-        if (const auto controller = m_controllers.find(use.replica); controller != m_controllers.end()) {
-            controller->second->noteUse(from, use);
-        }
-    }
-}
-
-void Gateway::loadAdapter(const Holding::AdapterRequest &request,
-                          std::function<void(const Holding::AdapterReply &)> done)
-{
-    const Holding::AdapterReply unavailable {.outcome
-                                             = static_cast<std::uint8_t>(Holding::AdapterOutcome::Unavailable)};
-    const auto holder = m_holders.holderOf(request.replica);
-    if (!holder.has_value()) {
-        done(unavailable);
-        return;
-    }
-    if (*holder == m_options.holding.self.host) {
-        serveAdapterRequest(request, done);
-        return;
-    }
-    m_router.call<Holding::AdapterReply>(*holder, request, m_options.adapterTimeout,
-                                         [done = std::move(done), unavailable](const auto &reply) {
-                                             done(reply.value_or(unavailable));
-                                         });
-}
-
-void Gateway::serveAdapterRequest(const Holding::AdapterRequest &request,
-                                  const std::function<void(const Holding::AdapterReply &)> &reply)
-{
-    if (const auto controller = m_controllers.find(request.replica); controller != m_controllers.end()) {
-        controller->second->request(request, reply);
-        return;
-    }
-    reply({.outcome = static_cast<std::uint8_t>(Holding::AdapterOutcome::Unavailable)});
-}
-
 }
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -77,11 +77,11 @@
     [[nodiscard]] Fleet::FeedOptions feedOptions(std::string name, Core::Duration pace, Core::Duration wait,
                                                  Core::Duration firstPace) const;
     // The loads of the replicas that this host holds.
-    [[nodiscard]] std::vector<Relay::SpreadLoad> heldLoads() const;
+    [[nodiscard]] std::vector<Holding::ReplicaLoad> heldLoads() const;
     // Of each other zone the hosts that may read the store for it.
     [[nodiscard]] std::vector<Core::HostId> otherReaders() const;
-    // The live hosts of a zone.
-    [[nodiscard]] std::vector<Relay::ZoneHost> hostsOf(const Core::ZoneId &zone) const;
+    // The live hosts of this host's zone.
+    [[nodiscard]] std::vector<Relay::ZoneHost> zoneHosts() const;
 
     GatewayPorts m_ports;
     GatewayOptions m_options;
--- /dev/null
+++ b/Libraries/LibGateway/GatewayOrders.cpp
@@ -0,0 +1,138 @@
+// The replicas that this host gives orders to: their controllers, and what hosts and holders tell each other of them.
+#include <LibGateway/Gateway.h>
+
+#include <algorithm>
+
+namespace Gateway {
+
+namespace {
+
+// A host that has said nothing for this long isn't sent notices any more.
+constexpr auto UserLifetime = std::chrono::seconds(2);
+
+}
+
+void Gateway::matchControllersToHolds()
+{
+    const auto held = m_holders.held();
+    std::erase_if(m_controllers, [&held](const auto &entry) {
+        return std::find(held.begin(), held.end(), entry.first) == held.end();
+    });
+    for (const auto &id : held) {
+        const auto *replica = m_replicas.find(id);
+        const auto *engine = replica == nullptr ? nullptr : engineOf(*replica);
+        if (engine == nullptr) {
+            m_controllers.erase(id);
+        } else if (!m_controllers.contains(id)) {
+            m_controllers.emplace(id,
+                                  std::make_unique<Holding::ReplicaController>(
+                                      m_ports.scheduler, m_ports.orders,
+                                      Holding::ReplicaControllerOptions {.self = m_options.holding.self.host},
+                                      [this](const Core::TargetId &target) {
+                                          return m_holders.orderFence(target);
+                                      },
+                                      m_releases, *replica, *engine));
+        }
+    }
+}
+
+void Gateway::updateControllers()
+{
+    matchControllersToHolds();
+    for (const auto &[id, controller] : m_controllers) {
+        const auto *replica = m_replicas.find(id);
+        controller->update(*replica, *engineOf(*replica));
+    }
+}
+
+void Gateway::tick()
+{
+    const auto now = m_ports.scheduler.now();
+    m_replicas.settle(now, m_replicaFeed.healthySince());
+    matchControllersToHolds();
+    for (const auto &[id, controller] : m_controllers) {
+        controller->tick();
+    }
+    if (now >= m_nextNotice) {
+        m_nextNotice = now + m_options.noticePeriod;
+        sendNotices();
+    }
+    m_ports.scheduler.runAfter(m_options.tickPeriod, [this] {
+        tick();
+    });
+}
+
+void Gateway::sendNotices()
+{
+    const auto now = m_ports.scheduler.now();
+    std::map<Core::HostId, Holding::UseNotice> notices;
+    for (auto &use : m_fleet.takeUse()) {
+        if (const auto holder = m_holders.holderOf(use.replica); holder.has_value()) {
+            notices[*holder].uses.push_back(std::move(use));
+        }
+    }
+    for (const auto &[holder, notice] : notices) {
+        if (holder == m_options.holding.self.host) {
+            takeUse(holder, notice);
+        } else {
+            m_router.send(holder, notice);
+        }
+    }
+    std::erase_if(m_users, [now](const auto &user) {
+        return now - user.second > UserLifetime;
+    });
+    Holding::LoadNotice held;
+    for (const auto &[id, controller] : m_controllers) {
+        held.replicas.push_back(controller->notice());
+    }
+    for (const auto &[user, at] : m_users) {
+        if (user != m_options.holding.self.host) {
+            m_router.send(user, held);
+        }
+    }
+    for (const auto &replica : held.replicas) {
+        m_fleet.note(replica, now);
+    }
+}
+
+void Gateway::takeUse(const Core::HostId &from, const Holding::UseNotice &notice)
+{
+    m_users[from] = m_ports.scheduler.now();
+    for (const auto &use : notice.uses) {
+        if (const auto controller = m_controllers.find(use.replica); controller != m_controllers.end()) {
+            controller->second->noteUse(from, use);
+        }
+    }
+}
+
+void Gateway::loadAdapter(const Holding::AdapterRequest &request,
+                          std::function<void(const Holding::AdapterReply &)> done)
+{
+    const Holding::AdapterReply unavailable {.outcome
+                                             = static_cast<std::uint8_t>(Holding::AdapterOutcome::Unavailable)};
+    const auto holder = m_holders.holderOf(request.replica);
+    if (!holder.has_value()) {
+        done(unavailable);
+        return;
+    }
+    if (*holder == m_options.holding.self.host) {
+        serveAdapterRequest(request, done);
+        return;
+    }
+    m_router.call<Holding::AdapterReply>(*holder, request, m_options.adapterTimeout,
+                                         [done = std::move(done), unavailable](const auto &reply) {
+                                             done(reply.value_or(unavailable));
+                                         });
+}
+
+void Gateway::serveAdapterRequest(const Holding::AdapterRequest &request,
+                                  const std::function<void(const Holding::AdapterReply &)> &reply)
+{
+    if (const auto controller = m_controllers.find(request.replica); controller != m_controllers.end()) {
+        controller->second->request(request, reply);
+        return;
+    }
+    reply({.outcome = static_cast<std::uint8_t>(Holding::AdapterOutcome::Unavailable)});
+}
+
+}
--- a/Libraries/LibGateway/Tests/GatewayPartsTest.cpp
+++ b/Libraries/LibGateway/Tests/GatewayPartsTest.cpp
@@ -21,6 +21,19 @@
     CPPUNIT_TEST(aHoldersOwnWordIsNewerThanTheReaders);
     CPPUNIT_TEST_SUITE_END();
 
+    const Core::TimePoint m_now {1h};
+    Fleet::ReplicaSet m_replicas;
+    Fleet::ReleaseTable m_releases;
+    Gateway::FleetView m_view {m_replicas,
+                               m_releases,
+                               {.ownZone = {"a"}},
+                               [](const auto &) {
+                                   return true;
+                               },
+                               [] {
+                                   return std::size_t(1);
+                               }};
+
     void eventsArePassedWhole()
     {
         const std::string stream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda";
@@ -127,37 +140,25 @@
 
     void anOutdatedCopyIsNotUsed()
     {
-        const Core::TimePoint now {1h};
-        Fleet::ReplicaSet replicas;
-        Fleet::ReleaseTable releases;
-        Gateway::FleetView view(replicas, releases, {.ownZone = {"a"}}, [](const auto &) {
-            return true;
-        });
-        replicas.apply(listed(1), true, now, now - 1min);
-        view.refresh(now);
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), *view.residentVersion({"r"}, "m/a1"));
-        releases.apply({.model = "m", .adapter = "a1", .version = 2});
-        CPPUNIT_ASSERT(!view.residentVersion({"r"}, "m/a1").has_value());
-        CPPUNIT_ASSERT(view.choose(request(), "s", {}, now) != nullptr);
+        m_replicas.apply(listed(1), true, m_now, m_now - 1min);
+        m_view.refresh(m_now);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), *m_view.residentVersion({"r"}, "m/a1"));
+        m_releases.apply({.model = "m", .adapter = "a1", .version = 2});
+        CPPUNIT_ASSERT(!m_view.residentVersion({"r"}, "m/a1").has_value());
+        CPPUNIT_ASSERT(m_view.choose(request(), "s", {}, m_now) != nullptr);
     }
 
     // The list shows a replica's state of a second ago; a load that this host has just seen complete isn't undone by
     // it.
     void ownKnowledgeOutlivesAnOlderEntry()
     {
-        const Core::TimePoint now {1h};
-        Fleet::ReplicaSet replicas;
-        Fleet::ReleaseTable releases;
-        Gateway::FleetView view(replicas, releases, {.ownZone = {"a"}}, [](const auto &) {
-            return true;
-        });
-        replicas.apply(listed(0), true, now, now - 1min);
-        view.refresh(now);
-        view.setResident({"r"}, "m/a1", 1, now);
-        view.refresh(now + 100ms);
-        CPPUNIT_ASSERT(view.residentVersion({"r"}, "m/a1").has_value());
-        view.refresh(now + 2s);
-        CPPUNIT_ASSERT(!view.residentVersion({"r"}, "m/a1").has_value());
+        m_replicas.apply(listed(0), true, m_now, m_now - 1min);
+        m_view.refresh(m_now);
+        m_view.setResident({"r"}, "m/a1", 1, m_now);
+        m_view.refresh(m_now + 100ms);
+        CPPUNIT_ASSERT(m_view.residentVersion({"r"}, "m/a1").has_value());
+        m_view.refresh(m_now + 2s);
+        CPPUNIT_ASSERT(!m_view.residentVersion({"r"}, "m/a1").has_value());
     }
 
     // Two replicas have the adapter; this host has sent nothing to either.
@@ -172,35 +173,23 @@
 
     void aCrowdedReplicaIsAvoidedByHostsThatRarelyUseIt()
     {
-        const Core::TimePoint now {1h};
-        Fleet::ReplicaSet replicas;
-        Fleet::ReleaseTable releases;
-        Gateway::FleetView view(replicas, releases, {.ownZone = {"a"}}, [](const auto &) {
-            return true;
-        });
-        replicas.apply(twoCopies(), true, now, now - 1min);
-        view.refresh(now);
-        const auto first = view.choose(request(), "s", {}, now)->id;
-        view.noteSpread({.replica = first, .active = 30, .waitingTokens = 20000}, now);
-        CPPUNIT_ASSERT(view.choose(request(), "s", {}, now)->id != first);
-        view.refresh(now + 3s);
-        CPPUNIT_ASSERT_EQUAL(first.value, view.choose(request(), "s", {}, now + 3s)->id.value);
+        m_replicas.apply(twoCopies(), true, m_now, m_now - 1min);
+        m_view.refresh(m_now);
+        const auto first = m_view.choose(request(), "s", {}, m_now)->id;
+        m_view.noteSpread({.replica = first, .active = 30, .waitingTokens = 20000}, m_now);
+        CPPUNIT_ASSERT(m_view.choose(request(), "s", {}, m_now)->id != first);
+        m_view.refresh(m_now + 3s);
+        CPPUNIT_ASSERT_EQUAL(first.value, m_view.choose(request(), "s", {}, m_now + 3s)->id.value);
     }
 
     void aHoldersOwnWordIsNewerThanTheReaders()
     {
-        const Core::TimePoint now {1h};
-        Fleet::ReplicaSet replicas;
-        Fleet::ReleaseTable releases;
-        Gateway::FleetView view(replicas, releases, {.ownZone = {"a"}}, [](const auto &) {
-            return true;
-        });
-        replicas.apply(twoCopies(), true, now, now - 1min);
-        view.refresh(now);
-        const auto first = view.choose(request(), "s", {}, now)->id;
-        view.note({.replica = first, .adapters = {{.adapter = "m/a1", .version = 1}}}, now);
-        view.noteSpread({.replica = first, .active = 30, .waitingTokens = 20000}, now + 100ms);
-        CPPUNIT_ASSERT_EQUAL(first.value, view.choose(request(), "s", {}, now + 100ms)->id.value);
+        m_replicas.apply(twoCopies(), true, m_now, m_now - 1min);
+        m_view.refresh(m_now);
+        const auto first = m_view.choose(request(), "s", {}, m_now)->id;
+        m_view.note({.load = {.replica = first}, .adapters = {{.adapter = "m/a1", .version = 1}}}, m_now);
+        m_view.noteSpread({.replica = first, .active = 30, .waitingTokens = 20000}, m_now + 100ms);
+        CPPUNIT_ASSERT_EQUAL(first.value, m_view.choose(request(), "s", {}, m_now + 100ms)->id.value);
     }
 };
 
--- a/Libraries/LibHolding/HolderTable.cpp
+++ b/Libraries/LibHolding/HolderTable.cpp
@@ -358,6 +358,14 @@
     return live;
 }
 
+std::size_t HolderTable::liveHostCount() const
+{
+    const auto others = std::count_if(m_hosts.begin(), m_hosts.end(), [this](const auto &host) {
+        return host.first != m_options.self.host && isLive(host.second);
+    });
+    return static_cast<std::size_t>(others) + 1;
+}
+
 std::optional<std::string> HolderTable::peerAddress(const Core::HostId &host) const
 {
     const auto found = m_hosts.find(host);
--- a/Libraries/LibHolding/HolderTable.h
+++ b/Libraries/LibHolding/HolderTable.h
@@ -63,6 +63,8 @@
     [[nodiscard]] std::optional<Core::HostId> holderOf(const Core::TargetId &replica) const;
     // Hosts whose lease hasn't lapsed, this one included, by id.
     [[nodiscard]] std::vector<HostRow> liveHosts() const;
+    // How many those are.
+    [[nodiscard]] std::size_t liveHostCount() const;
     [[nodiscard]] std::optional<std::string> peerAddress(const Core::HostId &host) const;
 
     // The table that all rows lie in.
--- a/Libraries/LibHolding/HoldingMessages.h
+++ b/Libraries/LibHolding/HoldingMessages.h
@@ -64,24 +64,31 @@
     MSGPACK_DEFINE(adapter, version)
 };
 
-// What a replica has to do and has in memory, as its holder knows it.
+// How busy a replica is, as its holder knows it.
 struct ReplicaLoad {
     Core::TargetId replica;
-    std::uint32_t active = 0; // Over all hosts, the receiver included.
-    std::uint64_t waitingTokens = 0;
+    std::uint32_t active = 0; // Requests of all hosts, the receiver included.
+    std::uint64_t waitingTokens = 0; // Prompt tokens of those that haven't been answered yet.
     std::uint32_t loadDelayMilliseconds = 0; // Until the load of one more adapter would begin.
+
+    MSGPACK_DEFINE(replica, active, waitingTokens, loadDelayMilliseconds)
+};
+
+// The same with what the replica has in memory.
+struct ReplicaNotice {
+    ReplicaLoad load;
     std::vector<ResidentAdapter> adapters;
 
-    MSGPACK_DEFINE(replica, active, waitingTokens, loadDelayMilliseconds, adapters)
+    MSGPACK_DEFINE(load, adapters)
 };
 
 // Sent to the hosts that use the sender's replicas.
 struct LoadNotice {
     static constexpr auto Kind = Peer::MessageKind::LoadNotice;
 
-    std::vector<ReplicaLoad> loads;
+    std::vector<ReplicaNotice> replicas;
 
-    MSGPACK_DEFINE(loads)
+    MSGPACK_DEFINE(replicas)
 };
 
 }
--- a/Libraries/LibHolding/ReplicaController.h
+++ b/Libraries/LibHolding/ReplicaController.h
@@ -79,6 +79,7 @@
     void tick();
 
     [[nodiscard]] ReplicaLoad load() const;
+    [[nodiscard]] ReplicaNotice notice() const;
     [[nodiscard]] const Fleet::Replica &replica() const;
 
 private:
@@ -120,6 +121,14 @@
     void sendOrder(Fleet::ReplicaOrder order, const std::string &name);
     void takeOutcome(const Fleet::ReplicaOrder &order, const std::string &name, Fleet::OrderOutcome outcome,
                      const std::string &detail);
+    // The replica carries the order out or has done so; counted are those by which its count has risen.
+    void takeAnswer(const Fleet::ReplicaOrder &order, const std::string &name, Fleet::OrderOutcome outcome,
+                    bool isRepeat, bool isCounted);
+    // It was refused, or has no answer after all its repeats.
+    void takeFailure(const Fleet::ReplicaOrder &order, const std::string &name, Fleet::OrderOutcome outcome,
+                     bool isRepeat);
+    // The slot is as it was before an order that isn't carried out.
+    void takeBack(std::map<std::string, Slot>::iterator slot);
     void settleUncertain(std::uint64_t acceptedAt);
     // Sends an order without an answer once more, at the same count: whichever of the two is carried out, the other one
     // can't be any more. Returns false when this isn't tried again.
--- a/Libraries/LibHolding/ReplicaControllerOrders.cpp
+++ b/Libraries/LibHolding/ReplicaControllerOrders.cpp
@@ -209,64 +209,64 @@
         takeRefusalWhileWaiting(name, isRepeat);
         return;
     }
+    if (isAnswered) {
+        takeAnswer(order, name, outcome, isRepeat, isAccepted);
+    } else {
+        takeFailure(order, name, outcome, isRepeat);
+    }
+}
+
+void ReplicaController::takeAnswer(const Fleet::ReplicaOrder &order, const std::string &name,
+                                   Fleet::OrderOutcome outcome, bool isRepeat, bool isCounted)
+{
+    const auto now = m_scheduler.now();
+    const bool isUnload = order.verb == Fleet::OrderVerb::Unload;
+    const bool isDone = outcome == Fleet::OrderOutcome::Holds;
     const auto slot = m_slots.find(name);
-    switch (outcome) {
-    case Fleet::OrderOutcome::Accepted:
-    case Fleet::OrderOutcome::Holds: {
-        if (isRepeat && outcome == Fleet::OrderOutcome::Accepted) {
-            slot->second.readyAt = now + m_options.confirmPeriod;
-            return;
-        }
-        m_orderCount = order.expectedCount + (isAccepted ? 1 : 0);
-        m_countAsOf = now;
-        if (slot == m_slots.end()) {
-            return;
-        }
-        slot->second.changedAt = now;
-        if (outcome == Fleet::OrderOutcome::Accepted && (isUnload || slot->second.state == SlotState::Replacing)) {
-            m_waitsForRunsSince = now;
-        }
-        if (isUnload && outcome == Fleet::OrderOutcome::Holds) {
+    if (isRepeat && !isDone) {
+        slot->second.readyAt = now + m_options.confirmPeriod;
+        return;
+    }
+    m_orderCount = order.expectedCount + (isCounted ? 1 : 0);
+    m_countAsOf = now;
+    if (slot == m_slots.end()) {
+        return;
+    }
+    slot->second.changedAt = now;
+    if (!isDone && (isUnload || slot->second.state == SlotState::Replacing)) {
+        m_waitsForRunsSince = now;
+    }
+    if (isUnload) {
+        if (isDone) {
             m_slots.erase(slot);
-        } else if (!isUnload) {
-            m_atHand.insert(Fleet::versionedName(name, order.version));
-            if (outcome == Fleet::OrderOutcome::Holds) {
-                slot->second.state = SlotState::Resident;
-                slot->second.isAssumedReady = false;
-                slot->second.version = std::max(slot->second.version, order.version);
-                slot->second.lastUsed = now;
-            }
         }
         return;
     }
-    case Fleet::OrderOutcome::Unknown:
-        if (slot != m_slots.end()) {
-            if (!isRepeat) {
-                slot->second.uncertainAt = order.expectedCount;
-            }
-            slot->second.readyAt = now + m_options.confirmPeriod;
-            slot->second.changedAt = now;
-        }
-        break;
-    case Fleet::OrderOutcome::Conflict:
-    case Fleet::OrderOutcome::Refused:
-    case Fleet::OrderOutcome::NotSent:
-        if (slot != m_slots.end()) {
-            slot->second.changedAt = now;
-            slot->second.readyAt = now + m_options.confirmPeriod;
-            if (isRepeat) {
-                break;
-            }
-            if (slot->second.state == SlotState::Loading) {
-                m_slots.erase(slot);
-            } else {
-                slot->second.state = SlotState::Resident;
-            }
+    m_atHand.insert(Fleet::versionedName(name, order.version));
+    if (isDone) {
+        slot->second.state = SlotState::Resident;
+        slot->second.isAssumedReady = false;
+        slot->second.version = std::max(slot->second.version, order.version);
+        slot->second.lastUsed = now;
+    }
+}
+
+void ReplicaController::takeFailure(const Fleet::ReplicaOrder &order, const std::string &name,
+                                    Fleet::OrderOutcome outcome, bool isRepeat)
+{
+    const auto now = m_scheduler.now();
+    const bool isUnknown = outcome == Fleet::OrderOutcome::Unknown;
+    if (const auto slot = m_slots.find(name); slot != m_slots.end()) {
+        slot->second.changedAt = now;
+        slot->second.readyAt = now + m_options.confirmPeriod;
+        if (!isRepeat && isUnknown) {
+            slot->second.uncertainAt = order.expectedCount;
+        } else if (!isRepeat) {
+            takeBack(slot);
         }
-        break;
     }
     if (order.adapter.empty()) {
-        m_isModelLoading = outcome == Fleet::OrderOutcome::Unknown;
+        m_isModelLoading = isUnknown;
     }
     // Nothing more is ordered until the replica's report shows how many orders it has accepted.
     m_orderCount.reset();
@@ -274,6 +274,15 @@
     m_nextReport = now + ConflictDelay;
 }
 
+void ReplicaController::takeBack(std::map<std::string, Slot>::iterator slot)
+{
+    if (slot->second.state == SlotState::Loading) {
+        m_slots.erase(slot);
+    } else {
+        slot->second.state = SlotState::Resident;
+    }
+}
+
 bool ReplicaController::repeatUnanswered(const Fleet::ReplicaOrder &order, const std::string &name)
 {
     const auto slot = m_slots.find(name);
@@ -343,11 +352,7 @@
         return;
     }
     if (!isRepeat) {
-        if (slot->second.state == SlotState::Loading) {
-            m_slots.erase(slot);
-        } else {
-            slot->second.state = SlotState::Resident;
-        }
+        takeBack(slot);
         return;
     }
     slot->second.readyAt = now + WaitingRetryDelay;
--- a/Libraries/LibHolding/Tests/ReplicaControllerTest.cpp
+++ b/Libraries/LibHolding/Tests/ReplicaControllerTest.cpp
@@ -1,9 +1,9 @@
 #include <LibCore/VirtualScheduler.h>
 #include <LibHolding/ReplicaController.h>
+#include <LibHolding/Tests/FakeReplica.h>
 #include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 #include <memory>
-#include <utility>
 
 using namespace std::chrono_literals;
 
@@ -11,159 +11,6 @@
 
 constexpr std::size_t Slots = 3;
 
-// A replica that carries out orders as the engines do: counts them, checks the expected count, loads in time, refuses
-// others while a replacement or an unload waits for runs, and fails the test when more is ordered than fits.
-class FakeReplica final : public Fleet::OrderLink
-{
-public:
-    explicit FakeReplica(Core::Scheduler &scheduler)
-        : m_scheduler(scheduler)
-    {
-    }
-
-    void order(const Fleet::Replica & /*replica*/, const Fleet::ReplicaOrder &order, OrderFunction done) override
-    {
-        ++orderCalls;
-        if (isUnreachable) {
-            answer(done, Fleet::OrderOutcome::NotSent);
-            return;
-        }
-        if (isLosingAnswers || (loseEvery != 0 && orderCalls % loseEvery == 0)) {
-            if (lateBy > Core::Duration::zero()) {
-                m_scheduler.runAfter(lateBy, [this, order] {
-                    (void)carryOut(order);
-                });
-            } else {
-                (void)carryOut(order);
-            }
-            answer(done, Fleet::OrderOutcome::Unknown);
-            return;
-        }
-        answer(done, carryOut(order));
-    }
-
-    void report(const Fleet::Replica & /*replica*/, ReportFunction done) override
-    {
-        ++reportCalls;
-        if (isUnreachable) {
-            m_scheduler.runAfter(2ms, [done = std::move(done)] {
-                done(std::nullopt);
-            });
-            return;
-        }
-        settle();
-        Fleet::ReplicaReport report {.orderCount = count, .isBusy = isBusy()};
-        report.models.push_back({.model = "m", .version = 1});
-        for (const auto &[name, copy] : adapters) {
-            if (copy.readyAt <= m_scheduler.now()) {
-                report.models.front().adapters.push_back({.adapter = name, .version = copy.version});
-            } else {
-                report.adaptersInTransit.push_back("m/" + name + "@1");
-            }
-        }
-        m_scheduler.runAfter(2ms, [done = std::move(done), report] {
-            done(report);
-        });
-    }
-
-    struct Copy {
-        std::uint64_t version = 1;
-        Core::TimePoint readyAt {};
-        unsigned runs = 0;
-    };
-
-    [[nodiscard]] bool isThere(const std::string &name)
-    {
-        settle();
-        const auto found = adapters.find(name);
-        return found != adapters.end() && found->second.readyAt <= m_scheduler.now();
-    }
-
-    std::map<std::string, Copy> adapters;
-    std::uint64_t count = 0;
-    std::size_t most = 0; // Adapters that were there or coming at one time.
-    std::size_t orderCalls = 0;
-    std::size_t reportCalls = 0;
-    std::size_t waits = 0; // Orders that had to wait for runs.
-    std::size_t conflicts = 0; // Orders that came meanwhile.
-    std::vector<std::string> loads; // In the order in which they were accepted.
-    Core::Duration loadTime = 250ms;
-    bool isUnreachable = false;
-    bool isLosingAnswers = false;
-    std::size_t loseEvery = 0; // Every so many orders has no answer; zero for none.
-    bool isCountCheckedFirst = false; // Before it is looked whether the order holds already.
-    Core::Duration lateBy {};
-
-private:
-    [[nodiscard]] bool isBusy() const
-    {
-        return m_pending.has_value();
-    }
-
-    void answer(const OrderFunction &done, Fleet::OrderOutcome outcome)
-    {
-        m_scheduler.runAfter(2ms, [done, outcome] {
-            done(outcome, "");
-        });
-    }
-
-    void settle()
-    {
-        if (m_pending.has_value() && adapters[m_pending->adapter].runs == 0) {
-            apply(*std::exchange(m_pending, std::nullopt));
-        }
-    }
-
-    void apply(const Fleet::ReplicaOrder &order)
-    {
-        if (order.verb == Fleet::OrderVerb::Unload) {
-            // One that is on its way arrives all the same.
-            if (const auto found = adapters.find(order.adapter);
-                found != adapters.end() && found->second.readyAt <= m_scheduler.now()) {
-                adapters.erase(found);
-            }
-            return;
-        }
-        adapters[order.adapter]
-            = {.version = std::max<std::uint64_t>(order.version, 1), .readyAt = m_scheduler.now() + loadTime};
-        loads.push_back(order.adapter);
-        most = std::max(most, adapters.size());
-    }
-
-    Fleet::OrderOutcome carryOut(const Fleet::ReplicaOrder &order)
-    {
-        settle();
-        if (isBusy()) {
-            ++conflicts;
-            return Fleet::OrderOutcome::Conflict;
-        }
-        if (isCountCheckedFirst && order.expectedCount != count) {
-            return Fleet::OrderOutcome::Conflict;
-        }
-        const auto found = adapters.find(order.adapter);
-        const bool isPresent = found != adapters.end();
-        const bool isLoad = order.verb == Fleet::OrderVerb::Load;
-        if (isLoad && isPresent && found->second.version >= order.version) {
-            return found->second.readyAt <= m_scheduler.now() ? Fleet::OrderOutcome::Holds
-                                                              : Fleet::OrderOutcome::Accepted;
-        }
-        if (order.expectedCount != count) {
-            return Fleet::OrderOutcome::Conflict;
-        }
-        ++count;
-        if (isPresent && found->second.runs > 0) {
-            m_pending = order;
-            ++waits;
-            return Fleet::OrderOutcome::Accepted;
-        }
-        apply(order);
-        return isLoad ? Fleet::OrderOutcome::Accepted : Fleet::OrderOutcome::Holds;
-    }
-
-    Core::Scheduler &m_scheduler;
-    std::optional<Fleet::ReplicaOrder> m_pending;
-};
-
 }
 
 class ReplicaControllerTest : public CppUnit::TestFixture
@@ -182,6 +29,7 @@
     CPPUNIT_TEST(whileAnOrderWaitsForRunsOthersAreSentElsewhere);
     CPPUNIT_TEST(aFinishedLoadIsUsableWhileAnOrderWaitsForRuns);
     CPPUNIT_TEST(aSlowLoadIsNotUnloadedBeforeItHasArrived);
+    CPPUNIT_TEST(anUnloadSentAgainWhileItWaitsFreesNoPlace);
     CPPUNIT_TEST(whatASilentHostUsesIsKeptForARun);
     CPPUNIT_TEST(aLeavingReplicaKeepsNobodyWaiting);
     CPPUNIT_TEST(lostAnswersDontStopLoads);
@@ -193,7 +41,7 @@
     CPPUNIT_TEST_SUITE_END();
 
     Core::VirtualScheduler m_scheduler;
-    FakeReplica m_fake {m_scheduler};
+    Holding::FakeReplica m_fake {m_scheduler};
     bool m_hasRight = true;
     Fleet::ReleaseTable m_releases;
     Routes::EngineSettings m_engine;
@@ -257,6 +105,17 @@
         made.noteUse({"front"}, use);
     }
 
+    // Has the adapters "a0", "a1" and so on loaded, and lets the time pass.
+    void fillPlaces(Holding::ReplicaController &made, Core::Duration duration, std::size_t count = Slots)
+    {
+        std::vector<Answer> answers(count);
+        for (std::size_t i = 0; i < count; ++i) {
+            ask(made, request("a" + std::to_string(i)), answers[i]);
+        }
+        run(made, duration);
+        CPPUNIT_ASSERT(std::all_of(answers.begin(), answers.end(), &isReady));
+    }
+
     void aReplyComesWhenTheAdapterIsThere()
     {
         const auto made = controller();
@@ -324,11 +183,7 @@
     void urgentRequestsComeFirstWhenPlacesAreShort()
     {
         const auto made = controller();
-        std::vector<Answer> fill(Slots);
-        for (std::size_t i = 0; i < Slots; ++i) {
-            ask(*made, request("a" + std::to_string(i)), fill[i]);
-        }
-        run(*made, 1s);
+        fillPlaces(*made, 1s);
         use(*made, {"a0", "a1", "a2"});
         Answer calm;
         Answer urgent;
@@ -349,11 +204,7 @@
     void withoutAPlaceOthersAreAskedSoon()
     {
         const auto made = controller();
-        std::vector<Answer> fill(Slots);
-        for (std::size_t i = 0; i < Slots; ++i) {
-            ask(*made, request("a" + std::to_string(i)), fill[i]);
-        }
-        run(*made, 600ms);
+        fillPlaces(*made, 600ms);
         CPPUNIT_ASSERT_EQUAL(0U, made->load().loadDelayMilliseconds);
         use(*made, {"a0", "a1", "a2"});
         CPPUNIT_ASSERT(made->load().loadDelayMilliseconds >= 400);
@@ -406,11 +257,7 @@
     void aLoadedAdapterIsKeptForTheRequestThatAskedForIt()
     {
         const auto made = controller();
-        std::vector<Answer> fill(2);
-        for (std::size_t i = 0; i < fill.size(); ++i) {
-            ask(*made, request("a" + std::to_string(i)), fill[i]);
-        }
-        run(*made, 600ms);
+        fillPlaces(*made, 600ms, 2);
         use(*made, {"a0", "a1"});
         m_fake.loadTime = 290ms;
         made->request(request("new"), [this](const Holding::AdapterReply &) {
@@ -430,11 +277,7 @@
     void whileAnOrderWaitsForRunsOthersAreSentElsewhere()
     {
         const auto made = controller();
-        std::vector<Answer> fill(Slots);
-        for (std::size_t i = 0; i < Slots; ++i) {
-            ask(*made, request("a" + std::to_string(i)), fill[i]);
-        }
-        run(*made, 1s);
+        fillPlaces(*made, 1s);
         for (auto &[name, copy] : m_fake.adapters) {
             copy.runs = 1;
         }
@@ -460,11 +303,7 @@
     void aFinishedLoadIsUsableWhileAnOrderWaitsForRuns()
     {
         const auto made = controller();
-        std::vector<Answer> fill(Slots);
-        for (std::size_t i = 0; i < Slots; ++i) {
-            ask(*made, request("a" + std::to_string(i)), fill[i]);
-        }
-        run(*made, 1s);
+        fillPlaces(*made, 1s);
         m_fake.adapters.at("a1").runs = 1;
         Answer loaded;
         Answer waiting;
@@ -479,11 +318,7 @@
     void aSlowLoadIsNotUnloadedBeforeItHasArrived()
     {
         const auto made = controller();
-        std::vector<Answer> fill(Slots);
-        for (std::size_t i = 0; i < Slots; ++i) {
-            ask(*made, request("a" + std::to_string(i)), fill[i]);
-        }
-        run(*made, 1s);
+        fillPlaces(*made, 1s);
         m_fake.adapters.at("a1").runs = 1;
         m_fake.loadTime = 3s;
         std::vector<Answer> answers(8);
@@ -498,14 +333,37 @@
         CPPUNIT_ASSERT(m_fake.most <= Slots);
     }
 
-    void whatASilentHostUsesIsKeptForARun()
+    // A run of more than eight seconds of which nobody tells: the unload that waits for it is sent again, and accepted
+    // again. Nothing else is before it is done, so that no place can be given away twice.
+    void anUnloadSentAgainWhileItWaitsFreesNoPlace()
     {
         const auto made = controller();
-        std::vector<Answer> fill(Slots);
-        for (std::size_t i = 0; i < Slots; ++i) {
-            ask(*made, request("a" + std::to_string(i)), fill[i]);
+        fillPlaces(*made, 1s);
+        for (auto &[name, copy] : m_fake.adapters) {
+            copy.runs = 1;
         }
-        run(*made, 600ms);
+        std::vector<Answer> answers(30);
+        for (std::size_t i = 0; i < answers.size(); ++i) {
+            ask(*made, request("b" + std::to_string(i)), answers[i]);
+            run(*made, 500ms);
+        }
+        CPPUNIT_ASSERT(m_fake.repeatedWaits > 0);
+        CPPUNIT_ASSERT_EQUAL(Slots, m_fake.most);
+        for (auto &[name, copy] : m_fake.adapters) {
+            copy.runs = 0;
+        }
+        run(*made, 3s);
+        Answer last;
+        ask(*made, request("last"), last);
+        run(*made, 1s);
+        CPPUNIT_ASSERT(isReady(last) && last.wasThere);
+        CPPUNIT_ASSERT_EQUAL(Slots, m_fake.most);
+    }
+
+    void whatASilentHostUsesIsKeptForARun()
+    {
+        const auto made = controller();
+        fillPlaces(*made, 600ms);
         use(*made, {"a0", "a1"});
         run(*made, 2s);
         Answer first;
--- a/Libraries/LibRelay/LoadSpread.cpp
+++ b/Libraries/LibRelay/LoadSpread.cpp
@@ -33,44 +33,46 @@
     beat();
 }
 
-void LoadSpread::keep(KnownLoads &known, const std::vector<SpreadLoad> &loads)
+void LoadSpread::keep(KnownLoads &known, const std::vector<Holding::ReplicaLoad> &loads)
 {
     const auto now = m_scheduler.now();
     for (const auto &load : loads) {
         known[load.replica] = {.load = load, .at = now};
         m_take(load);
     }
-    std::erase_if(known, [this, now](const auto &entry) {
+}
+
+void LoadSpread::dropOutdated(KnownLoads &known) const
+{
+    std::erase_if(known, [this, now = m_scheduler.now()](const auto &entry) {
         return now - entry.second.at > m_options.lifetime;
     });
 }
 
-std::vector<SpreadLoad> LoadSpread::fresh(const KnownLoads &known) const
+void LoadSpread::add(LoadDigest &digest, const KnownLoads &known)
 {
-    std::vector<SpreadLoad> loads;
     for (const auto &[replica, entry] : known) {
-        if (m_scheduler.now() - entry.at <= m_options.lifetime) {
-            loads.push_back(entry.load);
-        }
+        digest.loads.push_back(entry.load);
     }
-    return loads;
 }
 
 void LoadSpread::beat()
 {
+    dropOutdated(m_zone);
+    dropOutdated(m_elsewhere);
     if (const auto reader = m_reader.reader(); reader.has_value()) {
         if (LoadPost post {.loads = m_loads()}; !post.loads.empty()) {
             m_router.send(*reader, post);
         }
     } else if (m_reader.isReading()) {
         keep(m_zone, m_loads());
-        LoadDigest digest {.isOfOtherZone = true, .loads = fresh(m_zone)};
+        LoadDigest digest {.isOfOtherZone = true, .loads = {}};
+        add(digest, m_zone);
         for (const auto &host : m_otherReaders()) {
             m_router.send(host, digest);
         }
         digest.isOfOtherZone = false;
-        const auto elsewhere = fresh(m_elsewhere);
-        digest.loads.insert(digest.loads.end(), elsewhere.begin(), elsewhere.end());
+        add(digest, m_elsewhere);
         for (const auto &host : m_reader.followers()) {
             m_router.send(host, digest);
         }
--- a/Libraries/LibRelay/LoadSpread.h
+++ b/Libraries/LibRelay/LoadSpread.h
@@ -22,9 +22,9 @@
 class LoadSpread
 {
 public:
-    using LoadsFunction = std::function<std::vector<SpreadLoad>()>;
+    using LoadsFunction = std::function<std::vector<Holding::ReplicaLoad>()>;
     using HostsFunction = std::function<std::vector<Core::HostId>()>;
-    using TakeFunction = std::function<void(const SpreadLoad &)>;
+    using TakeFunction = std::function<void(const Holding::ReplicaLoad &)>;
 
     // The loads are those of replicas that this host holds; the other readers are hosts of other zones, of each zone
     // those that may read for it. Every load that arrives is taken.
@@ -35,14 +35,15 @@
 
 private:
     struct Known {
-        SpreadLoad load;
+        Holding::ReplicaLoad load;
         Core::TimePoint at {};
     };
     using KnownLoads = std::map<Core::TargetId, Known>;
 
     void beat();
-    void keep(KnownLoads &known, const std::vector<SpreadLoad> &loads);
-    [[nodiscard]] std::vector<SpreadLoad> fresh(const KnownLoads &known) const;
+    void keep(KnownLoads &known, const std::vector<Holding::ReplicaLoad> &loads);
+    void dropOutdated(KnownLoads &known) const;
+    static void add(LoadDigest &digest, const KnownLoads &known);
 
     Core::Scheduler &m_scheduler;
     Peer::PeerRouter &m_router;
--- a/Libraries/LibRelay/RelayMessages.h
+++ b/Libraries/LibRelay/RelayMessages.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibCore/Identifier.h>
+#include <LibHolding/HoldingMessages.h>
 #include <LibPeer/MessageKind.h>
 #include <cstdint>
 #include <msgpack.hpp>
@@ -56,21 +56,11 @@
     MSGPACK_DEFINE(isWritten)
 };
 
-// How busy a replica is, as its holder knows it.
-struct SpreadLoad {
-    Core::TargetId replica;
-    std::uint32_t active = 0; // Requests of all hosts.
-    std::uint64_t waitingTokens = 0; // Prompt tokens of those that haven't been answered yet.
-    std::uint32_t loadDelayMilliseconds = 0; // Until the load of one more adapter would begin.
-
-    MSGPACK_DEFINE(replica, active, waitingTokens, loadDelayMilliseconds)
-};
-
 // A holder's replicas, sent to the reader of its zone.
 struct LoadPost {
     static constexpr auto Kind = Peer::MessageKind::LoadPost;
 
-    std::vector<SpreadLoad> loads;
+    std::vector<Holding::ReplicaLoad> loads;
 
     MSGPACK_DEFINE(loads)
 };
@@ -80,7 +70,7 @@
     static constexpr auto Kind = Peer::MessageKind::LoadDigest;
 
     bool isOfOtherZone = false; // It comes from another zone's reader and is to be passed on.
-    std::vector<SpreadLoad> loads;
+    std::vector<Holding::ReplicaLoad> loads;
 
     MSGPACK_DEFINE(isOfOtherZone, loads)
 };
--- a/Libraries/LibRelay/Tests/LoadSpreadTest.cpp
+++ b/Libraries/LibRelay/Tests/LoadSpreadTest.cpp
@@ -43,12 +43,12 @@
         , spread(
               network.scheduler, router, reader, {},
               [this] {
-                  return std::vector<Relay::SpreadLoad> {{.replica = {"r-" + this->name}, .active = active}};
+                  return std::vector<Holding::ReplicaLoad> {{.replica = {"r-" + this->name}, .active = active}};
               },
               [this] {
                   return Relay::ZoneReader::candidates(this->network.zone(this->name.front() == 'a' ? 'b' : 'a'));
               },
-              [this](const Relay::SpreadLoad &load) {
+              [this](const Holding::ReplicaLoad &load) {
                   known[load.replica.value] = load.active;
               })
     {
