LibOwner: Let a front use a grant only while its owner can't have ended it

Ruled out: the takeover (ownership didn't change), the engine's restart (the orders named the right incarnation). Change: a front begins an attempt within two seconds of asking for the grant; later it asks the owner whether the grant is still valid, which restarts its age. A successor waits for that time too before it trusts a report alone. Change: a reply carries the fence of its ownership, and a front that knows a newer one doesn't use it unless it has announced the grant to the new owner.

--- a/Libraries/LibFront/Completion.cpp
+++ b/Libraries/LibFront/Completion.cpp
@@ -18,6 +18,8 @@
 // How long after the caller's deadline a reply to a grant request is still accepted, so that a grant from an owner
 // that was considered unresponsive can be released.
 constexpr auto LateReplyPeriod = std::chrono::seconds(60);
+// A live owner confirms a grant within milliseconds, and the confirmation must leave time to use the grant.
+constexpr auto GrantConfirmationTimeout = std::chrono::milliseconds(1000);
 
 Failure failureOf(Owner::GrantOutcome outcome)
 {
@@ -150,6 +152,7 @@
 {
     m_grant = {m_dependencies.ids.next("grant")};
     m_grantState = GrantState::Requested;
+    m_grantConfirmedAt = m_dependencies.scheduler.now();
     m_hasResumedUnderGrant = false;
     auto span = m_dependencies.tracer.begin("owner.grant", m_span.context);
     span.set("currantbay.owner", m_owner.value);
@@ -194,7 +197,11 @@
     }
     m_grantState = GrantState::Held;
     m_grantReply = reply;
-    m_dependencies.heldGrants.markGranted(m_grant, m_grantReply.target);
+    if (!m_dependencies.heldGrants.markGranted(m_grant, reply.target, reply.fence)) {
+        m_mayViewBeStale = true;
+        handleFailure({.failure = Failure::NotOwner});
+        return;
+    }
     startAttempt(Engine::StreamConnection::Any);
 }
 
@@ -218,6 +225,10 @@
 
 void Completion::startAttempt(Engine::StreamConnection connection)
 {
+    if (m_dependencies.scheduler.now() - m_grantConfirmedAt > Owner::GrantUseLimit) {
+        confirmGrant(connection);
+        return;
+    }
     const auto *target = m_dependencies.directory.find(m_grantReply.target);
     if (target == nullptr) {
         handleFailure({.failure = Failure::TargetGone});
@@ -239,6 +250,26 @@
                      m_grantReply.targetIncarnation);
 }
 
+void Completion::confirmGrant(Engine::StreamConnection connection)
+{
+    const auto askedAt = m_dependencies.scheduler.now();
+    m_dependencies.router.call<Owner::GrantConfirmationReply>(
+        m_owner, Owner::GrantConfirmation {.grant = m_grant}, GrantConfirmationTimeout,
+        [weak = weak_from_this(), grant = m_grant, connection, askedAt](const auto &reply) {
+            const auto self = weak.lock();
+            if (self == nullptr || self->m_hasEnded || self->m_grant != grant) {
+                return;
+            }
+            if (!reply.has_value() || !reply->isValid) {
+                self->m_mayViewBeStale = true;
+                self->handleFailure({.failure = Failure::OwnerUnresponsive});
+                return;
+            }
+            self->m_grantConfirmedAt = askedAt;
+            self->startAttempt(connection);
+        });
+}
+
 void Completion::endAttemptSpan(std::string_view result)
 {
     if (m_attemptSpan.has_value()) {
--- a/Libraries/LibFront/Completion.h
+++ b/Libraries/LibFront/Completion.h
@@ -52,6 +52,8 @@
     void handleUnresponsiveOwner();
     void retryOwners();
     void startAttempt(Engine::StreamConnection connection);
+    // Asks the owner whether the grant is still valid, and starts the attempt if it is.
+    void confirmGrant(Engine::StreamConnection connection);
     [[nodiscard]] EngineAttempt::Events attemptEvents();
     void endAttemptSpan(std::string_view result);
     void handleHead();
@@ -87,6 +89,7 @@
     Core::HostId m_owner;
     Core::GrantId m_grant;
     GrantState m_grantState = GrantState::None;
+    Core::TimePoint m_grantConfirmedAt {}; // When the grant, or its last confirmation, was requested.
     Routing::OwnerWatch::WatchId m_ownerWatch = Routing::OwnerWatch::WatchId::None;
     Owner::GrantReply m_grantReply;
     std::shared_ptr<EngineAttempt> m_attempt;
--- a/Libraries/LibOwner/GrantMessages.h
+++ b/Libraries/LibOwner/GrantMessages.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Identifier.h>
 #include <LibPeer/MessageKind.h>
+#include <chrono>
 #include <cstdint>
 #include <msgpack.hpp>
 #include <string>
@@ -9,6 +10,11 @@
 
 namespace Owner {
 
+// How long after the request for a grant, or its last confirmation, a front may begin an attempt under it. Owners and
+// their successors take an unresponsive front's grants for unused only after longer than this, so that a front that was
+// suspended can't use a grant that has ended meanwhile.
+inline constexpr auto GrantUseLimit = std::chrono::milliseconds(2000);
+
 // A front asks a target's owner for a grant: the right to run one attempt on a target, which keeps the adapter resident
 // there. The front chooses the grant's ID, so that the owner recognises a duplicated message.
 struct GrantRequest {
@@ -44,8 +50,24 @@
     std::string targetIncarnation;
     std::string reason;
     std::int64_t retryAfterMilliseconds = 0;
+    std::uint64_t fence = 0; // Of the ownership under which the target was granted; zero if the owner didn't say.
+
+    MSGPACK_DEFINE(outcome, grant, target, targetIncarnation, reason, retryAfterMilliseconds, fence)
+};
+
+// A front asks the owner whether a grant is still valid, before it begins an attempt later than GrantUseLimit.
+struct GrantConfirmation {
+    static constexpr auto Kind = Peer::MessageKind::GrantConfirmation;
+
+    Core::GrantId grant;
+
+    MSGPACK_DEFINE(grant)
+};
+
+struct GrantConfirmationReply {
+    bool isValid = false; // The front may begin an attempt within GrantUseLimit, counted from before it asked.
 
-    MSGPACK_DEFINE(outcome, grant, target, targetIncarnation, reason, retryAfterMilliseconds)
+    MSGPACK_DEFINE(isValid)
 };
 
 // The front has finished using a grant, or no longer needs it.
--- a/Libraries/LibOwner/HeldGrants.cpp
+++ b/Libraries/LibOwner/HeldGrants.cpp
@@ -24,11 +24,20 @@
     m_grants[grant] = {.adapter = adapter, .owner = owner, .target = {}};
 }
 
-void HeldGrants::markGranted(const Core::GrantId &grant, const Core::TargetId &target)
+bool HeldGrants::markGranted(const Core::GrantId &grant, const Core::TargetId &target, std::uint64_t fence)
 {
-    if (const auto found = m_grants.find(grant); found != m_grants.end()) {
-        found->second.target = target;
+    const auto found = m_grants.find(grant);
+    if (found == m_grants.end()) {
+        return false;
+    }
+    const auto known = m_ownership.ownerOf(target);
+    const bool isSuperseded = fence != 0 && known.has_value() && known->fence > fence;
+    const auto announced = found->second.announced.find(target);
+    if (isSuperseded && (announced == found->second.announced.end() || announced->second < known->fence)) {
+        return false;
     }
+    found->second.target = target;
+    return true;
 }
 
 void HeldGrants::release(const Core::GrantId &grant)
@@ -54,7 +63,7 @@
             announcement.stopped.push_back(gained.target);
         }
     }
-    for (const auto &[grant, held] : m_grants) {
+    for (auto &[grant, held] : m_grants) {
         const auto &heldGrant = held;
         const bool isOnGained = std::any_of(query.gained.begin(), query.gained.end(), [&](const GainedTarget &gained) {
             return heldGrant.target.isEmpty() ? gained.previousOwner == heldGrant.owner
@@ -62,6 +71,10 @@
         });
         const bool isNamed = std::find(query.grants.begin(), query.grants.end(), grant) != query.grants.end();
         if (isOnGained || isNamed) {
+            if (held.target.isEmpty() && !query.gained.empty()) {
+                // The new owner adopts a pending grant for the first of its targets only.
+                held.announced[query.gained.front().target] = query.gained.front().fence;
+            }
             announcement.grants.push_back({.grant = grant, .target = held.target, .adapter = held.adapter});
         }
     }
--- a/Libraries/LibOwner/IssuedGrants.cpp
+++ b/Libraries/LibOwner/IssuedGrants.cpp
@@ -55,6 +55,17 @@
                                       .isAdopted = true});
 }
 
+std::optional<Core::TargetId> IssuedGrants::confirm(const Core::GrantId &grant)
+{
+    const auto found = m_issued.find(grant);
+    if (found == m_issued.end() || found->second.target.isEmpty()) {
+        return std::nullopt;
+    }
+    found->second.admittedAt = m_scheduler.now();
+    found->second.endedAt.reset();
+    return found->second.target;
+}
+
 void IssuedGrants::release(const Core::GrantId &grant)
 {
     m_issued.erase(grant);
--- a/Libraries/LibOwner/IssuedGrants.h
+++ b/Libraries/LibOwner/IssuedGrants.h
@@ -39,6 +39,9 @@
     void markGranted(const Core::GrantId &grant, const Core::TargetId &target, const Core::AdapterVersion &adapter);
     // Adopts a grant that the target's previous owner has issued.
     void adopt(const AnnouncedGrant &announced, const Core::TargetId &target, const Core::HostId &front);
+    // Returns the target of a grant that is still valid and counts its age from now on; none if it has ended or never
+    // got a target.
+    [[nodiscard]] std::optional<Core::TargetId> confirm(const Core::GrantId &grant);
     // Removes a grant and remembers its ID, so that a late request for it is not served.
     void release(const Core::GrantId &grant);
     // Removes the grants of a target that this host no longer owns.
--- a/Libraries/LibOwner/OwnedTargets.cpp
+++ b/Libraries/LibOwner/OwnedTargets.cpp
@@ -41,6 +41,10 @@
     m_router.onMessage<GrantRelease>([this](const Core::HostId & /*from*/, const GrantRelease &released) {
         release(released.grant);
     });
+    m_router.onCall<GrantConfirmation, GrantConfirmationReply>(
+        [this](const Core::HostId & /*from*/, const GrantConfirmation &confirmation, const auto &reply) {
+            reply({.isValid = isStillGranted(confirmation.grant)});
+        });
     m_router.onCall<PermitRequest, PermitReply>(
         [this](const Core::HostId & /*from*/, const PermitRequest & /*request*/, const auto &reply) {
             reply({.isGranted = m_dispatcher.lendPermit(m_scheduler.now())});
@@ -190,6 +194,15 @@
     step();
 }
 
+bool OwnedTargets::isStillGranted(const Core::GrantId &grant)
+{
+    const auto target = m_grants.confirm(grant);
+    const auto owned = m_ownership.owned();
+    return target.has_value() && std::any_of(owned.begin(), owned.end(), [&target](const auto &ownership) {
+               return ownership.target == *target;
+           });
+}
+
 void OwnedTargets::release(const Core::GrantId &grant)
 {
     m_grants.release(grant);
@@ -219,7 +232,8 @@
     sendReply({.outcome = GrantOutcome::Granted,
                .grant = action.request.grant,
                .target = action.target,
-               .targetIncarnation = m_dispatcher.tables().at(action.target).incarnation()});
+               .targetIncarnation = m_dispatcher.tables().at(action.target).incarnation(),
+               .fence = fenceOf(action.target)});
 }
 
 void OwnedTargets::execute(const RefuseAction &action)
--- a/Libraries/LibOwner/OwnedTargets.h
+++ b/Libraries/LibOwner/OwnedTargets.h
@@ -49,6 +49,8 @@
     void handleRequest(const GrantRequest &request, ReplyFunction reply);
     // Wraps the reply function so that it also ends a trace span of the decision.
     [[nodiscard]] ReplyFunction withSpan(const GrantRequest &request, ReplyFunction reply);
+    // Returns true if the grant is valid and this host still owns its target.
+    [[nodiscard]] bool isStillGranted(const Core::GrantId &grant);
     void release(const Core::GrantId &grant);
     void step();
     void execute(const GrantAction &action);
--- a/Libraries/LibOwner/TakeoverGuard.h
+++ b/Libraries/LibOwner/TakeoverGuard.h
@@ -2,6 +2,7 @@
 
 #include <LibMembership/HostLeases.h>
 #include <LibMembership/OwnershipView.h>
+#include <LibOwner/GrantMessages.h>
 #include <LibOwner/IssuedGrants.h>
 
 namespace Owner {
@@ -9,8 +10,9 @@
 struct TakeoverGuardOptions {
     Core::Duration queryPeriod = std::chrono::milliseconds(1000);
     // A previous owner whose fencing token the target refuses has stopped granting after this time. It must be longer
-    // than the time for which TargetOwnership acts on one confirmation of its fencing token.
-    Core::Duration previousOwnerTimeout = std::chrono::milliseconds(9000);
+    // than the time for which TargetOwnership acts on one confirmation of its fencing token, and then a front may still
+    // use a grant for GrantUseLimit.
+    Core::Duration previousOwnerTimeout = std::chrono::milliseconds(9000) + GrantUseLimit;
 };
 
 // Decides whether an adapter may be unloaded from a target that this host has taken over, where requests may still run
--- a/Libraries/LibPeer/MessageKind.h
+++ b/Libraries/LibPeer/MessageKind.h
@@ -14,6 +14,7 @@
     GrantRequest = 20,
     GrantRelease = 21,
     GrantQuery = 22,
+    GrantConfirmation = 23,
     PermitRequest = 25,
     // LibTicket, 40 to 49.
     TicketHint = 40,
