LibHolding: Claim replicas again when the lease had expired before its renewal

After the cut the first host's renewal was written before it had read the successor's row, which made its old hold valid again: it sent orders from 13.4 to 14.5 s beside the successor, whose list of adapters was then wrong. A request reported an adapter as missing, and the successor repeated the load of that adapter without room for it. Ruled out: a load taken for complete (the entry's guess), the replica's restart. Change: a hold belongs to a session of the lease; a renewal after an expiry begins a new one, and each replica is claimed again before an order is sent. A load is not repeated while more adapters are known than the replica holds. A refused retry counts as proof that the original was executed only once no order of an earlier holder can be executed any more. Tests: renewalAfterExpiryRestoresNoHold, holdIsConfirmedAfterExpiry, missingAdapterIsNotLoadedBeyondCapacity and lateOrderOfPreviousHolderTakesNoSlotTwice fail before and pass after.

--- a/Libraries/LibHolding/HolderTable.cpp
+++ b/Libraries/LibHolding/HolderTable.cpp
@@ -46,8 +46,13 @@
     m_write({.table = std::string(Table), .key = hostKey(m_options.self.host), .value = toText(m_options.self)},
             [this, sentAt](bool isRenewed) {
                 if (isRenewed) {
+                    const bool hadExpired = m_scheduler.now() >= m_leaseExpiresAt;
                     m_leaseExpiresAt = std::max(m_leaseExpiresAt, sentAt + m_options.term);
                     m_retryDelay = m_options.initialRetryDelay;
+                    if (hadExpired) {
+                        ++m_leaseSession;
+                        claimDueReplicas();
+                    }
                 } else {
                     m_retryDelay = std::min(m_retryDelay * 2, m_options.maxRetryDelay);
                 }
@@ -115,7 +120,9 @@
         seen = {.row = *holder, .version = row.version, .changedAt = m_scheduler.now()};
     }
     if (isOwn(*holder)) {
-        startHolding(*holder, row.version);
+        // A claim without a response. If it isn't known when it was sent, the replica is claimed again.
+        const auto claimed = m_claims.find(holder->replica);
+        startHolding(*holder, row.version, claimed == m_claims.end() ? 0 : claimed->second.leaseSession);
     } else if (const auto held = m_holds.find(holder->replica);
                held != m_holds.end() && held->second.fence < row.version) {
         m_holds.erase(held);
@@ -128,16 +135,19 @@
     return row.holder == m_options.self.host && row.incarnation == m_options.self.incarnation;
 }
 
-void HolderTable::startHolding(const HolderRow &row, std::uint64_t version)
+void HolderTable::startHolding(const HolderRow &row, std::uint64_t version, std::uint64_t leaseSession)
 {
     m_claims.erase(row.replica);
     auto &held = m_holds[row.replica];
     if (held.fence >= version) {
         return;
     }
+    const bool isContinued = held.fence != 0;
     const bool isHandover = !row.previousHolder.isEmpty() && row.previousHolder != m_options.self.host;
+    const auto allowedAt = m_scheduler.now() + (isHandover ? m_options.handoverGap : Core::Duration {});
     held = {.fence = version,
-            .ordersAllowedAt = m_scheduler.now() + (isHandover ? m_options.handoverGap : Core::Duration {})};
+            .ordersAllowedAt = isContinued ? held.ordersAllowedAt : allowedAt,
+            .leaseSession = leaseSession};
     Log::write(
         Log::Event::HoldGained,
         {{"replica", row.replica.value}, {"fence", std::to_string(version)}, {"former", row.previousHolder.value}});
@@ -150,17 +160,9 @@
     }
     const auto now = m_scheduler.now();
     std::erase_if(m_claims, [now](const auto &claim) {
-        return now - claim.second > ClaimRetryDelay;
+        return now - claim.second.sentAt > ClaimRetryDelay;
     });
-    if (m_hasRows && now < m_leaseExpiresAt) {
-        std::size_t claims = 0;
-        for (const auto &replica : replicasToClaim()) {
-            if (claims < m_options.claimsPerTick && !m_claims.contains(replica)) {
-                claim(replica);
-                ++claims;
-            }
-        }
-    }
+    claimDueReplicas();
     std::set<Core::TargetId> listed;
     for (const auto &[replica, zone] : m_replicas()) {
         listed.insert(replica);
@@ -173,6 +175,26 @@
     });
 }
 
+void HolderTable::claimDueReplicas()
+{
+    if (!m_hasRows || m_scheduler.now() >= m_leaseExpiresAt) {
+        return;
+    }
+    auto due = replicasToClaim();
+    for (const auto &[replica, held] : m_holds) {
+        if (held.leaseSession != m_leaseSession) {
+            due.push_back(replica);
+        }
+    }
+    std::size_t claims = 0;
+    for (const auto &replica : due) {
+        if (claims < m_options.claimsPerTick && !m_claims.contains(replica)) {
+            claim(replica);
+            ++claims;
+        }
+    }
+}
+
 std::vector<Core::TargetId> HolderTable::replicasToClaim() const
 {
     const auto live = liveHosts();
@@ -274,14 +296,14 @@
         row.previousHolder = isOtherHost ? previous.holder : previous.previousHolder;
     }
     transaction.puts.push_back({.table = std::string(Table), .key = holderKey(replica), .value = toText(row)});
-    m_claims[replica] = m_scheduler.now();
-    m_table.transact(std::move(transaction), [this, row](const Platform::TransactionResult &result) {
+    m_claims[replica] = {.sentAt = m_scheduler.now(), .leaseSession = m_leaseSession};
+    m_table.transact(std::move(transaction), [this, row, session = m_leaseSession](const auto &result) {
         if (result.outcome == Platform::TransactionOutcome::Committed && !m_isLeaving) {
             auto &seen = m_holders[row.replica];
             if (result.version > seen.version) {
                 seen = {.row = row, .version = result.version, .changedAt = m_scheduler.now()};
             }
-            startHolding(row, result.version);
+            startHolding(row, result.version, session);
         } else if (result.outcome != Platform::TransactionOutcome::Unknown) {
             m_claims.erase(row.replica);
         }
@@ -309,7 +331,8 @@
 {
     const auto held = m_holds.find(replica);
     const auto now = m_scheduler.now();
-    if (m_isLeaving || held == m_holds.end() || now >= m_leaseExpiresAt || now < held->second.ordersAllowedAt) {
+    if (m_isLeaving || held == m_holds.end() || now >= m_leaseExpiresAt || now < held->second.ordersAllowedAt
+        || held->second.leaseSession != m_leaseSession) {
         return std::nullopt;
     }
     return held->second.fence;
--- a/Libraries/LibHolding/HolderTable.h
+++ b/Libraries/LibHolding/HolderTable.h
@@ -41,7 +41,8 @@
 // The rows by which hosts discover each other and assign each replica one holder, the only host that may send orders to
 // it. A replica is claimed by the live host of its zone that holds the fewest replicas relative to its weight, in a
 // transaction conditioned on the version of the replica's row. A holder keeps its replicas until it stops. Another host
-// takes over only after the lease of the holder has certainly expired.
+// takes over only after the lease of the holder has certainly expired. A holder whose lease has expired sends no orders
+// until it has claimed its replicas again, even if it renews the lease.
 class HolderTable
 {
 public:
@@ -87,6 +88,11 @@
     struct Hold {
         std::uint64_t fence = 0;
         Core::TimePoint ordersAllowedAt {};
+        std::uint64_t leaseSession = 0; // The session in which it was claimed.
+    };
+    struct PendingClaim {
+        Core::TimePoint sentAt {};
+        std::uint64_t leaseSession = 0;
     };
 
     void renew();
@@ -94,7 +100,9 @@
     void applyHost(const Platform::ChangedRow &row);
     void applyHolder(const Platform::ChangedRow &row);
     void claim(const Core::TargetId &replica);
-    void startHolding(const HolderRow &row, std::uint64_t version);
+    void startHolding(const HolderRow &row, std::uint64_t version, std::uint64_t leaseSession);
+    // Claims replicas without a live holder, and the held ones that were claimed before the lease last expired.
+    void claimDueReplicas();
     [[nodiscard]] bool isLive(const SeenHost &host) const;
     [[nodiscard]] bool isClaimable(const Core::TargetId &replica,
                                    std::vector<Platform::RowCondition> &conditions) const;
@@ -113,10 +121,11 @@
     std::map<Core::HostId, SeenHost> m_hosts;
     std::map<Core::TargetId, SeenHolder> m_holders;
     std::map<Core::TargetId, Hold> m_holds;
-    std::map<Core::TargetId, Core::TimePoint> m_claims; // Pending claims and when they were sent.
+    std::map<Core::TargetId, PendingClaim> m_claims;
     Core::Duration m_retryDelay {};
     Core::TimePoint m_startedAt {};
     Core::TimePoint m_leaseExpiresAt {};
+    std::uint64_t m_leaseSession = 0; // Increases each time the lease is renewed after it had expired.
     bool m_hasRows = false;
     bool m_isLeaving = false;
 };
--- a/Libraries/LibHolding/ReplicaController.cpp
+++ b/Libraries/LibHolding/ReplicaController.cpp
@@ -40,6 +40,7 @@
         m_slots.clear();
         m_models.clear();
         m_orderCount.reset();
+        m_acceptedOrders = 0;
         m_waitingForRequestsSince.reset();
         m_nextReport = m_scheduler.now();
     }
--- a/Libraries/LibHolding/ReplicaController.h
+++ b/Libraries/LibHolding/ReplicaController.h
@@ -136,6 +136,9 @@
     [[nodiscard]] bool retryUnanswered(const Fleet::ReplicaOrder &order, const std::string &name);
     // True if no order for another adapter has an unknown outcome.
     [[nodiscard]] bool isOnlyUncertainSlot(const std::string &name) const;
+    // True once an order that an earlier holder of the replica sent can't be executed any more. Such an order expects
+    // at most the count at which this controller's first order was accepted.
+    [[nodiscard]] bool isOnlySender() const;
     // Called if the replica refused the retry, which shows that it has executed the order without a response.
     void recordExecuted(const Fleet::ReplicaOrder &order, const std::string &name);
     // True while an order waits for running requests at the replica, which refuses all other orders in the meantime.
@@ -183,6 +186,7 @@
     bool m_hasReportInFlight = false;
     bool m_isModelLoading = false;
     bool m_isUnreachable = false; // As seen by the last order.
+    unsigned m_acceptedOrders = 0; // Of this controller, since the replica started.
     unsigned m_unanswered = 0; // Consecutive orders without a response.
     bool m_isRetry = false; // The order in flight is a retry of one without a response.
     std::optional<Core::TimePoint> m_waitingForRequestsSince;
--- a/Libraries/LibHolding/ReplicaControllerOrders.cpp
+++ b/Libraries/LibHolding/ReplicaControllerOrders.cpp
@@ -16,12 +16,19 @@
 // Interval between orders while an earlier one waits for running requests: short compared to the duration of a request,
 // long compared to the response time of an order.
 constexpr auto WaitingRetryDelay = std::chrono::milliseconds(60);
+// One acceptance may be of a load that an earlier holder has started, which the replica doesn't count again.
+constexpr unsigned AcceptedOrdersToBeOnlySender = 2;
 
 }
 
 bool ReplicaController::confirmLoad()
 {
     const auto now = m_scheduler.now();
+    if (m_slots.size() > capacity()) {
+        // Another holder has sent orders, so that a load that is repeated here could exceed the capacity. The next
+        // reports show which of the adapters are gone.
+        return false;
+    }
     for (auto &[name, slot] : m_slots) {
         if (slot.state == SlotState::Loading && !slot.uncertainOrderCount.has_value() && now >= slot.readyAt) {
             const auto slash = name.find('/');
@@ -178,7 +185,8 @@
         || (outcome == Fleet::OrderOutcome::Unknown && unanswered >= m_options.maxRetries);
     const bool isSuccessful = outcome == Fleet::OrderOutcome::Accepted || outcome == Fleet::OrderOutcome::Completed;
     if (isRetry && !isSuccessful) {
-        if (outcome == Fleet::OrderOutcome::Conflict && !isWaitingForRequests() && isOnlyUncertainSlot(name)) {
+        if (outcome == Fleet::OrderOutcome::Conflict && isOnlySender() && !isWaitingForRequests()
+            && isOnlyUncertainSlot(name)) {
             recordExecuted(order, name);
             return;
         }
@@ -202,6 +210,9 @@
     if (isAccepted && isRetry && orderedSlot != m_slots.end()) {
         orderedSlot->second.uncertainOrderCount.reset();
     }
+    if (isAccepted && outcome == Fleet::OrderOutcome::Accepted) {
+        ++m_acceptedOrders;
+    }
     if (isAccepted) {
         resolveUncertain(order.expectedOrderCount);
     }
@@ -308,6 +319,11 @@
     });
 }
 
+bool ReplicaController::isOnlySender() const
+{
+    return m_acceptedOrders >= AcceptedOrdersToBeOnlySender;
+}
+
 void ReplicaController::recordExecuted(const Fleet::ReplicaOrder &order, const std::string &name)
 {
     const auto now = m_scheduler.now();
--- a/Libraries/LibHolding/ReplicaControllerReports.cpp
+++ b/Libraries/LibHolding/ReplicaControllerReports.cpp
@@ -69,13 +69,15 @@
     for (auto slot = m_slots.begin(); slot != m_slots.end();) {
         auto &state = slot->second;
         const auto found = reported.find(slot->first);
-        if (state.uncertainOrderCount.has_value() && report.orderCount > *state.uncertainOrderCount) {
-            // No other host sends orders, so the order without a response was executed.
+        const bool isResolved = state.uncertainOrderCount.has_value() && report.orderCount > *state.uncertainOrderCount;
+        if (isResolved) {
             state.uncertainOrderCount.reset();
         }
+        // Either this order or one of an earlier holder was executed; the adapters in the report show which.
+        const bool isResolvedByAdapters = isResolved && !isOnlySender();
         const bool isUnloadWaiting = state.state == SlotState::Unloading && isWaitingForRequests();
-        const bool isCoveredByReport
-            = state.changedAt < reportedUntil && !state.uncertainOrderCount.has_value() && !isUnloadWaiting;
+        const bool isCoveredByReport = (state.changedAt < reportedUntil || isResolvedByAdapters)
+            && !state.uncertainOrderCount.has_value() && !isUnloadWaiting;
         if (isCoveredByReport && found != reported.end()) {
             state.version = found->second;
             const bool isOutdated
--- a/Libraries/LibHolding/Tests/HolderTableTest.cpp
+++ b/Libraries/LibHolding/Tests/HolderTableTest.cpp
@@ -13,17 +13,22 @@
 // Upper bound for detecting a released replica, claiming it and reading the claim back.
 constexpr auto TakeoverTime = 4000ms;
 
-// The connection of one process to the store; drops transactions after the process has ended.
+// The connection of one process to the store; drops transactions after the process has ended or while it is cut off.
 class ProcessRows final : public Platform::TableService
 {
 public:
-    explicit ProcessRows(StandIns::MemoryRows &rows)
-        : m_rows(rows)
+    ProcessRows(Core::VirtualScheduler &scheduler, StandIns::MemoryRows &rows)
+        : m_scheduler(scheduler)
+        , m_rows(rows)
     {
     }
     void transact(Platform::Transaction transaction, TransactionFunction done) override
     {
-        if (!isEnded) {
+        if (isCutOff) {
+            m_scheduler.runAfter(300ms, [done = std::move(done)] {
+                done({.outcome = Platform::TransactionOutcome::NotSent});
+            });
+        } else if (!isEnded) {
             m_rows.transact(std::move(transaction), std::move(done));
         }
     }
@@ -37,8 +42,10 @@
     }
 
     bool isEnded = false;
+    bool isCutOff = false;
 
 private:
+    Core::VirtualScheduler &m_scheduler;
     StandIns::MemoryRows &m_rows;
 };
 
@@ -47,7 +54,7 @@
     TestHost(Core::VirtualScheduler &scheduler, StandIns::MemoryRows &rows, const std::string &name,
              std::uint64_t incarnation, const std::vector<Holding::ClaimableReplica> &replicas)
         : rows(rows)
-        , process(rows)
+        , process(scheduler, rows)
         , scheduler(scheduler)
         , table(
               scheduler, process,
@@ -73,7 +80,7 @@
             return;
         }
         rows.readTable(Holding::HolderTable::Table, [this](const Platform::FeedResult &result) {
-            if (result.outcome == Platform::FeedOutcome::Read) {
+            if (result.outcome == Platform::FeedOutcome::Read && !isFeedCutOff) {
                 table.apply(result, true);
             }
         });
@@ -86,6 +93,7 @@
     ProcessRows process;
     Core::VirtualScheduler &scheduler;
     Holding::HolderTable table;
+    bool isFeedCutOff = false;
 };
 
 }
@@ -96,6 +104,8 @@
     CPPUNIT_TEST(replicaHasAtMostOneHolder);
     CPPUNIT_TEST(restartedHostReclaimsItsReplicas);
     CPPUNIT_TEST(noOrdersAfterLeaseExpiresInStoreOutage);
+    CPPUNIT_TEST(renewalAfterExpiryRestoresNoHold);
+    CPPUNIT_TEST(holdIsConfirmedAfterExpiry);
     CPPUNIT_TEST(successorWaitsForHandoverGap);
     CPPUNIT_TEST(returningHolderNeedsNoHandoverGap);
     CPPUNIT_TEST(replicasAreDistributedEvenly);
@@ -157,6 +167,47 @@
         CPPUNIT_ASSERT(only->table.orderFence({"r1"}).has_value());
     }
 
+    // A host is cut off for longer than its lease and another host takes its replica over. The first host renews its
+    // lease before it reads the successor's row.
+    void renewalAfterExpiryRestoresNoHold()
+    {
+        const auto first = host("h1");
+        m_scheduler.advance(3s);
+        CPPUNIT_ASSERT(first->table.orderFence({"r1"}).has_value());
+        const auto second = host("h2");
+        first->process.isCutOff = true;
+        first->isFeedCutOff = true;
+        m_scheduler.advance(20s);
+        CPPUNIT_ASSERT(second->table.orderFence({"r1"}).has_value());
+        first->process.isCutOff = false;
+        for (int i = 0; i < 40; ++i) {
+            m_scheduler.advance(100ms);
+            CPPUNIT_ASSERT(!first->table.orderFence({"r1"}).has_value());
+        }
+        first->isFeedCutOff = false;
+        for (int i = 0; i < 40; ++i) {
+            m_scheduler.advance(100ms);
+            CPPUNIT_ASSERT(!first->table.orderFence({"r1"}).has_value());
+        }
+        CPPUNIT_ASSERT(second->table.orderFence({"r1"}).has_value());
+    }
+
+    // Nobody has taken the replica over meanwhile, so that its holder goes on at once, with a higher fence.
+    void holdIsConfirmedAfterExpiry()
+    {
+        const auto only = host("h1");
+        m_scheduler.advance(3s);
+        const auto fence = only->table.orderFence({"r1"});
+        only->process.isCutOff = true;
+        m_scheduler.advance(20s);
+        CPPUNIT_ASSERT(!only->table.orderFence({"r1"}).has_value());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), only->table.held().size());
+        only->process.isCutOff = false;
+        m_scheduler.advance(2500ms);
+        CPPUNIT_ASSERT(only->table.orderFence({"r1"}).has_value());
+        CPPUNIT_ASSERT(*only->table.orderFence({"r1"}) > *fence);
+    }
+
     void successorWaitsForHandoverGap()
     {
         const auto first = host("h1");
--- a/Libraries/LibHolding/Tests/ReplicaControllerTest.cpp
+++ b/Libraries/LibHolding/Tests/ReplicaControllerTest.cpp
@@ -33,6 +33,8 @@
     CPPUNIT_TEST(adaptersOfUnresponsiveHostAreKept);
     CPPUNIT_TEST(drainingReplicaFailsWaitingRequests);
     CPPUNIT_TEST(loadsContinueWhenResponsesAreLost);
+    CPPUNIT_TEST(lateOrderOfPreviousHolderTakesNoSlotTwice);
+    CPPUNIT_TEST(missingAdapterIsNotLoadedBeyondCapacity);
     CPPUNIT_TEST(restartedReplicaIsUsableOnceItsEntryShowsModel);
     CPPUNIT_TEST(requestsFailEarlyWhenReplicaIsUnreachable);
     CPPUNIT_TEST(reportsAreReadLessOftenInSteadyState);
@@ -423,6 +425,62 @@
         }
     }
 
+    // A load that the previous holder ordered is executed while an order of the new holder is unanswered. The refusal
+    // of the retry shows that some order was executed, not that it was the new holder's.
+    void lateOrderOfPreviousHolderTakesNoSlotTwice()
+    {
+        m_fake.adapters["a0"] = {};
+        m_fake.adapters["a1"] = {};
+        m_fake.count = 5;
+        m_fake.isDroppingResponses = true;
+        m_fake.executionDelay = 110ms;
+        m_fake.order({.id = {"r"}},
+                     {.verb = Fleet::OrderVerb::Load, .model = "m", .adapter = "late", .expectedOrderCount = 5},
+                     [](Fleet::OrderOutcome, const std::string &) {});
+        const auto replicaController = controller();
+        m_scheduler.advance(9ms);
+        m_fake.executionDelay = 10s;
+        Result result;
+        ask(*replicaController, request("b0"), result);
+        m_scheduler.advance(1ms);
+        m_fake.isDroppingResponses = false;
+        run(*replicaController, 3s);
+        CPPUNIT_ASSERT(m_fake.isLoaded("late"));
+        CPPUNIT_ASSERT_EQUAL(Slots, m_fake.maxAdapters);
+        Result other;
+        ask(*replicaController, request("b1"), other);
+        run(*replicaController, 1s);
+        CPPUNIT_ASSERT(isReady(other) && other.wasLoaded);
+        CPPUNIT_ASSERT_EQUAL(Slots, m_fake.maxAdapters);
+    }
+
+    // The holder's list of adapters is older than the last orders of the previous holder. A request reports an adapter
+    // as missing, whose place another adapter has taken.
+    void missingAdapterIsNotLoadedBeyondCapacity()
+    {
+        for (const auto *name : {"a0", "a1", "a2"}) {
+            m_fake.adapters[name] = {};
+        }
+        m_fake.count = 24;
+        const auto replicaController = controller();
+        run(*replicaController, 1s);
+        m_fake.adapters.erase("a0");
+        m_fake.adapters["b0"] = {};
+        m_fake.count = 26;
+        m_fake.isCountCheckedFirst = true;
+        auto missing = request("a0");
+        missing.isReportedMissing = true;
+        Result first;
+        ask(*replicaController, missing, first);
+        run(*replicaController, 3s);
+        CPPUNIT_ASSERT(m_fake.maxAdapters <= Slots);
+        Result second;
+        ask(*replicaController, request("a0"), second);
+        run(*replicaController, 1s);
+        CPPUNIT_ASSERT(isReady(second) && second.wasLoaded);
+        CPPUNIT_ASSERT_EQUAL(Slots, m_fake.maxAdapters);
+    }
+
     // After a fifth of the replicas had restarted without models, hosts chose them by their entries while their holders
     // still refused to load adapters.
     void restartedReplicaIsUsableOnceItsEntryShowsModel()
