LibOwner: Take over adapters that a target reports and its owner doesn't know

Cause, random case: loads that an earlier ownership had ordered ended after a later one had begun. Their adapters took all slots, the owner didn't know them, and each load was refused as busy for good. Change: a report adds adapters that the owner doesn't know, unless an unload was answered since it was requested.

--- a/Libraries/LibOwner/Dispatcher.cpp
+++ b/Libraries/LibOwner/Dispatcher.cpp
@@ -60,8 +60,23 @@
     }
 }
 
+void Dispatcher::addReported(const Core::TargetId &target, std::span<const Core::AdapterVersion> reported,
+                             Core::TimePoint requestedAt, Core::TimePoint now)
+{
+    if (const auto unload = m_lastUnloads.find(target); unload != m_lastUnloads.end() && unload->second > requestedAt) {
+        return;
+    }
+    auto &table = m_tables.at(target);
+    for (const auto &adapter : reported) {
+        if (table.find(adapter) == nullptr) {
+            table.addReported(adapter, now);
+        }
+    }
+}
+
 void Dispatcher::removeTarget(const Core::TargetId &target)
 {
+    m_lastUnloads.erase(target);
     if (const auto found = m_tables.find(target); found != m_tables.end()) {
         // The results of loads ordered under the previous incarnation or ownership will be ignored.
         for (const auto &[adapter, slot] : found->second.slots()) {
@@ -173,11 +188,18 @@
         return;
     }
     found->second.remove(adapter);
-    if (reservation != reservations.end()) {
+    m_lastUnloads[target] = now;
+    if (reservation == reservations.end()) {
+        return;
+    }
+    // The target may have reported adapters meanwhile that take the slot, or the successor itself.
+    if (found->second.hasFreeSlot() && found->second.find(reservation->successor) == nullptr) {
         found->second.beginLoad(reservation->successor, now);
         m_actions.emplace_back(LoadAction {.target = target, .adapter = reservation->successor});
-        reservations.erase(reservation);
+    } else {
+        m_budget.endLoad();
     }
+    reservations.erase(reservation);
 }
 
 std::vector<DispatchAction> Dispatcher::step(Core::TimePoint now)
--- a/Libraries/LibOwner/Dispatcher.h
+++ b/Libraries/LibOwner/Dispatcher.h
@@ -49,6 +49,10 @@
     // Removes idle adapters that the target no longer reports, unless they were used since the report was requested.
     void removeUnreported(const Core::TargetId &target, std::span<const Core::AdapterVersion> reported,
                           Core::TimePoint requestedAt);
+    // Adds adapters that the target reports and this owner doesn't know, such as those whose load an earlier owner had
+    // ordered. A report requested before the last unload of the target was answered adds none.
+    void addReported(const Core::TargetId &target, std::span<const Core::AdapterVersion> reported,
+                     Core::TimePoint requestedAt, Core::TimePoint now);
     // Removes a target that this host no longer owns.
     void removeTarget(const Core::TargetId &target);
     [[nodiscard]] bool isServed(const std::string &baseModel) const;
@@ -128,6 +132,7 @@
     LoadIntervalEstimate m_loadInterval;
     std::size_t m_backlog = 0; // Number of adapters waiting to be loaded at the last load decision.
     std::map<Core::TargetId, SlotTable> m_tables;
+    std::map<Core::TargetId, Core::TimePoint> m_lastUnloads; // When the last unload of each target was answered.
     std::map<Core::TargetId, TargetLoad> m_loads;
     std::map<Core::TargetId, std::vector<Reservation>> m_reservations;
     std::map<Core::TargetId, Core::AdapterVersion> m_draining;
--- a/Libraries/LibOwner/OwnedTargets.cpp
+++ b/Libraries/LibOwner/OwnedTargets.cpp
@@ -154,6 +154,7 @@
         m_dispatcher.resetTarget(target, status.incarnation, status.slotCount, resident, m_scheduler.now());
     }
     m_dispatcher.removeUnreported(target, resident, requestedAt);
+    m_dispatcher.addReported(target, resident, requestedAt, m_scheduler.now());
     m_dispatcher.report(target, status.batchCapacity, status.runningRequests + status.queuedRequests);
     step();
 }
--- a/Libraries/LibOwner/SlotTable.cpp
+++ b/Libraries/LibOwner/SlotTable.cpp
@@ -86,6 +86,12 @@
     m_slots.erase(adapter);
 }
 
+void SlotTable::addReported(const Core::AdapterVersion &adapter, Core::TimePoint now)
+{
+    VERIFY(find(adapter) == nullptr);
+    m_slots[adapter] = {.state = SlotState::Ready, .lastUsed = now};
+}
+
 void SlotTable::grant(const Core::AdapterVersion &adapter, const Core::GrantId &grant, Core::TimePoint now)
 {
     auto &slot = m_slots.at(adapter);
--- a/Libraries/LibOwner/SlotTable.h
+++ b/Libraries/LibOwner/SlotTable.h
@@ -45,6 +45,9 @@
     void cancelUnload(const Core::AdapterVersion &adapter);
     // Frees the slot of an adapter whose load failed or that has been unloaded.
     void remove(const Core::AdapterVersion &adapter);
+    // Adds an adapter that the target holds although this owner didn't load it. The target may then hold more adapters
+    // than it has slots in this table.
+    void addReported(const Core::AdapterVersion &adapter, Core::TimePoint now);
 
     // Adds a grant, which keeps the ready adapter resident. Adding the same grant again has no effect.
     void grant(const Core::AdapterVersion &adapter, const Core::GrantId &grant, Core::TimePoint now);
