LibHolding, LibGateway: Wait for a load in progress instead of loading a second copy

Change: a holder says that an adapter is still being loaded, and the request goes on waiting there, until two and a quarter of its latency objectives; then it is refused with a Retry-After of the expected rest. A replica loads fewer adapters at once while loads are slow, and reports the excess as a delay. A response that has begun is continued until its deadline. Tests: replySaysThatSlowLoadIsInProgress, LoadTimeEstimateTest, LoadPatienceTest.

--- a/Libraries/LibGateway/ForwardedRequest.cpp
+++ b/Libraries/LibGateway/ForwardedRequest.cpp
@@ -13,9 +13,6 @@
 
 // A running replica accepts a connection within milliseconds, even from another zone.
 constexpr auto ConnectTimeout = std::chrono::milliseconds(250);
-// A request is refused if its adapter isn't loaded after one and a half times its latency objective and at least this
-// time.
-constexpr auto MinAdapterTimeout = std::chrono::milliseconds(900);
 // An idempotent request is retried elsewhere if the replica sends nothing for this many times the latency objective.
 constexpr int IdleTimeoutObjectives = 2;
 // A resumable stream continues elsewhere if the replica sends nothing for this long after its first bytes.
@@ -24,6 +21,10 @@
 constexpr auto MinIdleTimeout = std::chrono::milliseconds(250);
 // Retry-After of a refused request: by then a load has probably ended or a replica is listed again.
 constexpr auto RetryAfterNoReplica = std::chrono::milliseconds(500);
+// Lower limit of the Retry-After of a request whose adapter is being loaded.
+constexpr auto MinRetryAfterLoad = std::chrono::milliseconds(100);
+// Pause before a replica is selected again for a response that has begun.
+constexpr auto ContinuationPause = std::chrono::milliseconds(100);
 
 }
 
@@ -86,7 +87,11 @@
     const auto now = m_dependencies.scheduler.now();
     const auto *replica = m_dependencies.fleet.choose(m_request, m_service, m_excluded, now);
     if (replica == nullptr) {
-        refuse("no replica is available", RetryAfterNoReplica);
+        if (isContinued()) {
+            selectReplicaLater();
+        } else {
+            refuse("no replica is available", RetryAfterNoReplica);
+        }
         return;
     }
     m_replica = *replica;
@@ -101,29 +106,33 @@
         send();
         return;
     }
-    loadAdapter(m_replica);
+    loadAdapter();
 }
 
-void ForwardedRequest::loadAdapter(const Fleet::Replica &replica)
+void ForwardedRequest::loadAdapter()
 {
-    const auto waited = m_dependencies.scheduler.now() - m_startedAt;
-    const auto adapterTimeout = std::max<Core::Duration>(MinAdapterTimeout, m_route.route->objective * 3 / 2);
-    if (m_loadRequests >= MaxLoadRequests || (m_loadRequests > 0 && waited > adapterTimeout)) {
+    if (!mayRequestLoad(loadWait())) {
         refuse("the adapter can't be loaded in time", RetryAfterNoReplica);
         return;
     }
     ++m_loadRequests;
-    m_stage = Stage::Loading;
     m_dependencies.metrics.count("currantbay_adapter_requests_total");
-    m_dependencies.loadAdapter({.replica = replica.id,
+    requestLoad();
+}
+
+void ForwardedRequest::requestLoad()
+{
+    m_stage = Stage::Loading;
+    ++m_loadCalls;
+    m_dependencies.loadAdapter({.replica = m_replica.id,
                                 .model = m_request.model,
                                 .adapter = m_request.adapter,
                                 .version = m_dependencies.releases.newestVersion(FleetView::adapterName(m_request)),
                                 .isReportedMissing = m_isReportedMissing,
                                 .priority = m_route.route->priority,
                                 .isLastTry = m_loadRequests >= MaxLoadRequests},
-                               [self = shared_from_this(), load = m_loadRequests](const Holding::AdapterReply &reply) {
-                                   if (self->m_stage == Stage::Loading && self->m_loadRequests == load) {
+                               [self = shared_from_this(), call = m_loadCalls](const Holding::AdapterReply &reply) {
+                                   if (self->m_stage == Stage::Loading && self->m_loadCalls == call) {
                                        self->handleAdapterReply(reply);
                                    }
                                });
@@ -132,10 +141,18 @@
 void ForwardedRequest::handleAdapterReply(const Holding::AdapterReply &reply)
 {
     m_isReportedMissing = false;
+    if (reply.outcome == static_cast<std::uint8_t>(Holding::AdapterOutcome::Loading)) {
+        awaitLoad(std::chrono::milliseconds(reply.delayMilliseconds));
+        return;
+    }
     if (reply.outcome != static_cast<std::uint8_t>(Holding::AdapterOutcome::Ready)) {
         m_excluded.insert(m_replica.id);
         m_dependencies.fleet.setUnloadable(m_replica.id, m_dependencies.scheduler.now());
-        selectReplica();
+        if (isContinued() && m_loadRequests % MaxLoadRequests == 0) {
+            selectReplicaLater();
+        } else {
+            selectReplica();
+        }
         return;
     }
     if (!m_dependencies.fleet.isAvailable(m_replica)) {
@@ -150,11 +167,54 @@
     send();
 }
 
+void ForwardedRequest::awaitLoad(Core::Duration expectedDelay)
+{
+    if (!m_dependencies.fleet.isAvailable(m_replica)) {
+        m_excluded.insert(m_replica.id);
+        selectReplica();
+        return;
+    }
+    if (mayAwaitLoad(loadWait())) {
+        requestLoad();
+        return;
+    }
+    refuse("the adapter is still being loaded", std::max<Core::Duration>(expectedDelay, MinRetryAfterLoad));
+}
+
+LoadWait ForwardedRequest::loadWait() const
+{
+    return {.objective = m_route.route->objective,
+            .waited = m_dependencies.scheduler.now() - m_startedAt,
+            .remaining = remaining(),
+            .requests = m_loadRequests,
+            .isContinued = isContinued()};
+}
+
+bool ForwardedRequest::isContinued() const
+{
+    return m_isStreaming && mayRunAgain();
+}
+
+void ForwardedRequest::selectReplicaLater()
+{
+    m_stage = Stage::Selecting;
+    m_excluded.clear();
+    m_dependencies.scheduler.runAfter(ContinuationPause, [self = shared_from_this()] {
+        if (self->m_stage == Stage::Selecting) {
+            self->selectReplica();
+        }
+    });
+}
+
 void ForwardedRequest::send()
 {
     const auto now = m_dependencies.scheduler.now();
     if (m_sends > 0 && !m_dependencies.retryBudget.tryRetry(m_service, m_dependencies.hostCount(), now)) {
-        retryOrFail("the retry budget of the service is exhausted");
+        if (isContinued()) {
+            selectReplicaLater();
+        } else {
+            retryOrFail("the retry budget of the service is exhausted");
+        }
         return;
     }
     m_stage = Stage::Sending;
--- a/Libraries/LibGateway/ForwardedRequest.h
+++ b/Libraries/LibGateway/ForwardedRequest.h
@@ -4,6 +4,7 @@
 #include <LibGateway/CallerRequest.h>
 #include <LibGateway/EventSplitter.h>
 #include <LibGateway/FleetView.h>
+#include <LibGateway/LoadPatience.h>
 #include <LibGateway/ServiceRetryBudget.h>
 #include <LibMetrics/Registry.h>
 #include <LibNet/HttpServer.h>
@@ -44,8 +45,16 @@
     enum class Stage { Selecting, Loading, Sending, Ended };
 
     void selectReplica();
-    void loadAdapter(const Fleet::Replica &replica);
+    void loadAdapter();
+    void requestLoad();
     void handleAdapterReply(const Holding::AdapterReply &reply);
+    // Goes on waiting for a load that is in progress, or refuses the request until it has ended.
+    void awaitLoad(Core::Duration expectedDelay);
+    // Selects a replica again after a pause, for a response that has begun.
+    void selectReplicaLater();
+    [[nodiscard]] LoadWait loadWait() const;
+    // The request has run in part, and refusing it now would break its response off.
+    [[nodiscard]] bool isContinued() const;
     void send();
     void handleHead(long status, const Net::HttpFields &fields);
     void handleBody(std::string_view bytes);
@@ -81,7 +90,8 @@
     std::set<Core::TargetId> m_excluded; // Replicas to which this request isn't sent again.
     unsigned m_possibleRuns = 0; // Attempts in which the request may have run.
     unsigned m_sends = 0;
-    unsigned m_loadRequests = 0; // Requests to holders to load the adapter.
+    unsigned m_loadRequests = 0; // Requests to holders to load the adapter, not counting those that only wait on.
+    unsigned m_loadCalls = 0; // All messages to holders, to recognise the reply to the latest.
     bool m_isReportedMissing = false; // The selected replica has reported that it doesn't have the adapter.
 
     // The current attempt.
--- a/Libraries/LibGateway/ForwardedRequestResponses.cpp
+++ b/Libraries/LibGateway/ForwardedRequestResponses.cpp
@@ -107,7 +107,7 @@
         return;
     }
     if (m_isReportedMissing && m_loadRequests < MaxLoadRequests) {
-        loadAdapter(m_replica);
+        loadAdapter();
         return;
     }
     selectReplica();
--- a/Libraries/LibHolding/HoldingMessages.h
+++ b/Libraries/LibHolding/HoldingMessages.h
@@ -29,13 +29,16 @@
     Ready = 0,
     // The adapter can't be provided: no free slot, the receiver may not send orders, or the load failed.
     Unavailable = 1,
+    // The adapter is still being loaded. Another request to the same holder goes on waiting for it.
+    Loading = 2,
 };
 
 struct AdapterReply {
     std::uint8_t outcome = 0; // An AdapterOutcome.
     std::uint64_t version = 0; // Of the loaded adapter.
+    std::uint32_t delayMilliseconds = 0; // Expected time until the adapter that is being loaded is in memory.
 
-    MSGPACK_DEFINE(outcome, version)
+    MSGPACK_DEFINE(outcome, version, delayMilliseconds)
 };
 
 // The requests of one host that run on one replica.
--- a/Libraries/LibHolding/ReplicaController.cpp
+++ b/Libraries/LibHolding/ReplicaController.cpp
@@ -17,6 +17,7 @@
     , m_releases(releases)
     , m_replica(std::move(replica))
     , m_engine(std::move(engine))
+    , m_coldLoads(m_options.coldLoads)
 {
     for (const auto &model : m_replica.models) {
         m_models.insert(model.model);
@@ -174,8 +175,7 @@
 {
     const bool isWarm
         = m_cachedAdapters.contains(name) || m_cachedAdapters.contains(Fleet::versionedName(name, version));
-    const auto others = static_cast<int>(loadsInProgress());
-    return isWarm ? m_options.warmLoadTime : m_options.coldLoadTime + m_options.coldLoadTime * others / 8;
+    return isWarm ? m_options.warmLoadTime : m_coldLoads.nominalTime();
 }
 
 bool ReplicaController::isServable(const Waiter &waiter) const
@@ -190,6 +190,13 @@
     return isReady && !state.uncertainOrderCount.has_value() && state.version >= waiter.request.version;
 }
 
+bool ReplicaController::isBeingLoaded(const Waiter &waiter) const
+{
+    const auto slot = m_slots.find(Fleet::adapterName(waiter.request.model, waiter.request.adapter));
+    return slot != m_slots.end() && slot->second.state == SlotState::Loading && !m_isUnreachable
+        && !m_replica.isDraining && m_fence(m_replica.id).has_value();
+}
+
 bool ReplicaController::isOutdatedInUse(const Waiter &waiter) const
 {
     const auto slot = m_slots.find(Fleet::adapterName(waiter.request.model, waiter.request.adapter));
@@ -262,6 +269,14 @@
             auto &slot = m_slots.at(name);
             slot.lastUsed = m_scheduler.now();
             replies.emplace_back(std::move(waiter.reply), AdapterReply {.version = slot.version});
+        } else if (m_scheduler.now() - waiter.since >= m_options.maxWait && isBeingLoaded(waiter)) {
+            const auto now = m_scheduler.now();
+            const auto expectedAt = m_slots.at(name).orderedAt + m_coldLoads.loadTime(now);
+            const auto delay = std::max(expectedAt - now, m_coldLoads.confirmPeriod(now));
+            replies.emplace_back(
+                std::move(waiter.reply),
+                AdapterReply {.outcome = static_cast<std::uint8_t>(AdapterOutcome::Loading),
+                              .delayMilliseconds = static_cast<std::uint32_t>(Core::toMilliseconds(delay))});
         } else if (const auto reason = refusalReason(waiter); !reason.empty()) {
             logRefusal(waiter.request, reason);
             replies.emplace_back(std::move(waiter.reply),
@@ -282,10 +297,12 @@
         return m_options.unavailableLoadDelay;
     }
     // Several waiting adapters are loaded concurrently.
-    const auto maxConcurrent = static_cast<int>(m_options.maxConcurrentLoads);
+    const auto now = m_scheduler.now();
+    const auto maxConcurrent = static_cast<int>(m_coldLoads.concurrentLoads(now));
     const auto ahead = static_cast<int>(loadsInProgress() + m_waiters.size());
     const bool hasSlot = m_slots.size() < capacity() || victim().has_value();
-    return m_options.coldLoadTime * std::max(0, ahead - maxConcurrent + 1) / maxConcurrent
+    return m_coldLoads.excess(now)
+        + m_coldLoads.loadTime(now) * std::max(0, ahead - maxConcurrent + 1) / maxConcurrent
         + (hasSlot ? Core::Duration {} : m_options.slotDelay);
 }
 
--- a/Libraries/LibHolding/ReplicaController.h
+++ b/Libraries/LibHolding/ReplicaController.h
@@ -4,6 +4,7 @@
 #include <LibFleet/OrderLink.h>
 #include <LibFleet/ReleaseTable.h>
 #include <LibHolding/HoldingMessages.h>
+#include <LibHolding/LoadTimeEstimate.h>
 #include <LibRoutes/RouteConfiguration.h>
 #include <deque>
 #include <functional>
@@ -22,12 +23,10 @@
     Core::Duration unavailableReportPeriod = std::chrono::milliseconds(250);
     // A report shows the state of a few hundred milliseconds ago and doesn't override changes made here since then.
     Core::Duration reportLag = std::chrono::milliseconds(700);
-    // Load times of an adapter from the cache of the replica and from the weight store.
-    Core::Duration warmLoadTime = std::chrono::milliseconds(26);
-    Core::Duration coldLoadTime = std::chrono::milliseconds(252);
-    // Interval between checks whether a load is complete.
-    Core::Duration confirmPeriod = std::chrono::milliseconds(25);
-    Core::Duration maxWait = std::chrono::milliseconds(1000); // Timeout of a request for an adapter.
+    Core::Duration warmLoadTime = std::chrono::milliseconds(26); // Of an adapter from the cache of the replica.
+    LoadTimeEstimateOptions coldLoads; // Loads from the weight store.
+    // Timeout of a request for an adapter. If the adapter is being loaded then, the reply says so.
+    Core::Duration maxWait = std::chrono::milliseconds(1000);
     // Timeouts of a request while every adapter of the replica is in use: without and with another replica to go to.
     Core::Duration maxWaitForSlot = std::chrono::milliseconds(700);
     Core::Duration shortWaitForSlot = std::chrono::milliseconds(150);
@@ -48,7 +47,6 @@
     // allow for a slow host or link.
     Core::Duration orderTimeout = std::chrono::milliseconds(120);
     unsigned maxRetries = 3; // Of an unacknowledged order, before waiting for a report.
-    std::size_t maxConcurrentLoads = 4; // Loads per replica at the same time.
     std::size_t maxWaiters = 64; // Pending requests for adapters.
 };
 
@@ -114,6 +112,8 @@
     [[nodiscard]] std::string_view refusalReason(const Waiter &waiter) const;
     void logRefusal(const AdapterRequest &request, std::string_view reason) const;
     [[nodiscard]] bool isServable(const Waiter &waiter) const;
+    // True if the adapter is being loaded from the weight store or the cache, so that waiting on will end.
+    [[nodiscard]] bool isBeingLoaded(const Waiter &waiter) const;
     // Requests run on an older version of the adapter, so that this replica can't load the newer one soon.
     [[nodiscard]] bool isOutdatedInUse(const Waiter &waiter) const;
     void orderLoad(const std::string &model, const std::string &adapter, std::uint64_t version);
@@ -176,6 +176,7 @@
     Routes::EngineSettings m_engine;
     std::map<std::string, Slot> m_slots; // By "model/adapter".
     std::set<std::string> m_models; // Models in memory.
+    LoadTimeEstimate m_coldLoads;
     std::set<std::string> m_cachedAdapters; // Adapters that load quickly, as "model/adapter@version".
     std::deque<Waiter> m_waiters;
     std::map<Core::HostId, HostUse> m_uses;
--- a/Libraries/LibHolding/ReplicaControllerOrders.cpp
+++ b/Libraries/LibHolding/ReplicaControllerOrders.cpp
@@ -57,7 +57,7 @@
             const auto &request = waiter.request;
             const auto name = Fleet::adapterName(request.model, request.adapter);
             if (m_slots.contains(name) || !m_models.contains(request.model)
-                || loadsInProgress() >= m_options.maxConcurrentLoads) {
+                || loadsInProgress() >= m_coldLoads.concurrentLoads(now)) {
                 continue;
             }
             if (m_slots.size() < capacity()) {
@@ -107,7 +107,7 @@
         const auto slot = m_slots.find(name);
         // A replacement waits for the running requests of the adapter, and the replica refuses other orders until then.
         if (slot != m_slots.end() && slot->second.version < newestVersion && isIdle(*slot)
-            && loadsInProgress() < m_options.maxConcurrentLoads) {
+            && loadsInProgress() < m_coldLoads.concurrentLoads(m_scheduler.now())) {
             const auto slash = name.find('/');
             orderLoad(name.substr(0, slash), name.substr(slash + 1), newestVersion);
             return true;
@@ -197,7 +197,7 @@
         m_unanswered = unanswered + 1;
         Log::write(Log::Event::OrderUnanswered, {{"replica", m_replica.id.value}, {"order", name}, {"reason", detail}});
         if (isConfirmation && m_unanswered <= m_options.maxRetries) {
-            orderedSlot->second.readyAt = now + m_options.confirmPeriod;
+            orderedSlot->second.readyAt = now + m_coldLoads.confirmPeriod(now);
             return;
         }
         if (!isConfirmation && retryUnanswered(order, name)) {
@@ -239,7 +239,7 @@
     const bool isDone = outcome == Fleet::OrderOutcome::Completed;
     const auto slot = m_slots.find(name);
     if (isConfirmation && !isDone) {
-        slot->second.readyAt = now + m_options.confirmPeriod;
+        slot->second.readyAt = now + m_coldLoads.confirmPeriod(now);
         return;
     }
     m_orderCount = order.expectedOrderCount + (isCounted ? 1 : 0);
@@ -258,6 +258,9 @@
         return;
     }
     m_cachedAdapters.insert(Fleet::versionedName(name, order.version));
+    if (isDone && slot->second.state == SlotState::Loading && slot->second.loadTime > m_options.warmLoadTime) {
+        m_coldLoads.recordLoad(now - slot->second.orderedAt, now);
+    }
     if (isDone) {
         slot->second.state = SlotState::Resident;
         slot->second.isAssumedReady = false;
@@ -273,7 +276,7 @@
     const bool isUnknown = outcome == Fleet::OrderOutcome::Unknown;
     if (const auto slot = m_slots.find(name); slot != m_slots.end()) {
         slot->second.changedAt = now;
-        slot->second.readyAt = now + m_options.confirmPeriod;
+        slot->second.readyAt = now + m_coldLoads.confirmPeriod(now);
         if (!isConfirmation && isUnknown) {
             slot->second.uncertainOrderCount = order.expectedOrderCount;
         } else if (!isConfirmation) {
--- a/Libraries/LibHolding/ReplicaControllerReports.cpp
+++ b/Libraries/LibHolding/ReplicaControllerReports.cpp
@@ -103,7 +103,7 @@
                              .state = SlotState::Loading,
                              .changedAt = m_scheduler.now(),
                              .lastUsed = reportedUntil,
-                             .readyAt = m_scheduler.now() + m_options.coldLoadTime};
+                             .readyAt = m_scheduler.now() + m_coldLoads.nominalTime()};
         }
     }
     m_cachedAdapters.insert(report.cachedAdapters.begin(), report.cachedAdapters.end());
--- a/Libraries/LibHolding/Tests/ReplicaControllerTest.cpp
+++ b/Libraries/LibHolding/Tests/ReplicaControllerTest.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST_SUITE(ReplicaControllerTest);
     CPPUNIT_TEST(replyIsSentWhenAdapterIsLoaded);
     CPPUNIT_TEST(slowLoadIsAwaited);
+    CPPUNIT_TEST(replySaysThatSlowLoadIsInProgress);
     CPPUNIT_TEST(waitersForSameAdapterShareLoad);
     CPPUNIT_TEST(adapterInUseIsNotReplaced);
     CPPUNIT_TEST(idleAdapterIsReplaced);
@@ -141,6 +142,23 @@
         CPPUNIT_ASSERT(isReady(result) && result.wasLoaded);
     }
 
+    // Hosts took the load for failed and had the adapter loaded at a second replica as well, which slowed down all loads.
+    void replySaysThatSlowLoadIsInProgress()
+    {
+        m_fake.loadTime = 1500ms;
+        const auto replicaController = controller();
+        Result first;
+        ask(*replicaController, request("a1"), first);
+        run(*replicaController, 1100ms);
+        CPPUNIT_ASSERT(first.isDone);
+        CPPUNIT_ASSERT_EQUAL(static_cast<std::uint8_t>(Holding::AdapterOutcome::Loading), first.reply.outcome);
+        Result second;
+        ask(*replicaController, request("a1"), second);
+        run(*replicaController, 600ms);
+        CPPUNIT_ASSERT(isReady(second) && second.wasLoaded);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_fake.loads.size());
+    }
+
     void waitersForSameAdapterShareLoad()
     {
         const auto replicaController = controller();
