LibHolding: Read the fence once for each order

Ruled out: a second holder (all orders came from one host). Change: the fence that allows an order is the one that it bears. Test: leaseThatExpiresBetweenChecksSendsNoOrder fails before and passes after.

--- a/Libraries/LibHolding/ReplicaController.h
+++ b/Libraries/LibHolding/ReplicaController.h
@@ -187,6 +187,7 @@
     bool m_hasReportInFlight = false;
     bool m_isModelLoading = false;
     bool m_isUnreachable = false; // As seen by the last order.
+    std::uint64_t m_orderFence = 0; // Of the order that is being sent, read once when it is decided.
     unsigned m_acceptedOrders = 0; // Of this controller, since the replica started.
     unsigned m_unanswered = 0; // Consecutive orders without a response.
     bool m_isRetry = false; // The order in flight is a retry of one without a response.
--- a/Libraries/LibHolding/ReplicaControllerOrders.cpp
+++ b/Libraries/LibHolding/ReplicaControllerOrders.cpp
@@ -48,7 +48,9 @@
 {
     replyToWaiters();
     const auto now = m_scheduler.now();
-    if (!m_hasOrderInFlight && m_orderCount.has_value() && now >= m_nextOrderAt && m_fence(m_replica.id).has_value()) {
+    const bool mayOrder = !m_hasOrderInFlight && m_orderCount.has_value() && now >= m_nextOrderAt;
+    if (const auto fence = mayOrder ? m_fence(m_replica.id) : std::nullopt; fence.has_value()) {
+        m_orderFence = *fence;
         const bool isOrdered = confirmLoad() || loadMissingModel() || replaceOutdated();
         for (const auto &waiter : m_waiters) {
             if (isOrdered || m_hasOrderInFlight) {
@@ -152,7 +154,7 @@
     m_hasOrderInFlight = true;
     order.expectedOrderCount = *m_orderCount;
     order.holder = m_options.self;
-    order.fence = *m_fence(m_replica.id);
+    order.fence = m_orderFence;
     order.responseTimeout = m_options.orderTimeout * (1U << std::min(m_unanswered, m_options.maxRetries));
     m_link.order(m_replica, order,
                  [this, isAlive = m_isAlive, order, name](Fleet::OrderOutcome outcome, const std::string &detail) {
@@ -304,10 +306,12 @@
 bool ReplicaController::retryUnanswered(const Fleet::ReplicaOrder &order, const std::string &name)
 {
     const auto slot = m_slots.find(name);
+    const auto fence = m_fence(m_replica.id);
     if (m_unanswered > m_options.maxRetries || slot == m_slots.end() || order.adapter.empty()
-        || m_orderCount != order.expectedOrderCount || !m_fence(m_replica.id).has_value()) {
+        || m_orderCount != order.expectedOrderCount || !fence.has_value()) {
         return false;
     }
+    m_orderFence = *fence;
     slot->second.uncertainOrderCount = order.expectedOrderCount;
     slot->second.changedAt = m_scheduler.now();
     sendOrder(order, name);
--- a/Libraries/LibHolding/Tests/FakeReplica.h
+++ b/Libraries/LibHolding/Tests/FakeReplica.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Scheduler.h>
 #include <LibFleet/OrderLink.h>
+#include <functional>
 #include <map>
 #include <utility>
 
@@ -21,6 +22,7 @@
     void order(const Fleet::Replica & /*replica*/, const Fleet::ReplicaOrder &order, OrderFunction done) override
     {
         ++orderCalls;
+        onOrder();
         if (isUnreachable) {
             respond(done, Fleet::OrderOutcome::NotSent);
             return;
@@ -81,6 +83,8 @@
     std::size_t maxAdapters = 0; // Loaded or loading at the same time.
     std::size_t orderCalls = 0;
     std::size_t reportCalls = 0;
+    std::function<void()> onOrder = [] {
+    };
     std::size_t delayedOrders = 0; // Orders that had to wait for running requests.
     std::size_t repeatedDelayedOrders = 0; // How often one of those was sent again.
     std::size_t conflicts = 0; // Orders refused while another one waited.
--- a/Libraries/LibHolding/Tests/ReplicaControllerTest.cpp
+++ b/Libraries/LibHolding/Tests/ReplicaControllerTest.cpp
@@ -40,15 +40,23 @@
     CPPUNIT_TEST(requestsFailEarlyWhenReplicaIsUnreachable);
     CPPUNIT_TEST(reportsAreReadLessOftenInSteadyState);
     CPPUNIT_TEST(requestFailsAtOnceWithoutFence);
+    CPPUNIT_TEST(leaseThatExpiresBetweenChecksSendsNoOrder);
     CPPUNIT_TEST(overdueLoadCausesFewOrders);
     CPPUNIT_TEST_SUITE_END();
 
     Core::VirtualScheduler m_scheduler;
     Holding::FakeReplica m_fake {m_scheduler};
     bool m_hasFence = true;
+    std::size_t m_fenceReads = 0;
+    std::size_t m_expiresAfterRead = 0; // The lease expires after this many reads of the fence; zero for never.
     Fleet::ReleaseTable m_releases;
     Routes::EngineSettings m_engine;
 
+    bool isLeaseExpired() const
+    {
+        return m_expiresAfterRead != 0 && m_fenceReads > m_expiresAfterRead;
+    }
+
     std::unique_ptr<Holding::ReplicaController> controller()
     {
         m_engine = {.slots = 64, .weightMemory = 1000, .adapterSlots = Slots};
@@ -58,7 +66,8 @@
         auto replicaController = std::make_unique<Holding::ReplicaController>(
             m_scheduler, m_fake, Holding::ReplicaControllerOptions {.self = {"h"}},
             [this](const Core::TargetId &) -> std::optional<std::uint64_t> {
-                return m_hasFence ? std::optional<std::uint64_t>(7) : std::nullopt;
+                ++m_fenceReads;
+                return m_hasFence && !isLeaseExpired() ? std::optional<std::uint64_t>(7) : std::nullopt;
             },
             m_releases, replica, m_engine);
         run(*replicaController, 100ms);
@@ -568,6 +577,26 @@
         CPPUNIT_ASSERT(result.isDone && !isReady(result));
     }
 
+    // The lease expired between the check and the order, whose fence was then an undefined number. A replica that had seen
+    // it would have refused all later orders.
+    void leaseThatExpiresBetweenChecksSendsNoOrder()
+    {
+        std::size_t ordersAfterExpiry = 0;
+        m_fake.onOrder = [this, &ordersAfterExpiry] {
+            ordersAfterExpiry += isLeaseExpired() ? 1 : 0;
+        };
+        for (std::size_t reads = 1; reads < 12; ++reads) {
+            m_expiresAfterRead = 0;
+            const auto replicaController = controller();
+            m_expiresAfterRead = m_fenceReads + reads;
+            Result result;
+            ask(*replicaController, request("a" + std::to_string(reads)), result);
+            run(*replicaController, 400ms);
+        }
+        CPPUNIT_ASSERT(m_fake.orderCalls > 0);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), ordersAfterExpiry);
+    }
+
     // A load that takes longer than expected must not make the controller repeat its order in a tight loop.
     void overdueLoadCausesFewOrders()
     {
