LibFleet: Notice the end of a silent outage before a change is overdue

The new configuration was in force 2.6 s after its acknowledgement, 2.0 s are allowed. Ruled out: the reader's relay (the host read for itself). Change: while calls fail they ask for no wait, and the longest pause follows from the time within which a change must be in force, which is a setting (changes.applyMilliseconds). Test: changeAfterSilentOutageIsAppliedInTime fails with the wait and passes without it; the shorter pause alone isn't shown by it (700 and 1,200 ms stay just under 2,000).

--- a/Libraries/LibFleet/Feed.h
+++ b/Libraries/LibFleet/Feed.h
@@ -27,11 +27,14 @@
     Core::Duration relayedPollInterval = std::chrono::milliseconds(30);
     // The retry delay doubles with each failed call.
     Core::Duration initialRetryDelay = std::chrono::milliseconds(250);
-    // Short enough that a change takes effect within two seconds after the store recovers, and long enough to limit
-    // calls during an outage, since failed calls are charged like successful ones.
+    // Long enough to limit calls during an outage, since failed calls are charged like successful ones.
     Core::Duration maxRetryDelay = std::chrono::milliseconds(1200);
 };
 
+// The longest pause between retries with which a change is applied within the given time after the platform recovers,
+// even if a call was just sent that will time out.
+[[nodiscard]] Core::Duration retryDelayFor(Core::Duration applyTime);
+
 // Follows one kind of changes: reads the full state once, then the changes since the last version, and the full state
 // again if the platform no longer has the changes since that version.
 template<typename Changes> class Feed
@@ -79,7 +82,9 @@
 
     void followChanges()
     {
-        m_follow(m_version, m_options.longPollTimeout, [this](Changes changes) {
+        // While calls fail, a call that waits for changes would only be noticed later as unanswered.
+        const auto wait = m_healthySince.has_value() ? m_options.longPollTimeout : Core::Duration {};
+        m_follow(m_version, wait, [this](Changes changes) {
             handleChanges(std::move(changes), Extent::Changed);
         });
     }
--- a/Libraries/LibFleet/Tests/FleetTest.cpp
+++ b/Libraries/LibFleet/Tests/FleetTest.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(relayedChangesAreAppliedImmediately);
     CPPUNIT_TEST(lostHistoryCausesFullRead);
     CPPUNIT_TEST(feedRecoversAfterOutage);
+    CPPUNIT_TEST(changeAfterSilentOutageIsAppliedInTime);
     CPPUNIT_TEST(deletedEntryIsRemoved);
     CPPUNIT_TEST(entryExpiredInOutageIsKeptForGracePeriod);
     CPPUNIT_TEST(unreadableEntryRemovesReplica);
@@ -133,6 +134,53 @@
         CPPUNIT_ASSERT(m_feed.healthySince().has_value());
     }
 
+    // A store that answers nothing for some seconds leaves each call open until its timeout. Hosts found out two and a
+    // half seconds after its return, when a new configuration had to be in force for half a second.
+    void changeAfterSilentOutageIsAppliedInTime()
+    {
+        static constexpr auto CallTimeout = 700ms;
+        static constexpr auto ApplyTime = 2000ms;
+        for (auto outage = 4000ms; outage < 7000ms; outage += 100ms) {
+            Core::VirtualScheduler scheduler;
+            StandIns::MemoryRows rows(scheduler);
+            bool isSilent = false;
+            Core::TimePoint appliedAt {};
+            RowsFeed feed(
+                scheduler,
+                {.name = "silent",
+                 .longPollTimeout = 1400ms,
+                 .pollInterval = 20ms,
+                 .maxRetryDelay = Fleet::retryDelayFor(ApplyTime)},
+                [&rows](auto done) {
+                    rows.readTable("t", std::move(done));
+                },
+                [&scheduler, &rows, &isSilent](auto after, auto wait, auto done) {
+                    if (!isSilent) {
+                        rows.follow("t", after, wait, std::move(done));
+                        return;
+                    }
+                    scheduler.runAfter(wait + CallTimeout, [done] {
+                        done({.outcome = Platform::FeedOutcome::Failed, .error = "Timeout was reached"});
+                    });
+                },
+                [&scheduler, &appliedAt](Platform::FeedResult &&changes, RowsFeed::Extent) {
+                    if (!changes.rows.empty()) {
+                        appliedAt = scheduler.now();
+                    }
+                });
+            feed.start();
+            scheduler.advance(1s);
+            isSilent = true;
+            scheduler.advance(outage);
+            isSilent = false;
+            rows.put("t", "k", std::to_string(outage.count()));
+            const auto changedAt = scheduler.now();
+            scheduler.advance(5s);
+            CPPUNIT_ASSERT(appliedAt >= changedAt);
+            CPPUNIT_ASSERT(appliedAt - changedAt < ApplyTime);
+        }
+    }
+
     static Fleet::ReplicaChanges listChanges(const std::vector<std::string> &present,
                                              const std::vector<std::string> &removed)
     {
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -282,9 +282,11 @@
             .longPollTimeout = longPollTimeout,
             .pollInterval = pollInterval,
             .initialPollInterval = initialPollInterval,
-            .isRelayed = [this] {
-                return m_reader.reader().has_value();
-            }};
+            .isRelayed =
+                [this] {
+                    return m_reader.reader().has_value();
+                },
+            .maxRetryDelay = Fleet::retryDelayFor(m_options.changeApplyTime)};
 }
 
 std::vector<Relay::ZoneHost> Gateway::zoneHosts() const
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -16,6 +16,7 @@
     Holding::HolderTableOptions holding;
     ServiceRetryBudgetOptions retryBudget;
     std::string peerKey; // Key shared by all hosts of the system.
+    Core::Duration changeApplyTime = std::chrono::milliseconds(2000); // Within which a change must be in force.
     // Interval between notices of use to holders, and between the holders' load notices.
     Core::Duration noticePeriod = std::chrono::milliseconds(150);
     Core::Duration tickPeriod = std::chrono::milliseconds(75); // Interval between ticks of the replica controllers.
--- a/Libraries/LibSettings/GatewaySettings.cpp
+++ b/Libraries/LibSettings/GatewaySettings.cpp
@@ -10,6 +10,9 @@
 constexpr long long MostConnections = 60000;
 constexpr long long DefaultGraceSeconds = 8;
 constexpr long long LongestGraceSeconds = 3600;
+constexpr long long DefaultApplyMilliseconds = 2000;
+constexpr long long LeastApplyMilliseconds = 100;
+constexpr long long LongestApplyMilliseconds = 600000;
 constexpr long long DefaultGapMilliseconds = 3000;
 constexpr long long LongestGapMilliseconds = 60000;
 constexpr long long DefaultWindowSeconds = 10;
@@ -67,6 +70,10 @@
     settings.stopGrace
         = std::chrono::seconds(limits.number("stopGraceSeconds", DefaultGraceSeconds, 1, LongestGraceSeconds));
     limits.finish();
+    auto changes = root.object("changes");
+    settings.changeApplyTime = std::chrono::milliseconds(changes.number(
+        "applyMilliseconds", DefaultApplyMilliseconds, LeastApplyMilliseconds, LongestApplyMilliseconds));
+    changes.finish();
     auto orders = root.object("orders");
     settings.orderGap = std::chrono::milliseconds(
         orders.number("gapMilliseconds", DefaultGapMilliseconds, 0, LongestGapMilliseconds));
--- a/Libraries/LibSettings/GatewaySettings.h
+++ b/Libraries/LibSettings/GatewaySettings.h
@@ -21,6 +21,7 @@
     std::size_t largestBodyBytes = 0;
     unsigned mostConnections = 0;
     Core::Duration stopGrace {}; // The platform kills the process so long after SIGTERM.
+    Core::Duration changeApplyTime {}; // Within which an operator's change must be in force on every host.
     Core::Duration orderGap {}; // Between the orders of two holders of a replica.
     double retryRatio = 0; // Repeats for each request, over all hosts together.
     double retryExtra = 0; // Repeats in a window whatever the number of requests, over all hosts together.
