LibGateway: Derive the waits of the feeds from the bounds of changes

Their calls were open for up to 2.1 s, and the other hosts of the zones read for themselves only after the next heartbeat; the configuration was in force 2.1 s after its acknowledgement, 2.0 s are allowed. The list of replicas, with 650 ms of pause before such a call, was at its bound of 2.0 s too. Change: each feed waits for a part of its bound (changes.applyMilliseconds, changes.drainMilliseconds), and a reader that has lost the platform says so at once. With the bounds of the large deployments the waits are as before. Test: FeedTimesTest plays the silence at each phase of the reader's calls; it fails with the former waits.

--- a/Libraries/LibFleet/Feed.h
+++ b/Libraries/LibFleet/Feed.h
@@ -24,6 +24,8 @@
     std::function<bool()> isRelayed = [] {
         return false;
     };
+    // Runs when a call fails after others have succeeded.
+    std::function<void()> onLost = [] {};
     Core::Duration relayedPollInterval = std::chrono::milliseconds(30);
     // The retry delay doubles with each failed call.
     Core::Duration initialRetryDelay = std::chrono::milliseconds(250);
@@ -138,7 +140,9 @@
             Log::write(Log::Event::FeedLost, {{"feed", m_options.name}, {"reason", error}});
         }
         m_hasFailed = true;
-        m_healthySince.reset();
+        if (std::exchange(m_healthySince, std::nullopt).has_value()) {
+            m_options.onLost();
+        }
     }
 
     Core::Scheduler &m_scheduler;
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -10,17 +10,6 @@
 
 namespace {
 
-// Operators' rows change rarely, replica entries change constantly, and hosts' rows change with each renewal.
-constexpr auto ConfigurationPollInterval = std::chrono::milliseconds(20);
-constexpr auto ReplicaPollInterval = std::chrono::milliseconds(650);
-constexpr auto HolderPollInterval = std::chrono::milliseconds(1000);
-// An idle connection is detected after this time plus the client's timeout, before a change would be overdue.
-constexpr auto ConfigurationLongPollTimeout = std::chrono::milliseconds(1400);
-constexpr auto ReplicaLongPollTimeout = std::chrono::milliseconds(700);
-// Hosts that start together write their rows within a third of a second. The reader's first message follows one
-// heartbeat period later.
-constexpr auto InitialHolderPollInterval = std::chrono::milliseconds(400);
-constexpr auto InitialPollInterval = std::chrono::milliseconds(900);
 constexpr auto RetryAfterStart = std::chrono::milliseconds(100);
 
 }
@@ -72,8 +61,7 @@
               m_writer.write(std::move(row), std::move(done));
           })
     , m_replicaFeed(
-          m_dependencies.scheduler,
-          feedOptions("replicas", ReplicaPollInterval, ReplicaLongPollTimeout, InitialPollInterval),
+          m_dependencies.scheduler, withReader(replicaFeedOptions(m_options.changes)),
           [this](auto done) {
               m_deployment->readReplicas(std::move(done));
           },
@@ -84,8 +72,7 @@
               applyReplicaChanges(changes, extent == decltype(m_replicaFeed)::Extent::Full);
           })
     , m_configurationFeed(
-          m_dependencies.scheduler,
-          feedOptions("configuration", ConfigurationPollInterval, ConfigurationLongPollTimeout, InitialPollInterval),
+          m_dependencies.scheduler, withReader(configurationFeedOptions(m_options.changes)),
           [this](auto done) {
               m_deployment->readConfiguration(std::move(done));
           },
@@ -96,8 +83,7 @@
               applyConfigurationChanges(std::move(changes));
           })
     , m_holderFeed(
-          m_dependencies.scheduler,
-          feedOptions("holders", HolderPollInterval, ReplicaLongPollTimeout, InitialHolderPollInterval),
+          m_dependencies.scheduler, withReader(holderFeedOptions(m_options.changes)),
           [this](auto done) {
               m_rows.readTable(Holding::HolderTable::Table, std::move(done));
           },
@@ -275,18 +261,15 @@
     return claimable;
 }
 
-Fleet::FeedOptions Gateway::feedOptions(std::string name, Core::Duration pollInterval, Core::Duration longPollTimeout,
-                                        Core::Duration initialPollInterval) const
+Fleet::FeedOptions Gateway::withReader(Fleet::FeedOptions options)
 {
-    return {.name = std::move(name),
-            .longPollTimeout = longPollTimeout,
-            .pollInterval = pollInterval,
-            .initialPollInterval = initialPollInterval,
-            .isRelayed =
-                [this] {
-                    return m_reader.reader().has_value();
-                },
-            .maxRetryDelay = Fleet::retryDelayFor(m_options.changeApplyTime)};
+    options.isRelayed = [this] {
+        return m_reader.reader().has_value();
+    };
+    options.onLost = [this] {
+        m_reader.announceHealth();
+    };
+    return options;
 }
 
 std::vector<Relay::ZoneHost> Gateway::zoneHosts() const
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -2,6 +2,7 @@
 
 #include <LibFleet/Feed.h>
 #include <LibFleet/OrderLink.h>
+#include <LibGateway/FeedTimes.h>
 #include <LibGateway/ForwardedRequest.h>
 #include <LibHolding/HolderTable.h>
 #include <LibHolding/ReplicaController.h>
@@ -16,7 +17,7 @@
     Holding::HolderTableOptions holding;
     ServiceRetryBudgetOptions retryBudget;
     std::string peerKey; // Key shared by all hosts of the system.
-    Core::Duration changeApplyTime = std::chrono::milliseconds(2000); // Within which a change must be in force.
+    ChangeBounds changes;
     // Interval between notices of use to holders, and between the holders' load notices.
     Core::Duration noticePeriod = std::chrono::milliseconds(150);
     Core::Duration tickPeriod = std::chrono::milliseconds(75); // Interval between ticks of the replica controllers.
@@ -76,9 +77,8 @@
                               const std::function<void(const Holding::AdapterReply &)> &reply);
     void handleUseNotice(const Core::HostId &from, const Holding::UseNotice &notice);
     [[nodiscard]] std::vector<Holding::ClaimableReplica> claimableReplicas() const;
-    [[nodiscard]] Fleet::FeedOptions feedOptions(std::string name, Core::Duration pollInterval,
-                                                 Core::Duration longPollTimeout,
-                                                 Core::Duration initialPollInterval) const;
+    // Adds what the feed needs to know of the reader of the zone.
+    [[nodiscard]] Fleet::FeedOptions withReader(Fleet::FeedOptions options);
     // Loads of the replicas that this host holds.
     [[nodiscard]] std::vector<Holding::ReplicaLoad> heldLoads() const;
     // The hosts of the other zones that may read the store for their zone.
--- a/Libraries/LibRelay/ZoneReader.cpp
+++ b/Libraries/LibRelay/ZoneReader.cpp
@@ -31,7 +31,7 @@
 
 void ZoneReader::start()
 {
-    sendHeartbeat();
+    sendHeartbeats();
 }
 
 std::vector<Core::HostId> ZoneReader::rank(std::vector<ZoneHost> hosts)
@@ -93,15 +93,20 @@
     return hosts;
 }
 
-void ZoneReader::sendHeartbeat()
+void ZoneReader::announceHealth()
 {
     if (isReading()) {
         for (const auto &host : followers()) {
             m_router.send(host, ReaderHeartbeat {.isHealthy = m_isHealthy()});
         }
     }
+}
+
+void ZoneReader::sendHeartbeats()
+{
+    announceHealth();
     m_scheduler.runAfter(m_options.heartbeatPeriod, [this] {
-        sendHeartbeat();
+        sendHeartbeats();
     });
 }
 
--- a/Libraries/LibRelay/ZoneReader.h
+++ b/Libraries/LibRelay/ZoneReader.h
@@ -37,6 +37,8 @@
                HealthFunction isHealthy);
 
     void start();
+    // Sends a heartbeat at once. To be called when this host has lost the store, so that the others needn't wait.
+    void announceHealth();
     // The other host that currently reads for this one; no value if this host reads for itself.
     [[nodiscard]] std::optional<Core::HostId> reader() const;
     // True if this host currently reads for its zone.
@@ -47,7 +49,7 @@
     [[nodiscard]] std::vector<Core::HostId> followers() const;
 
 private:
-    void sendHeartbeat();
+    void sendHeartbeats();
     [[nodiscard]] static std::vector<Core::HostId> rank(std::vector<ZoneHost> hosts);
     [[nodiscard]] std::vector<Core::HostId> ranking() const;
     [[nodiscard]] bool hasRecentHeartbeat(const Core::HostId &host) const;
--- a/Services/currantbayd/GatewayDaemon.cpp
+++ b/Services/currantbayd/GatewayDaemon.cpp
@@ -60,7 +60,7 @@
     return {.holding = holding,
             .retryBudget = retryOptions(settings),
             .peerKey = settings.peerKey,
-            .changeApplyTime = settings.changeApplyTime};
+            .changes = {.apply = settings.changeApplyTime, .drain = settings.drainTime}};
 }
 
 }
