LibPlacement: Let crowded copies cost more and spread requests over equal ones

Change: the cost of a replica rises from half of its slots on, and copies in memory differ by request within a span. Tests: copiesWithStaleLoadsShareRequests and nearlyFullCopyGetsNoMoreRequests.

--- a/Libraries/LibPlacement/ReplicaChooser.cpp
+++ b/Libraries/LibPlacement/ReplicaChooser.cpp
@@ -12,6 +12,7 @@
 constexpr std::size_t MinReplicasToSample = 12;
 // Excludes replicas that fail about a third of their requests from the sample.
 constexpr auto MaxPenaltyToSample = std::chrono::milliseconds(500);
+constexpr int SpreadSteps = 64;
 
 }
 
@@ -39,6 +40,7 @@
     if (candidate.slots > 0 && candidate.active >= candidate.slots) {
         cost += m_options.costPerQueued * static_cast<int>(candidate.active - candidate.slots + 1);
     }
+    cost += crowdingCost(placement, candidate);
     if (candidate.residency != Residency::Resident) {
         cost += m_options.loadCost + candidate.loadDelay + copyCost
             + m_options.additionalHomeCost * static_cast<int>(rank);
@@ -52,6 +54,23 @@
     return cost;
 }
 
+Core::Duration ReplicaChooser::crowdingCost(const PlacementRequest &placement, const Candidate &candidate) const
+{
+    if (candidate.slots == 0) {
+        return {};
+    }
+    const auto usedShare = static_cast<double>(candidate.active) / candidate.slots;
+    const std::chrono::duration<double, std::milli> fullCost = m_options.fullCost;
+    auto cost = fullCost * std::max(0.0, 2 * usedShare - 1);
+    if (candidate.residency == Residency::Resident) {
+        // An adapter that isn't in memory has a stable home, whatever the request.
+        const auto step = Core::stableHash(placement.request, Core::stableHash(candidate.replica.value)) % SpreadSteps;
+        cost += std::chrono::duration<double, std::milli>(m_options.spread) * usedShare * static_cast<double>(step)
+            / SpreadSteps;
+    }
+    return std::chrono::duration_cast<Core::Duration>(cost);
+}
+
 std::vector<bool> ReplicaChooser::sampledReplicas(std::string_view request, std::span<const Candidate> candidates) const
 {
     std::vector<std::size_t> ready;
--- a/Libraries/LibPlacement/ReplicaChooser.h
+++ b/Libraries/LibPlacement/ReplicaChooser.h
@@ -59,6 +59,12 @@
     double additionalCopyDemand = 4;
     Core::Duration costPerRank = std::chrono::microseconds(50); // Breaks ties between replicas of equal cost.
     Core::Duration costPerActive = std::chrono::milliseconds(1); // Delay of a response by each running request.
+    // Cost of a replica all of whose slots are in use; from half of the slots on, each running request adds an equal
+    // part. A replica that fills up before its load is known everywhere interrupts its less urgent requests.
+    Core::Duration fullCost = std::chrono::milliseconds(160);
+    // Hosts that know the same loads, which are some hundred milliseconds old, choose differently within this span, of
+    // which a replica gets the share of its slots that is in use.
+    Core::Duration spread = std::chrono::milliseconds(48);
     Core::Duration costPerQueued = std::chrono::milliseconds(200); // Delay by each request in excess of the slots.
     Core::Duration unloadableCost = std::chrono::seconds(10); // Ranks unloadable replicas behind all others.
     Core::Duration blockedCost = std::chrono::seconds(30); // Ranks blocked replicas last.
@@ -82,6 +88,8 @@
     [[nodiscard]] Core::Duration additionalCopyCost(double demand) const;
     [[nodiscard]] Core::Duration cost(const PlacementRequest &placement, const Candidate &candidate, std::size_t rank,
                                       Core::Duration copyCost) const;
+    // Cost of adding a request to those that run on the replica, with a part that differs by request.
+    [[nodiscard]] Core::Duration crowdingCost(const PlacementRequest &placement, const Candidate &candidate) const;
     // Which candidates are compared. The load caused by other hosts is known with a delay of a few hundred
     // milliseconds, during which all hosts would choose the same replica. If many replicas can start the request
     // immediately, only two of them are therefore compared, at least one of which is in the own zone if that has any.
--- a/Libraries/LibPlacement/Tests/PlacementTest.cpp
+++ b/Libraries/LibPlacement/Tests/PlacementTest.cpp
@@ -22,6 +22,9 @@
     CPPUNIT_TEST(streamsPreferReplicasInOwnZone);
     CPPUNIT_TEST(shortRequestsUseLessLoadedZone);
     CPPUNIT_TEST(replicaWithoutFreeSlotIsSkipped);
+    CPPUNIT_TEST(copiesWithStaleLoadsShareRequests);
+    CPPUNIT_TEST(nearlyFullCopyGetsNoMoreRequests);
+    CPPUNIT_TEST(rareAdapterKeepsItsHomeWhateverTheRequest);
     CPPUNIT_TEST(failingReplicaIsAvoided);
     CPPUNIT_TEST(replicaThatCannotLoadIsSkipped);
     CPPUNIT_TEST(twoUnreachableReplicasBlockTheirZone);
@@ -219,6 +222,55 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), *m_chooser.choose({.key = "m/a1", .request = "request"}, candidates));
     }
 
+    // Demand moves to an adapter with few copies. All hosts know the same loads for half a second, and filled up one
+    // copy after the other.
+    void copiesWithStaleLoadsShareRequests()
+    {
+        auto candidates = fleet(9);
+        for (std::size_t i = 0; i < 3; ++i) {
+            candidates[i].residency = Placement::Residency::Resident;
+            candidates[i].slots = 16;
+            candidates[i].active = 7 + static_cast<unsigned>(i);
+        }
+        std::map<std::size_t, int> chosen;
+        for (int request = 0; request < 300; ++request) {
+            ++chosen[*m_chooser.choose({.key = "m/a1", .request = "r" + std::to_string(request)}, candidates)];
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), chosen.size());
+        CPPUNIT_ASSERT(chosen[0] > chosen[2]);
+        CPPUNIT_ASSERT(chosen[2] > 30);
+    }
+
+    void nearlyFullCopyGetsNoMoreRequests()
+    {
+        auto candidates = fleet(9);
+        for (std::size_t i = 0; i < 2; ++i) {
+            candidates[i].residency = Placement::Residency::Resident;
+            candidates[i].slots = 16;
+        }
+        candidates[0].active = 15;
+        candidates[1].active = 8;
+        for (int request = 0; request < 300; ++request) {
+            CPPUNIT_ASSERT_EQUAL(
+                std::size_t(1),
+                *m_chooser.choose({.key = "m/a1", .request = "r" + std::to_string(request)}, candidates));
+        }
+    }
+
+    void rareAdapterKeepsItsHomeWhateverTheRequest()
+    {
+        auto candidates = fleet(9);
+        for (std::size_t i = 0; i < candidates.size(); ++i) {
+            candidates[i].slots = 16;
+            candidates[i].active = static_cast<unsigned>(i);
+        }
+        const auto home = *m_chooser.choose({.key = "m/a1", .request = "r"}, candidates);
+        for (int request = 0; request < 300; ++request) {
+            CPPUNIT_ASSERT_EQUAL(
+                home, *m_chooser.choose({.key = "m/a1", .request = "r" + std::to_string(request)}, candidates));
+        }
+    }
+
     void failingReplicaIsAvoided()
     {
         Placement::ReplicaHealth health;
