LibPlacement: Give the test of stale loads loads that are nearly equal

It asked for requests at a copy whose load costs 20 ms more, which the change doesn't promise. Change: loads of 6, 7 and 8 of 16 slots; each copy gets requests, none two thirds of them. It fails with the former costs (one copy gets all).

--- a/Libraries/LibPlacement/Tests/PlacementTest.cpp
+++ b/Libraries/LibPlacement/Tests/PlacementTest.cpp
@@ -230,7 +230,7 @@
         for (std::size_t i = 0; i < 3; ++i) {
             candidates[i].residency = Placement::Residency::Resident;
             candidates[i].slots = 16;
-            candidates[i].active = 7 + static_cast<unsigned>(i);
+            candidates[i].active = 6 + static_cast<unsigned>(i);
         }
         std::map<std::size_t, int> chosen;
         for (int request = 0; request < 300; ++request) {
@@ -238,7 +238,7 @@
         }
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), chosen.size());
         CPPUNIT_ASSERT(chosen[0] > chosen[2]);
-        CPPUNIT_ASSERT(chosen[2] > 30);
+        CPPUNIT_ASSERT(chosen[0] < 200);
     }
 
     void nearlyFullCopyGetsNoMoreRequests()
