LibGateway, LibNet: Move a silent stream only when another replica can continue it

Another replica is prepared first, and the stream moves only if it is still silent then; otherwise it stays. Heads, bodies and events without end are broken off at 64 KiB, 16 MiB and 1 MiB. ForwardedRequest takes Net::HttpTransport, so that tests answer its requests without a network.

--- a/Libraries/LibGateway/CallerRequest.h
+++ b/Libraries/LibGateway/CallerRequest.h
@@ -2,7 +2,7 @@
 
 #include <LibCore/Identifier.h>
 #include <LibCore/Time.h>
-#include <LibNet/HttpClient.h>
+#include <LibNet/HttpRequest.h>
 #include <LibNet/HttpServer.h>
 #include <optional>
 #include <string>
--- a/Libraries/LibGateway/EventSplitter.cpp
+++ b/Libraries/LibGateway/EventSplitter.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/EventSplitter.h>
 
+#include <algorithm>
 #include <charconv>
 
 namespace Gateway {
@@ -29,11 +30,15 @@
     return std::nullopt;
 }
 
-// The end of the first complete event, after its empty line, or npos.
-std::size_t endOfEvent(std::string_view bytes)
+// The longest sequence of line ends that separates two events.
+constexpr std::size_t MaxSeparatorBytes = 4;
+
+// The end of the first complete event, after its empty line, or npos. Searches from an offset, before which there is
+// none.
+std::size_t endOfEvent(std::string_view bytes, std::size_t from)
 {
-    const auto lineFeeds = bytes.find("\n\n");
-    const auto carriageReturns = bytes.find("\r\n\r\n");
+    const auto lineFeeds = bytes.find("\n\n", from);
+    const auto carriageReturns = bytes.find("\r\n\r\n", from);
     if (lineFeeds == std::string_view::npos && carriageReturns == std::string_view::npos) {
         return std::string_view::npos;
     }
@@ -47,7 +52,8 @@
     m_partial += bytes;
     std::string_view rest = m_partial;
     auto sequence = Sequence::Consecutive;
-    for (auto end = endOfEvent(rest); end != std::string_view::npos; end = endOfEvent(rest)) {
+    auto from = m_searched - std::min(m_searched, MaxSeparatorBytes);
+    for (auto end = endOfEvent(rest, from); end != std::string_view::npos; end = endOfEvent(rest, 0)) {
         const auto event = rest.substr(0, end);
         rest.remove_prefix(end);
         const auto id = idOf(event);
@@ -64,12 +70,14 @@
         output += event;
     }
     m_partial.erase(0, m_partial.size() - rest.size());
-    return sequence;
+    m_searched = m_partial.size();
+    return m_partial.size() > MaxEventBytes ? Sequence::TooLong : sequence;
 }
 
 void EventSplitter::dropPartial()
 {
     m_partial.clear();
+    m_searched = 0;
 }
 
 const std::string &EventSplitter::partial() const
--- a/Libraries/LibGateway/EventSplitter.h
+++ b/Libraries/LibGateway/EventSplitter.h
@@ -16,8 +16,13 @@
         Consecutive,
         // An event is missing.
         Gap,
+        // An event is longer than events may be.
+        TooLong,
     };
 
+    // Longest event. Events of replicas have some hundred bytes.
+    static constexpr std::size_t MaxEventBytes = 1U << 20U;
+
     // Adds bytes of the body and appends the events that they complete to the output. Skips events up to the last ID,
     // which have been forwarded before.
     Sequence split(std::string_view bytes, std::string &output);
@@ -31,6 +36,7 @@
 
 private:
     std::string m_partial;
+    std::size_t m_searched = 0; // Bytes of m_partial that contain no end of an event.
     std::optional<std::uint64_t> m_lastId;
 };
 
--- a/Libraries/LibGateway/ForwardedRequest.cpp
+++ b/Libraries/LibGateway/ForwardedRequest.cpp
@@ -13,18 +13,8 @@
 
 // A running replica accepts a connection within milliseconds, even from another zone.
 constexpr auto ConnectTimeout = std::chrono::milliseconds(250);
-// An idempotent request is retried elsewhere if the replica sends nothing for this many times the latency objective.
-constexpr int IdleTimeoutObjectives = 2;
-// A resumable stream continues elsewhere if the replica sends nothing for this long after its first bytes.
-constexpr auto StreamIdleTimeout = std::chrono::milliseconds(700);
-// Lower limit of the idle timeout before the first bytes, for routes with a short latency objective.
-constexpr auto MinIdleTimeout = std::chrono::milliseconds(250);
 // Retry-After of a refused request: by then a load has probably ended or a replica is listed again.
 constexpr auto RetryAfterNoReplica = std::chrono::milliseconds(500);
-// Lower limit of the Retry-After of a request whose adapter is being loaded.
-constexpr auto MinRetryAfterLoad = std::chrono::milliseconds(100);
-// Pause before a replica is selected again for a response that has begun.
-constexpr auto ContinuationPause = std::chrono::milliseconds(100);
 
 }
 
@@ -120,17 +110,22 @@
     requestLoad();
 }
 
+Holding::AdapterRequest ForwardedRequest::adapterRequest(const Core::TargetId &replica) const
+{
+    return {.replica = replica,
+            .model = m_request.model,
+            .adapter = m_request.adapter,
+            .version = m_dependencies.releases.newestVersion(FleetView::adapterName(m_request)),
+            .isReportedMissing = m_isReportedMissing,
+            .priority = m_route.route->priority,
+            .isLastTry = m_loadRequests >= MaxLoadRequests};
+}
+
 void ForwardedRequest::requestLoad()
 {
     m_stage = Stage::Loading;
     ++m_loadCalls;
-    m_dependencies.loadAdapter({.replica = m_replica.id,
-                                .model = m_request.model,
-                                .adapter = m_request.adapter,
-                                .version = m_dependencies.releases.newestVersion(FleetView::adapterName(m_request)),
-                                .isReportedMissing = m_isReportedMissing,
-                                .priority = m_route.route->priority,
-                                .isLastTry = m_loadRequests >= MaxLoadRequests},
+    m_dependencies.loadAdapter(adapterRequest(m_replica.id),
                                [self = shared_from_this(), call = m_loadCalls](const Holding::AdapterReply &reply) {
                                    if (self->m_stage == Stage::Loading && self->m_loadCalls == call) {
                                        self->handleAdapterReply(reply);
@@ -167,45 +162,6 @@
     send();
 }
 
-void ForwardedRequest::awaitLoad(Core::Duration expectedDelay)
-{
-    if (!m_dependencies.fleet.isAvailable(m_replica)) {
-        m_excluded.insert(m_replica.id);
-        selectReplica();
-        return;
-    }
-    if (mayAwaitLoad(loadWait())) {
-        requestLoad();
-        return;
-    }
-    refuse("the adapter is still being loaded", std::max<Core::Duration>(expectedDelay, MinRetryAfterLoad));
-}
-
-LoadWait ForwardedRequest::loadWait() const
-{
-    return {.objective = m_route.route->objective,
-            .waited = m_dependencies.scheduler.now() - m_startedAt,
-            .remaining = remaining(),
-            .requests = m_loadRequests,
-            .isContinued = isContinued()};
-}
-
-bool ForwardedRequest::isContinued() const
-{
-    return m_isStreaming && mayRunAgain();
-}
-
-void ForwardedRequest::selectReplicaLater()
-{
-    m_stage = Stage::Selecting;
-    m_excluded.clear();
-    m_dependencies.scheduler.runAfter(ContinuationPause, [self = shared_from_this()] {
-        if (self->m_stage == Stage::Selecting) {
-            self->selectReplica();
-        }
-    });
-}
-
 void ForwardedRequest::send()
 {
     const auto now = m_dependencies.scheduler.now();
@@ -217,10 +173,14 @@
         }
         return;
     }
+    startAttempt();
+}
+
+void ForwardedRequest::startAttempt()
+{
     m_stage = Stage::Sending;
     ++m_sends;
-    m_sentAt = now;
-    m_lastBytesAt = now;
+    m_lastProgressAt = m_dependencies.scheduler.now();
     m_hasHead = false;
     m_hasResponseBody = false;
     m_body.clear();
@@ -251,37 +211,6 @@
     startIdleTimer();
 }
 
-void ForwardedRequest::startIdleTimer()
-{
-    if (m_possibleRuns + 1 >= std::max(m_route.route->maxAttempts, 1U) || !mayRunAgain()) {
-        return;
-    }
-    const auto &route = *m_route.route;
-    const bool isBetweenEvents = m_isStreaming && m_lastBytesAt > m_sentAt;
-    const auto limit = isBetweenEvents
-        ? Core::Duration(StreamIdleTimeout)
-        : std::max<Core::Duration>(route.objective * IdleTimeoutObjectives, MinIdleTimeout);
-    const auto due = m_lastBytesAt + limit;
-    m_idleTimer
-        = m_dependencies.scheduler.runAfter(due - m_dependencies.scheduler.now(), [self = shared_from_this(), limit] {
-              self->m_idleTimer = Core::TimerId::None;
-              if (self->m_stage != Stage::Sending) {
-                  return;
-              }
-              if (self->m_dependencies.scheduler.now() - self->m_lastBytesAt < limit) {
-                  self->startIdleTimer();
-                  return;
-              }
-              self->m_dependencies.client.cancel(self->m_transfer);
-              self->m_transfer = Net::HttpRequestId::None;
-              ++self->m_possibleRuns;
-              self->recordOutcome(Placement::AttemptOutcome::Unreachable);
-              self->endAttempt();
-              self->m_excluded.insert(self->m_replica.id);
-              self->retryOrFail("the replica sent nothing before the idle timeout");
-          });
-}
-
 void ForwardedRequest::retryOrFail(std::string_view reason)
 {
     const bool hasTime = remaining() >= MinRemainingTime;
--- a/Libraries/LibGateway/ForwardedRequest.h
+++ b/Libraries/LibGateway/ForwardedRequest.h
@@ -8,6 +8,7 @@
 #include <LibGateway/ServiceRetryBudget.h>
 #include <LibMetrics/Registry.h>
 #include <LibNet/HttpServer.h>
+#include <LibNet/HttpTransport.h>
 #include <LibRoutes/RouteTable.h>
 #include <memory>
 
@@ -20,7 +21,7 @@
 // The parts of the host that a forwarded request uses.
 struct ForwardingDependencies {
     Core::Scheduler &scheduler;
-    Net::HttpClient &client;
+    Net::HttpTransport &client;
     const Protocol &protocol;
     FleetView &fleet;
     const Fleet::ReleaseTable &releases;
@@ -55,16 +56,32 @@
     [[nodiscard]] LoadWait loadWait() const;
     // The request has run in part, and refusing it now would break its response off.
     [[nodiscard]] bool isContinued() const;
+    [[nodiscard]] Holding::AdapterRequest adapterRequest(const Core::TargetId &replica) const;
+    // Starts an attempt if the retry budget allows it.
     void send();
+    void startAttempt();
     void handleHead(long status, const Net::HttpFields &fields);
     void handleBody(std::string_view bytes);
+    void forwardEvents(std::string_view bytes);
+    // Ends the attempt because the replica sends something that is no response.
+    void breakOff(std::string_view reason);
     void handleEnd(const Net::HttpResult &result);
     void handleRejection(const Net::HttpResult &result);
     void handleInterruption(const Net::HttpResult &result);
     void handleResponse(const Net::HttpResult &result);
     void forwardResponse(std::string body);
     void abandonAttempt();
+    // Watches for a replica that falls silent, if the request may be continued elsewhere.
     void startIdleTimer();
+    void handleIdleTimer();
+    [[nodiscard]] Core::Duration idleTimeout() const;
+    // Whether the replica has sent nothing complete for the idle timeout.
+    [[nodiscard]] bool isIdle() const;
+    void abandonSilentAttempt();
+    // Prepares another replica for a stream whose replica is silent. The stream stays where it is until the other
+    // replica can continue it, and for good if an event arrives before that.
+    void prepareMove();
+    void moveStream(const Fleet::Replica &replica, std::uint64_t version);
     void recordOutcome(Placement::AttemptOutcome outcome);
     void endAttempt();
     void retryOrFail(std::string_view reason);
@@ -98,8 +115,9 @@
     Fleet::Replica m_replica;
     std::uint64_t m_version = 0; // Version of the adapter at the replica; zero without an adapter.
     Net::HttpRequestId m_transfer = Net::HttpRequestId::None;
-    Core::TimePoint m_sentAt {};
-    Core::TimePoint m_lastBytesAt {};
+    // When the attempt started, or its head, the last bytes of its body, or the last complete event of a stream
+    // arrived.
+    Core::TimePoint m_lastProgressAt {};
     Core::TimerId m_idleTimer = Core::TimerId::None;
     ResponseHead m_head;
     bool m_hasHead = false;
--- a/Libraries/LibGateway/ForwardedRequestResponses.cpp
+++ b/Libraries/LibGateway/ForwardedRequestResponses.cpp
@@ -7,6 +7,13 @@
 
 namespace Gateway {
 
+namespace {
+
+// Far above the responses of replicas. A faulty replica may send bytes without end.
+constexpr std::size_t MaxBodyBytes = 16U << 20U;
+
+}
+
 bool ForwardedRequest::isUsableHead() const
 {
     const bool isForAttempt = m_request.attemptId.empty() || m_head.attemptId == m_request.attemptId;
@@ -17,12 +24,11 @@
 {
     m_head = m_dependencies.protocol.readHead(status, fields);
     m_hasHead = true;
-    m_lastBytesAt = m_dependencies.scheduler.now();
+    m_lastProgressAt = m_dependencies.scheduler.now();
 }
 
 void ForwardedRequest::handleBody(std::string_view bytes)
 {
-    m_lastBytesAt = m_dependencies.scheduler.now();
     if (m_stage != Stage::Sending) {
         return;
     }
@@ -31,28 +37,50 @@
         m_dependencies.fleet.recordResponseStarted(m_replica.id, m_request);
     }
     const bool isStream = m_head.isEventStream && m_head.status == Core::HttpStatus::Ok && isUsableHead();
-    if (!isStream) {
-        m_body += bytes;
+    if (isStream) {
+        forwardEvents(bytes);
         return;
     }
+    m_lastProgressAt = m_dependencies.scheduler.now();
+    m_body += bytes;
+    if (m_body.size() > MaxBodyBytes) {
+        breakOff("the body of the response is too large");
+    }
+}
+
+void ForwardedRequest::forwardEvents(std::string_view bytes)
+{
     std::string events;
     const auto sequence = m_events.split(bytes, events);
     if (!events.empty()) {
+        m_lastProgressAt = m_dependencies.scheduler.now();
         if (!m_isStreaming) {
             m_isStreaming = true;
-            m_firstEventAt = m_lastBytesAt;
+            m_firstEventAt = m_lastProgressAt;
+            m_dependencies.scheduler.cancel(m_idleTimer);
+            startIdleTimer(); // Its timeout depends on whether the stream has begun.
             m_exchange->beginStream(
                 {.status = static_cast<unsigned>(m_head.status), .contentType = {}, .headers = m_head.fields});
         }
         m_exchange->send(events);
     }
+    if (m_stage != Stage::Sending) {
+        return;
+    }
     if (sequence == EventSplitter::Sequence::Gap) {
-        m_dependencies.client.cancel(m_transfer);
-        m_transfer = Net::HttpRequestId::None;
-        handleInterruption({.error = "the event stream skipped an event"});
+        breakOff("the event stream skipped an event");
+    } else if (sequence == EventSplitter::Sequence::TooLong) {
+        breakOff("an event of the stream has no end");
     }
 }
 
+void ForwardedRequest::breakOff(std::string_view reason)
+{
+    m_dependencies.client.cancel(m_transfer);
+    m_transfer = Net::HttpRequestId::None;
+    handleInterruption({.error = std::string(reason)});
+}
+
 void ForwardedRequest::handleEnd(const Net::HttpResult &result)
 {
     if (m_stage != Stage::Sending) {
--- a/Libraries/LibGateway/Framing.h
+++ b/Libraries/LibGateway/Framing.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <LibNet/HttpClient.h>
+#include <LibNet/HttpRequest.h>
 #include <optional>
 #include <string_view>
 
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -27,7 +27,7 @@
 
 struct GatewayDependencies {
     Core::Scheduler &scheduler;
-    Net::HttpClient &client;
+    Net::HttpTransport &client;
     Platform::TableService &table;
     Platform::RowFeed &rows;
     Fleet::OrderLink &orders;
--- a/Libraries/LibGateway/Tests/LoadPatienceTest.cpp
+++ b/Libraries/LibGateway/Tests/LoadPatienceTest.cpp
@@ -17,7 +17,8 @@
     void slowLoadIsAwaited()
     {
         CPPUNIT_ASSERT(Gateway::mayAwaitLoad({.objective = 800ms, .waited = 1000ms, .remaining = 11s, .requests = 1}));
-        CPPUNIT_ASSERT(!Gateway::mayRequestLoad({.objective = 800ms, .waited = 1300ms, .remaining = 11s, .requests = 1}));
+        CPPUNIT_ASSERT(
+            !Gateway::mayRequestLoad({.objective = 800ms, .waited = 1300ms, .remaining = 11s, .requests = 1}));
     }
 
     void requestIsRefusedBeforeItsCallerLeaves()
--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -43,6 +43,8 @@
     DataFunction data;
     HeadFunction head;
     std::size_t sentBodyBytes = 0;
+    std::size_t headBytes = 0; // Received, of interim and final heads together.
+    std::string_view violation; // Why the client has ended the transfer; empty if it hasn't.
     HttpFields fields;
     std::string body;
     Core::TimePoint lastActivity {};
@@ -112,6 +114,11 @@
         auto *transfer = static_cast<Transfer *>(context);
         const auto length = size * count;
         std::string_view line(bytes, length);
+        transfer->headBytes += length;
+        if (transfer->headBytes > transfer->request.maxHeadBytes) {
+            transfer->violation = "the head of the response is too large";
+            return 0;
+        }
         transfer->lastActivity = transfer->client->m_loop.now();
         while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) {
             line.remove_suffix(1);
@@ -144,6 +151,9 @@
             long status = 0;
             curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
             transfer->data(status, piece);
+        } else if (transfer->body.size() + piece.size() > transfer->request.maxBodyBytes) {
+            transfer->violation = "the body of the response is too large";
+            return 0;
         } else {
             transfer->body += piece;
         }
@@ -330,7 +340,8 @@
     curl_easy_getinfo(transfer.easy, CURLINFO_REQUEST_SIZE, &sentBytes);
     if (curlCode != CURLE_OK) {
         result.status = 0;
-        result.error = curl_easy_strerror(static_cast<CURLcode>(curlCode));
+        result.error = transfer.violation.empty() ? curl_easy_strerror(static_cast<CURLcode>(curlCode))
+                                                  : std::string(transfer.violation);
         result.isTimedOut = curlCode == CURLE_OPERATION_TIMEDOUT;
         result.mayHaveBeenSent = sentBytes > 0;
     }
--- /dev/null
+++ b/Libraries/LibNet/HttpRequest.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <LibCore/Time.h>
+#include <LibNet/HttpFields.h>
+#include <string>
+#include <vector>
+
+namespace Net {
+
+// Which connection carries a request. By default, curl retries a request on a new connection when a reused connection
+// is closed before the response. The client prevents this for requests that may have side effects: a request body can't
+// be rewound, and a request without a body, other than GET and HEAD, is sent on a new connection.
+enum class ConnectionUse {
+    // An idle connection may be reused.
+    Reuse,
+    // A new connection is opened for this request alone, so that a pooled connection that has failed undetected
+    // can't delay it.
+    Fresh,
+};
+
+// Which headers a request carries in addition to those in HttpRequest::headers.
+enum class HeaderDefaults {
+    // The headers that curl adds by default, such as Accept.
+    Added,
+    // Only Host and the headers that frame the body.
+    Omitted,
+};
+
+// Twice what common servers allow.
+inline constexpr std::size_t DefaultMaxHeadBytes = 64U << 10U;
+// The largest responses are pages of the store, of at most a megabyte.
+inline constexpr std::size_t DefaultMaxBodyBytes = 16U << 20U;
+
+// One outgoing HTTP request.
+struct HttpRequest {
+    std::string method = "GET";
+    std::string url;
+    std::string target; // The path and query exactly as sent; if empty, they are taken from the URL.
+    HeaderDefaults headerDefaults = HeaderDefaults::Added;
+    std::vector<std::string> headers; // Each in the form "Name: value".
+    std::string body;
+    Core::Duration connectTimeout = std::chrono::milliseconds(500);
+    Core::Duration totalTimeout = {}; // Zero means no limit.
+    Core::Duration idleTimeout = {}; // Maximum time without received data; zero means no limit.
+    ConnectionUse connectionUse = ConnectionUse::Reuse;
+    // A server in trouble may send a head or body without end. The request fails when the response exceeds these sizes.
+    // The second one applies only if the client stores the body.
+    std::size_t maxHeadBytes = DefaultMaxHeadBytes;
+    std::size_t maxBodyBytes = DefaultMaxBodyBytes;
+};
+
+// The outcome of an outgoing request.
+struct HttpResult {
+    long status = 0; // Zero when no complete response arrived.
+    std::string contentType; // Empty when the response has no Content-Type.
+    HttpFields fields; // All header fields of the response.
+    std::string body; // Empty when a data function received the body.
+    std::string error; // Empty when the response is complete.
+    bool isTimedOut = false; // The connect, total or idle timeout expired.
+    bool mayHaveBeenSent = true; // False only when certainly no byte of the request was sent.
+
+    [[nodiscard]] bool isComplete() const
+    {
+        return error.empty();
+    }
+    // Describes an unusable result for an error message: the status of a complete response, or the transfer error.
+    [[nodiscard]] std::string describeFailure() const
+    {
+        return isComplete() ? "response status " + std::to_string(status) : error;
+    }
+};
+
+}
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -44,20 +44,21 @@
 public:
     using ClosedFunction = std::function<void()>;
 
+    virtual ~Exchange() = default;
     [[nodiscard]] const ServerRequest &request() const;
     // Sends a response with a complete body.
-    void respond(ResponseHead head, std::string body);
+    virtual void respond(ResponseHead head, std::string body);
     // Starts a response whose body is sent in pieces by send().
-    void beginStream(ResponseHead head);
+    virtual void beginStream(ResponseHead head);
     // Sends a piece of the body. If the caller reads so slowly that more than maxUnsentBytes would be buffered, its
     // connection is closed and the closed function runs.
-    void send(std::string_view piece);
+    virtual void send(std::string_view piece);
     // Ends the body normally.
-    void endStream();
+    virtual void endStream();
     // Closes the connection in the middle of the body, so that the caller detects an incomplete response.
-    void abortStream();
+    virtual void abortStream();
     // Sets a function that runs if the caller's connection closes before the response has ended.
-    void onClosed(ClosedFunction closed);
+    virtual void onClosed(ClosedFunction closed);
 
 private:
     friend class HttpServer;
--- a/Libraries/LibNet/Tests/HttpClientTest.cpp
+++ b/Libraries/LibNet/Tests/HttpClientTest.cpp
@@ -2,6 +2,7 @@
 #include <arpa/inet.h>
 #include <atomic>
 #include <cppunit/extensions/HelperMacros.h>
+#include <functional>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <thread>
@@ -13,13 +14,12 @@
 
 enum class CloseMode { Graceful, Reset };
 
-// Responds to the first request on a connection, and closes the connection without a response after reading the second.
-// curl retries a request by default when a reused connection is closed in this way.
-class ConnectionClosingServer
+// A listening socket on loopback and a thread that serves its connections one after the other.
+class LoopbackServer
 {
 public:
-    explicit ConnectionClosingServer(CloseMode closeMode)
-        : m_closeMode(closeMode)
+    explicit LoopbackServer(std::function<void(int connection)> serve)
+        : m_serve(std::move(serve))
     {
         m_listener = socket(AF_INET, SOCK_STREAM, 0);
         sockaddr_in address {};
@@ -31,62 +31,57 @@
         getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &size);
         port = ntohs(address.sin_port);
         m_thread = std::thread([this] {
-            acceptConnections();
+            for (int connection = accept(m_listener, nullptr, nullptr); connection >= 0;
+                 connection = accept(m_listener, nullptr, nullptr)) {
+                m_serve(connection);
+                close(connection);
+            }
         });
     }
 
-    ~ConnectionClosingServer()
+    ~LoopbackServer()
     {
         shutdown(m_listener, SHUT_RDWR);
         m_thread.join();
         close(m_listener);
     }
 
-    std::uint16_t port = 0;
-    std::atomic<int> receivedRequests = 0;
+    LoopbackServer(const LoopbackServer &) = delete;
+    LoopbackServer &operator=(const LoopbackServer &) = delete;
 
-private:
-    void acceptConnections()
+    [[nodiscard]] std::string url() const
     {
-        while (true) {
-            const int connection = accept(m_listener, nullptr, nullptr);
-            if (connection < 0) {
-                return;
-            }
-            if (readRequest(connection)) {
-                const std::string response = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
-                (void)!write(connection, response.data(), response.size());
-                (void)readRequest(connection);
-            }
-            if (m_closeMode == CloseMode::Reset) {
-                const linger abort {.l_onoff = 1, .l_linger = 0};
-                setsockopt(connection, SOL_SOCKET, SO_LINGER, &abort, sizeof abort);
-            }
-            close(connection);
-        }
+        return "http://127.0.0.1:" + std::to_string(port) + "/";
     }
 
-    bool readRequest(int connection)
-    {
-        std::string text;
-        char buffer[4096];
-        while (text.find("\r\n\r\n") == std::string::npos
-               || (text.find("Content-Length: 4") != std::string::npos && !text.ends_with("body"))) {
-            const auto count = read(connection, buffer, sizeof buffer);
-            if (count <= 0) {
-                return false;
-            }
-            text.append(buffer, static_cast<std::size_t>(count));
-        }
-        ++receivedRequests;
-        return true;
-    }
+    std::uint16_t port = 0;
 
-    CloseMode m_closeMode;
+private:
+    std::function<void(int connection)> m_serve;
     int m_listener = -1;
     std::thread m_thread;
 };
 
+bool readRequest(int connection)
+{
+    std::string text;
+    char buffer[4096];
+    while (text.find("\r\n\r\n") == std::string::npos
+           || (text.find("Content-Length: 4") != std::string::npos && !text.ends_with("body"))) {
+        const auto count = read(connection, buffer, sizeof buffer);
+        if (count <= 0) {
+            return false;
+        }
+        text.append(buffer, static_cast<std::size_t>(count));
+    }
+    return true;
+}
+
+bool writeText(int connection, std::string_view text)
+{
+    return send(connection, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size());
+}
+
 }
 
 class HttpClientTest : public CppUnit::TestFixture
@@ -94,18 +89,31 @@
     CPPUNIT_TEST_SUITE(HttpClientTest);
     CPPUNIT_TEST(requestWithBodyIsNotRetriedOnNewConnection);
     CPPUNIT_TEST(requestWithoutBodyIsNotRetriedOnNewConnection);
+    CPPUNIT_TEST(endlessHeadIsBrokenOff);
+    CPPUNIT_TEST(endlessInterimHeadsAreBrokenOff);
+    CPPUNIT_TEST(endlessBodyIsBrokenOff);
     CPPUNIT_TEST_SUITE_END();
 
     // Sends two requests in sequence and returns how many the server received. A third one would be a retry by curl.
     static int sendTwoRequests(CloseMode closeMode, const std::string &body)
     {
-        ConnectionClosingServer server(closeMode);
+        // Responds to the first request on a connection, and closes it without a response after reading the second.
+        // curl retries a request by default when a reused connection is closed in this way.
+        std::atomic<int> receivedRequests = 0;
+        LoopbackServer server([&receivedRequests, closeMode](int connection) {
+            if (readRequest(connection)) {
+                ++receivedRequests;
+                writeText(connection, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+                receivedRequests += readRequest(connection) ? 1 : 0;
+            }
+            if (closeMode == CloseMode::Reset) {
+                const linger abort {.l_onoff = 1, .l_linger = 0};
+                setsockopt(connection, SOL_SOCKET, SO_LINGER, &abort, sizeof abort);
+            }
+        });
         Net::EventLoop loop;
         Net::HttpClient client(loop);
-        const Net::HttpRequest request {.method = "POST",
-                                        .url = "http://127.0.0.1:" + std::to_string(server.port) + "/",
-                                        .body = body,
-                                        .totalTimeout = 2s};
+        const Net::HttpRequest request {.method = "POST", .url = server.url(), .body = body, .totalTimeout = 2s};
         client.start(request, [&](const Net::HttpResult &first) {
             CPPUNIT_ASSERT(first.isComplete());
             client.start(request, [&](const Net::HttpResult &) {
@@ -113,7 +121,7 @@
             });
         });
         loop.run();
-        return server.receivedRequests;
+        return receivedRequests;
     }
 
     void requestWithBodyIsNotRetriedOnNewConnection()
@@ -127,6 +135,56 @@
         CPPUNIT_ASSERT_EQUAL(2, sendTwoRequests(CloseMode::Graceful, ""));
         CPPUNIT_ASSERT_EQUAL(2, sendTwoRequests(CloseMode::Reset, ""));
     }
+
+    // Sends a request to a server that repeats a text until the client closes the connection, and returns how much the
+    // server has sent. The request must fail with the given error.
+    static std::size_t receiveWithoutEnd(const std::string &head, const std::string &repeated, const std::string &error)
+    {
+        constexpr std::size_t MaxSentBytes = 512U << 20U;
+        std::atomic<std::size_t> sentBytes = 0;
+        LoopbackServer server([&](int connection) {
+            if (readRequest(connection) && writeText(connection, head)) {
+                while (sentBytes < MaxSentBytes && writeText(connection, repeated)) {
+                    sentBytes += repeated.size();
+                }
+            }
+        });
+        Net::EventLoop loop;
+        Net::HttpClient client(loop);
+        client.start({.url = server.url(), .totalTimeout = 20s}, [&](const Net::HttpResult &result) {
+            CPPUNIT_ASSERT(!result.isComplete());
+            CPPUNIT_ASSERT(!result.isTimedOut);
+            CPPUNIT_ASSERT_EQUAL(error, result.error);
+            CPPUNIT_ASSERT(result.mayHaveBeenSent);
+            loop.stop();
+        });
+        loop.run();
+        return sentBytes;
+    }
+
+    // The socket buffers of both ends, beyond what the client has read.
+    static constexpr std::size_t BufferedBytes = 16U << 20U;
+
+    void endlessHeadIsBrokenOff()
+    {
+        const auto sent = receiveWithoutEnd("HTTP/1.1 200 OK\r\n", "X-Filler: " + std::string(1000, 'x') + "\r\n",
+                                            "the head of the response is too large");
+        CPPUNIT_ASSERT(sent < BufferedBytes + Net::DefaultMaxHeadBytes);
+    }
+
+    void endlessInterimHeadsAreBrokenOff()
+    {
+        const auto sent = receiveWithoutEnd("", "HTTP/1.1 102 Processing\r\nX-Filler: x\r\n\r\n",
+                                            "the head of the response is too large");
+        CPPUNIT_ASSERT(sent < BufferedBytes + Net::DefaultMaxHeadBytes);
+    }
+
+    void endlessBodyIsBrokenOff()
+    {
+        const auto sent = receiveWithoutEnd("HTTP/1.1 200 OK\r\n\r\n", std::string(64U << 10U, 'x'),
+                                            "the body of the response is too large");
+        CPPUNIT_ASSERT(sent < BufferedBytes + Net::DefaultMaxBodyBytes);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpClientTest);
