--- a/Libraries/LibHolding/ReplicaController.cpp
+++ b/Libraries/LibHolding/ReplicaController.cpp
@@ -301,8 +301,7 @@
     const auto maxConcurrent = static_cast<int>(m_coldLoads.concurrentLoads(now));
     const auto ahead = static_cast<int>(loadsInProgress() + m_waiters.size());
     const bool hasSlot = m_slots.size() < capacity() || victim().has_value();
-    return m_coldLoads.excess(now)
-        + m_coldLoads.loadTime(now) * std::max(0, ahead - maxConcurrent + 1) / maxConcurrent
+    return m_coldLoads.excess(now) + m_coldLoads.loadTime(now) * std::max(0, ahead - maxConcurrent + 1) / maxConcurrent
         + (hasSlot ? Core::Duration {} : m_options.slotDelay);
 }
 
--- a/Libraries/LibHolding/Tests/FakeReplica.h
+++ b/Libraries/LibHolding/Tests/FakeReplica.h
@@ -83,8 +83,7 @@
     std::size_t maxAdapters = 0; // Loaded or loading at the same time.
     std::size_t orderCalls = 0;
     std::size_t reportCalls = 0;
-    std::function<void()> onOrder = [] {
-    };
+    std::function<void()> onOrder = [] {};
     std::size_t delayedOrders = 0; // Orders that had to wait for running requests.
     std::size_t repeatedDelayedOrders = 0; // How often one of those was sent again.
     std::size_t conflicts = 0; // Orders refused while another one waited.
--- a/Libraries/LibHolding/Tests/ReplicaControllerTest.cpp
+++ b/Libraries/LibHolding/Tests/ReplicaControllerTest.cpp
@@ -151,7 +151,8 @@
         CPPUNIT_ASSERT(isReady(result) && result.wasLoaded);
     }
 
-    // Hosts took the load for failed and had the adapter loaded at a second replica as well, which slowed down all loads.
+    // Hosts took the load for failed and had the adapter loaded at a second replica as well, which slowed down all
+    // loads.
     void replySaysThatSlowLoadIsInProgress()
     {
         m_fake.loadTime = 1500ms;
@@ -577,8 +578,8 @@
         CPPUNIT_ASSERT(result.isDone && !isReady(result));
     }
 
-    // The lease expired between the check and the order, whose fence was then an undefined number. A replica that had seen
-    // it would have refused all later orders.
+    // The lease expired between the check and the order, whose fence was then an undefined number. A replica that had
+    // seen it would have refused all later orders.
     void leaseThatExpiresBetweenChecksSendsNoOrder()
     {
         std::size_t ordersAfterExpiry = 0;
--- a/Libraries/LibSettings/GatewaySettings.cpp
+++ b/Libraries/LibSettings/GatewaySettings.cpp
@@ -73,8 +73,8 @@
     auto changes = root.object("changes");
     settings.changeApplyTime = std::chrono::milliseconds(changes.number(
         "applyMilliseconds", DefaultApplyMilliseconds, LeastApplyMilliseconds, LongestApplyMilliseconds));
-    settings.drainTime = std::chrono::milliseconds(changes.number(
-        "drainMilliseconds", DefaultApplyMilliseconds, LeastApplyMilliseconds, LongestApplyMilliseconds));
+    settings.drainTime = std::chrono::milliseconds(changes.number("drainMilliseconds", DefaultApplyMilliseconds,
+                                                                  LeastApplyMilliseconds, LongestApplyMilliseconds));
     changes.finish();
     auto orders = root.object("orders");
     settings.orderGap = std::chrono::milliseconds(
