LibNet, LibHolding, LibOwner: Bind responses and orders to what they were sent for

Cause, from an operator's report: a server answered twice, the second time on a connection that was in use again. Calls of idempotent services, orders, reports and calls to the store reused connections, and nothing in their responses names the request; the client took the second copy for the response to its next request. The forwarded requests of the gateway were not affected (a new connection each). Change: a new connection is the default. Cause, from another report: a lease was checked when an order was decided. A host that was suspended while it connected, or whose connection took long, sent the order when another host held the replica. Change: the permission is asked again between the connection's establishment and the first byte, in the gateway's and in the completions mode. Tests: lateSecondCopyOfResponseReachesNoOtherRequest, requestThatIsNoLongerPermittedIsNotSent, leaseThatExpiresWhileConnectingSendsNoOrder and orderLosesItsPermissionWithTheLease; the first three were seen to fail without the changes.

--- a/Libraries/LibEngine/EngineLink.h
+++ b/Libraries/LibEngine/EngineLink.h
@@ -23,6 +23,8 @@
     std::uint64_t fence = 0; // The owner's fencing token.
     // The engine incarnation that the order is meant for; any other refuses it. Empty accepts any incarnation.
     std::string incarnation;
+    // Whether the owner may still send the order; asked right before that. Unset if it always may.
+    std::function<bool()> isPermitted;
 };
 
 enum class OrderOutcome {
--- a/Libraries/LibEngine/HttpEngineLink.cpp
+++ b/Libraries/LibEngine/HttpEngineLink.cpp
@@ -87,7 +87,8 @@
                     .url = "http://" + engine.address + path,
                     .headers = {"Content-Type: application/json"},
                     .body = toJson(order).dump(),
-                    .totalTimeout = m_options.orderTimeout},
+                    .totalTimeout = m_options.orderTimeout,
+                    .isStillPermitted = order.isPermitted},
                    [done = std::move(done)](const Net::HttpResult &result) {
                        if (!result.isComplete()) {
                            done(result.mayHaveBeenSent ? OrderOutcome::Unknown : OrderOutcome::Failed);
--- a/Libraries/LibHolding/ReplicaControllerOrders.cpp
+++ b/Libraries/LibHolding/ReplicaControllerOrders.cpp
@@ -155,6 +155,9 @@
     order.expectedOrderCount = *m_orderCount;
     order.holder = m_options.self;
     order.fence = m_orderFence;
+    order.isPermitted = [this, isAlive = m_isAlive, fence = m_orderFence] {
+        return *isAlive && m_fence(m_replica.id) == fence;
+    };
     order.responseTimeout = m_options.orderTimeout * (1U << std::min(m_unanswered, m_options.maxRetries));
     m_link.order(m_replica, order,
                  [this, isAlive = m_isAlive, order, name](Fleet::OrderOutcome outcome, const std::string &detail) {
--- a/Libraries/LibHolding/Tests/FakeReplica.h
+++ b/Libraries/LibHolding/Tests/FakeReplica.h
@@ -27,6 +27,12 @@
             respond(done, Fleet::OrderOutcome::NotSent);
             return;
         }
+        if (connectTime > Core::Duration::zero()) {
+            m_scheduler.runAfter(connectTime, [this, order, done = std::move(done)] {
+                done(order.isPermitted() ? execute(order) : Fleet::OrderOutcome::NotSent, "");
+            });
+            return;
+        }
         if (isDroppingResponses || (dropEvery != 0 && orderCalls % dropEvery == 0)) {
             if (executionDelay > Core::Duration::zero()) {
                 m_scheduler.runAfter(executionDelay, [this, order] {
@@ -89,6 +95,7 @@
     std::size_t conflicts = 0; // Orders refused while another one waited.
     std::vector<std::string> loads; // In the order in which they were accepted.
     Core::Duration loadTime = std::chrono::milliseconds(250);
+    Core::Duration connectTime {}; // From the decision to send an order until its first byte is sent.
     bool isUnreachable = false;
     bool isDroppingResponses = false;
     std::size_t dropEvery = 0; // One in this many orders gets no response; zero for none.
--- a/Libraries/LibHolding/Tests/ReplicaControllerTest.cpp
+++ b/Libraries/LibHolding/Tests/ReplicaControllerTest.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(reportsAreReadLessOftenInSteadyState);
     CPPUNIT_TEST(requestFailsAtOnceWithoutFence);
     CPPUNIT_TEST(leaseThatExpiresBetweenChecksSendsNoOrder);
+    CPPUNIT_TEST(leaseThatExpiresWhileConnectingSendsNoOrder);
     CPPUNIT_TEST(overdueLoadCausesFewOrders);
     CPPUNIT_TEST_SUITE_END();
 
@@ -598,6 +599,21 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), ordersAfterExpiry);
     }
 
+    // A host that is suspended, or whose connection takes long, sends the order when the lease has expired meanwhile.
+    void leaseThatExpiresWhileConnectingSendsNoOrder()
+    {
+        m_fake.connectTime = 80ms;
+        const auto replicaController = controller();
+        Result result;
+        ask(*replicaController, request("a1"), result);
+        while (m_fake.orderCalls == 0) {
+            run(*replicaController, 10ms);
+        }
+        m_hasFence = false;
+        run(*replicaController, 400ms);
+        CPPUNIT_ASSERT(m_fake.loads.empty());
+    }
+
     // A load that takes longer than expected must not make the controller repeat its order in a tight loop.
     void overdueLoadCausesFewOrders()
     {
--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -98,6 +98,18 @@
         return CURL_SOCKOPT_OK;
     }
 
+    // Runs between the establishment of the connection and the first byte of the request.
+    static int onConnected(void *context, char * /*peerAddress*/, char * /*localAddress*/, int /*peerPort*/,
+                           int /*localPort*/)
+    {
+        auto *transfer = static_cast<Transfer *>(context);
+        if (transfer->request.isStillPermitted()) {
+            return CURL_PREREQFUNC_OK;
+        }
+        transfer->violation = "the request is no longer permitted";
+        return CURL_PREREQFUNC_ABORT;
+    }
+
     // Supplies the request body to curl. No seek function is set, so curl can't rewind the body to send it again.
     static std::size_t onReadBody(char *bytes, std::size_t size, std::size_t count, void *context)
     {
@@ -266,6 +278,10 @@
         curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
         curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
     }
+    if (request.isStillPermitted) {
+        curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &CurlCallbacks::onConnected);
+        curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
+    }
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &CurlCallbacks::onHeader);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &CurlCallbacks::onData);
--- a/Libraries/LibNet/HttpRequest.h
+++ b/Libraries/LibNet/HttpRequest.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Time.h>
 #include <LibNet/HttpFields.h>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -11,11 +12,11 @@
 // is closed before the response. The client prevents this for requests that may have side effects: a request body can't
 // be rewound, and a request without a body, other than GET and HEAD, is sent on a new connection.
 enum class ConnectionUse {
-    // An idle connection may be reused.
-    Reuse,
-    // A new connection is opened for this request alone, so that a pooled connection that has failed undetected
-    // can't delay it.
+    // A new connection is opened for this request alone. A second copy of an earlier response can't be taken for the
+    // response to this request, and a pooled connection that has failed undetected can't delay it.
     Fresh,
+    // An idle connection may be reused. Only for responses that name the request they belong to.
+    Reuse,
 };
 
 // Which headers a request carries in addition to those in HttpRequest::headers.
@@ -42,7 +43,11 @@
     Core::Duration connectTimeout = std::chrono::milliseconds(500);
     Core::Duration totalTimeout = {}; // Zero means no limit.
     Core::Duration idleTimeout = {}; // Maximum time without received data; zero means no limit.
-    ConnectionUse connectionUse = ConnectionUse::Reuse;
+    ConnectionUse connectionUse = ConnectionUse::Fresh;
+    // Asked when the connection is established, right before the first byte of the request is sent. If it returns
+    // false, nothing is sent and the request fails. For requests that depend on a lease, which may expire while the
+    // process is suspended or the connection is being established.
+    std::function<bool()> isStillPermitted;
     // A server in trouble may send a head or body without end. The request fails when the response exceeds these sizes.
     // The second one applies only if the client stores the body.
     std::size_t maxHeadBytes = DefaultMaxHeadBytes;
--- a/Libraries/LibNet/Tests/HttpClientTest.cpp
+++ b/Libraries/LibNet/Tests/HttpClientTest.cpp
@@ -89,6 +89,8 @@
     CPPUNIT_TEST_SUITE(HttpClientTest);
     CPPUNIT_TEST(requestWithBodyIsNotRetriedOnNewConnection);
     CPPUNIT_TEST(requestWithoutBodyIsNotRetriedOnNewConnection);
+    CPPUNIT_TEST(lateSecondCopyOfResponseReachesNoOtherRequest);
+    CPPUNIT_TEST(requestThatIsNoLongerPermittedIsNotSent);
     CPPUNIT_TEST(endlessHeadIsBrokenOff);
     CPPUNIT_TEST(endlessInterimHeadsAreBrokenOff);
     CPPUNIT_TEST(endlessBodyIsBrokenOff);
@@ -113,7 +115,11 @@
         });
         Net::EventLoop loop;
         Net::HttpClient client(loop);
-        const Net::HttpRequest request {.method = "POST", .url = server.url(), .body = body, .totalTimeout = 2s};
+        const Net::HttpRequest request {.method = "POST",
+                                        .url = server.url(),
+                                        .body = body,
+                                        .totalTimeout = 2s,
+                                        .connectionUse = Net::ConnectionUse::Reuse};
         client.start(request, [&](const Net::HttpResult &first) {
             CPPUNIT_ASSERT(first.isComplete());
             client.start(request, [&](const Net::HttpResult &) {
@@ -136,6 +142,63 @@
         CPPUNIT_ASSERT_EQUAL(2, sendTwoRequests(CloseMode::Reset, ""));
     }
 
+    void lateSecondCopyOfResponseReachesNoOtherRequest()
+    {
+        // Answers the first request of a connection twice, the second time when the next request has arrived.
+        std::atomic<int> connections = 0;
+        LoopbackServer server([&connections](int connection) {
+            const auto name = std::string("answer ") + std::to_string(++connections);
+            const auto response = "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n" + name;
+            if (readRequest(connection) && writeText(connection, response) && readRequest(connection)) {
+                writeText(connection, response);
+            }
+        });
+        for (const std::string method : {"GET", "POST"}) {
+            connections = 0;
+            Net::EventLoop loop;
+            Net::HttpClient client(loop);
+            const Net::HttpRequest request {
+                .method = method, .url = server.url(), .body = method == "POST" ? "body" : "", .totalTimeout = 2s};
+            client.start(request, [&](const Net::HttpResult &first) {
+                CPPUNIT_ASSERT_EQUAL(std::string("answer 1"), first.body);
+                client.start(request, [&](const Net::HttpResult &second) {
+                    CPPUNIT_ASSERT_EQUAL(std::string("answer 2"), second.body);
+                    loop.stop();
+                });
+            });
+            loop.run();
+        }
+    }
+
+    void requestThatIsNoLongerPermittedIsNotSent()
+    {
+        std::atomic<int> receivedRequests = 0;
+        LoopbackServer server([&receivedRequests](int connection) {
+            receivedRequests += readRequest(connection) ? 1 : 0;
+        });
+        Net::EventLoop loop;
+        Net::HttpClient client(loop);
+        bool isPermitted = true;
+        client.start({.method = "POST",
+                      .url = server.url(),
+                      .body = "body",
+                      .totalTimeout = 2s,
+                      .isStillPermitted =
+                          [&] {
+                              return isPermitted;
+                          }},
+                     [&](const Net::HttpResult &result) {
+                         CPPUNIT_ASSERT(!result.isComplete());
+                         CPPUNIT_ASSERT(!result.mayHaveBeenSent);
+                         CPPUNIT_ASSERT_EQUAL(std::string("the request is no longer permitted"), result.error);
+                         loop.stop();
+                     });
+        // The permission ends after the request was started and before the connection is established.
+        isPermitted = false;
+        loop.run();
+        CPPUNIT_ASSERT_EQUAL(0, receivedRequests.load());
+    }
+
     // Sends a request to a server that repeats a text until the client closes the connection, and returns how much the
     // server has sent. The request must fail with the given error.
     static std::size_t receiveWithoutEnd(const std::string &head, const std::string &repeated, const std::string &error)
--- a/Libraries/LibOwner/OrderGate.cpp
+++ b/Libraries/LibOwner/OrderGate.cpp
@@ -19,7 +19,11 @@
         });
         return;
     }
-    m_engines.load(engine, order, std::move(done));
+    auto guarded = order;
+    guarded.isPermitted = [this, target = engine.target] {
+        return m_ownership.mayLoad(target);
+    };
+    m_engines.load(engine, guarded, std::move(done));
 }
 
 void OrderGate::unload(const Engine::EngineAddress &engine, const Engine::AdapterOrder &order, OrderFunction done)
@@ -31,8 +35,12 @@
         return;
     }
     m_ownership.beginUnload(engine.target, order.adapter);
+    auto guarded = order;
+    guarded.isPermitted = [this, target = engine.target, adapter = order.adapter] {
+        return m_ownership.isUnloadSafe(target, adapter);
+    };
     m_engines.unload(
-        engine, order,
+        engine, guarded,
         [this, target = engine.target, adapter = order.adapter, done = std::move(done)](Engine::OrderOutcome outcome) {
             if (outcome != Engine::OrderOutcome::Unknown) {
                 m_ownership.endUnload(target, adapter);
--- a/Libraries/LibService/HttpServiceLink.cpp
+++ b/Libraries/LibService/HttpServiceLink.cpp
@@ -46,13 +46,11 @@
 
 void HttpServiceLink::send(const ServiceAddress &service, const ServiceMessage &message, ReplyFunction done)
 {
-    const bool isIdempotent = message.semantics == CallSemantics::Idempotent;
     m_client.start({.method = message.method,
                     .url = "http://" + service.address + message.path,
                     .headers = headersOf(message),
                     .body = message.body,
-                    .totalTimeout = message.timeout,
-                    .connectionUse = isIdempotent ? Net::ConnectionUse::Reuse : Net::ConnectionUse::Fresh},
+                    .totalTimeout = message.timeout},
                    [done = std::move(done)](Net::HttpResult result) {
                        done(replyFrom(std::move(result)));
                    });
