LibNet, currantbayd: Answer requests on accepted connections before a planned stop ends

Cause, from an operator's report: a planned stop ended the process as soon as no exchange was open and the replicas were released. Connections that waited to be accepted, and requests that arrived on accepted ones in that moment, were cut off.

--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -326,9 +326,6 @@
         exchange->resume();
     }
     MHD_stop_daemon(m_daemon);
-    if (m_listenFd >= 0) {
-        close(m_listenFd);
-    }
 }
 
 void HttpServer::endKeepAlive()
@@ -338,8 +335,11 @@
 
 void HttpServer::stopListening()
 {
-    if (m_listenFd < 0) {
-        m_listenFd = MHD_quiesce_daemon(m_daemon);
+    if (m_isListening) {
+        // Connections that wait to be accepted would be reset when the socket closes.
+        processEvents();
+        m_isListening = false;
+        close(MHD_quiesce_daemon(m_daemon));
     }
 }
 
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -120,7 +120,7 @@
     // Closes every connection after its next response, so that callers with persistent connections reconnect to another
     // host.
     void endKeepAlive();
-    // Stops accepting connections. Exchanges that have begun continue.
+    // Accepts the connections that wait, then closes the listening socket. Accepted connections are still served.
     void stopListening();
     // Returns the number of exchanges whose response hasn't ended.
     [[nodiscard]] std::size_t openExchanges() const;
@@ -138,7 +138,7 @@
     RequestFunction m_handler;
     MHD_Daemon *m_daemon = nullptr;
     int m_epollFd = -1;
-    int m_listenFd = -1;
+    bool m_isListening = true;
     bool m_isRunScheduled = false;
     std::unordered_set<std::shared_ptr<Exchange>> m_openExchanges;
     Core::TimerId m_disconnectCheckTimer = Core::TimerId::None;
--- a/Services/currantbayd/Daemon.cpp
+++ b/Services/currantbayd/Daemon.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-constexpr auto ExchangePollPeriod = std::chrono::milliseconds(20);
-
 std::uint64_t randomBits()
 {
     std::random_device device;
@@ -86,9 +84,11 @@
              hostOptions(settings, m_ids.randomNumber()))
     , m_callerInterface(m_host, {.callers = settings.callers, .requestTimeout = settings.requestTimeout})
     , m_operatorInterface(m_host, settings.operators)
-    , m_server(m_loop, serverOptions(settings), [this](const auto &exchange) {
-        handleRequest(exchange);
-    })
+    , m_server(m_loop, serverOptions(settings),
+               [this](const auto &exchange) {
+                   handleRequest(exchange);
+               })
+    , m_drain(m_loop, Net::drainedServer(m_server), {})
 {
     m_metrics.gauge("currantbay_running_requests", [this] {
         return static_cast<double>(m_host.runningCount());
@@ -178,20 +178,9 @@
         m_isRefusingRequests = true;
     });
     m_host.leave(m_settings.leaveGrace, [this] {
-        m_server.stopListening();
-        awaitOpenExchanges();
-    });
-}
-
-// Stops the event loop once every exchange is closed. A finished response may still have unsent bytes.
-void Daemon::awaitOpenExchanges()
-{
-    if (m_server.openExchanges() == 0) {
-        m_loop.stop();
-        return;
-    }
-    m_loop.runAfter(ExchangePollPeriod, [this] {
-        awaitOpenExchanges();
+        m_drain.start(m_settings.drainTimeout, [this] {
+            m_loop.stop();
+        });
     });
 }
 
--- a/Services/currantbayd/Daemon.h
+++ b/Services/currantbayd/Daemon.h
@@ -6,6 +6,7 @@
 #include <LibNet/HttpClient.h>
 #include <LibNet/HttpServer.h>
 #include <LibNet/PeerSocket.h>
+#include <LibNet/ServerDrain.h>
 #include <LibPlatform/HttpPlatform.h>
 #include <LibService/HttpServiceLink.h>
 #include <LibSettings/DaemonSettings.h>
@@ -29,7 +30,6 @@
     void reconnect(const Core::HostId &to) override;
     void handleRequest(const std::shared_ptr<Net::Exchange> &exchange);
     void beginShutdown();
-    void awaitOpenExchanges();
 
     Settings::DaemonSettings m_settings;
     Net::EventLoop m_loop;
@@ -45,6 +45,7 @@
     CallerInterface m_callerInterface;
     OperatorInterface m_operatorInterface;
     Net::HttpServer m_server;
+    Net::ServerDrain m_drain;
     bool m_isStopping = false;
     bool m_isRefusingRequests = false; // Set when the grace period of a shutdown has ended.
 };
--- a/Services/currantbayd/GatewayDaemon.cpp
+++ b/Services/currantbayd/GatewayDaemon.cpp
@@ -3,8 +3,10 @@
 #include <LibCore/HttpStatus.h>
 #include <LibLog/Log.h>
 #include <LibSettings/DaemonSettings.h>
+#include <algorithm>
 #include <csignal>
 #include <random>
+#include <utility>
 
 namespace Daemon {
 
@@ -17,8 +19,11 @@
 constexpr auto AcceptWhileStoppingTime = std::chrono::milliseconds(2900);
 // Limit for releasing the replicas in the store at the end of a shutdown.
 constexpr auto ReplicaReleaseTimeout = std::chrono::milliseconds(250);
-// The part of the grace period that is reserved for releasing the replicas and for the process to exit by itself.
-constexpr auto ExitReserveTime = std::chrono::milliseconds(450);
+// The part of the grace period that is reserved for releasing the replicas, for requests on accepted connections and
+// for the process to exit by itself.
+constexpr auto ExitReserveTime = std::chrono::milliseconds(550);
+// The part of that which the process needs to exit.
+constexpr auto LastExitTime = std::chrono::milliseconds(150);
 // Work for a caller that has disconnected must stop within half a second.
 constexpr auto DisconnectCheckPeriod = std::chrono::milliseconds(150);
 constexpr auto SettingsPollPeriod = std::chrono::seconds(2);
@@ -92,6 +97,7 @@
                      [this](const auto &exchange) {
                          m_gateway.handleRequest(exchange);
                      })
+    , m_drain(m_loop, Net::drainedServer(m_callerServer), {})
     , m_readinessServer(m_loop, serverOptions(settings.readinessAddress, settings), [this](const auto &exchange) {
         const bool isReady = m_gateway.isReady() && !m_isStopping;
         exchange->respond({.status = isReady ? Core::HttpStatus::Ok : Core::HttpStatus::ServiceUnavailable,
@@ -202,9 +208,20 @@
         Log::write(Log::Event::DrainCut, {{"running", std::to_string(m_callerServer.openExchanges())}});
     }
     m_loop.runAfter(ReplicaReleaseTimeout, [this] {
-        m_loop.stop();
+        closeCallerServer();
     });
     m_gateway.releaseReplicas([this] {
+        closeCallerServer();
+    });
+}
+
+void GatewayDaemon::closeCallerServer()
+{
+    if (std::exchange(m_isClosing, true)) {
+        return;
+    }
+    const auto remaining = m_stopDeadline + ExitReserveTime - LastExitTime - m_loop.now();
+    m_drain.start(std::max<Core::Duration>(remaining, {}), [this] {
         m_loop.stop();
     });
 }
--- a/Services/currantbayd/GatewayDaemon.h
+++ b/Services/currantbayd/GatewayDaemon.h
@@ -5,6 +5,7 @@
 #include <LibNet/HttpClient.h>
 #include <LibNet/HttpServer.h>
 #include <LibNet/PeerSocket.h>
+#include <LibNet/ServerDrain.h>
 #include <LibSettings/GatewaySettings.h>
 #include <filesystem>
 #include <platform/ReplicaOrders.h>
@@ -30,6 +31,8 @@
     void reconnect(const Core::HostId &to) override;
     void beginShutdown();
     void awaitOpenExchanges();
+    // Stops the event loop once the requests on accepted connections have been answered.
+    void closeCallerServer();
     void reload();
     // Reloads the settings file when its modification time changes, without waiting for SIGHUP.
     void pollSettingsFile();
@@ -45,11 +48,13 @@
     Net::PeerSocket m_peers;
     Gateway::Gateway m_gateway;
     Net::HttpServer m_callerServer;
+    Net::ServerDrain m_drain;
     Net::HttpServer m_readinessServer;
     std::unique_ptr<Net::HttpServer> m_metricsServer;
     Core::TimePoint m_stopDeadline {}; // The drain is aborted at this time.
     Core::TimePoint m_balancerRemovalTime {}; // Until then the load balancer may still send requests.
     bool m_isStopping = false;
+    bool m_isClosing = false;
     std::filesystem::file_time_type m_settingsModificationTime {}; // As of the last read.
 };
 
