LibFleet, LibRelay: Let an outage of the platform cost a host one call at a time

While the store was away for eight seconds, each of 195 hosts tried with three feeds and its lease. Change: the feeds of a host share what they know of an outage; the first whose call failed goes on trying, the others wait for it (at most five seconds) and the lease isn't renewed meanwhile. Renewals of a zone are batched for 500 ms. Tests: feedsOfHostShareTheCallsOfAnOutage and feedTriesForItselfInLongOutage.

--- a/Libraries/LibFleet/Feed.h
+++ b/Libraries/LibFleet/Feed.h
@@ -2,9 +2,11 @@
 
 #include <LibCore/Scheduler.h>
 #include <LibFleet/DeploymentSource.h>
+#include <LibFleet/PlatformOutage.h>
 #include <LibLog/Log.h>
 #include <algorithm>
 #include <functional>
+#include <memory>
 #include <string>
 #include <utility>
 
@@ -31,6 +33,10 @@
     Core::Duration initialRetryDelay = std::chrono::milliseconds(250);
     // Long enough to limit calls during an outage, since failed calls are charged like successful ones.
     Core::Duration maxRetryDelay = std::chrono::milliseconds(1200);
+    // Shared by the feeds of this host; null if the feed tries on whatever the others find.
+    PlatformOutage *outage = nullptr;
+    // After this time in an outage the feed tries for itself, in case the platform fails for some calls only.
+    Core::Duration maxOutageWait = std::chrono::milliseconds(5000);
 };
 
 // The longest pause between retries with which a change is applied within the given time after the platform recovers,
@@ -117,20 +123,45 @@
             recordFailure(changes.error);
         }
         m_scheduler.runAfter(m_nextRetryDelay, [this] {
-            if (m_isFilled && !m_isHistoryLost) {
-                followChanges();
+            if (m_options.outage == nullptr || m_options.outage->mayTry(this)) {
+                retry();
             } else {
-                readAll();
+                awaitOutageEnd();
             }
         });
     }
 
+    void retry()
+    {
+        if (m_isFilled && !m_isHistoryLost) {
+            followChanges();
+        } else {
+            readAll();
+        }
+    }
+
+    void awaitOutageEnd()
+    {
+        // Whichever comes first retries.
+        const auto isRetried = std::make_shared<bool>(false);
+        const auto retryOnce = [this, isRetried] {
+            if (!std::exchange(*isRetried, true)) {
+                retry();
+            }
+        };
+        m_options.outage->awaitEnd(retryOnce);
+        m_scheduler.runAfter(m_options.maxOutageWait, retryOnce);
+    }
+
     void recordSuccess()
     {
         if (!m_healthySince.has_value()) {
             m_healthySince = m_scheduler.now();
             Log::write(Log::Event::FeedRegained, {{"feed", m_options.name}});
         }
+        if (m_options.outage != nullptr) {
+            m_options.outage->recordSuccess();
+        }
     }
 
     void recordFailure(const std::string &error)
@@ -140,6 +171,9 @@
             Log::write(Log::Event::FeedLost, {{"feed", m_options.name}, {"reason", error}});
         }
         m_hasFailed = true;
+        if (m_options.outage != nullptr) {
+            m_options.outage->recordFailure(this);
+        }
         if (std::exchange(m_healthySince, std::nullopt).has_value()) {
             m_options.onLost();
         }
--- a/Libraries/LibFleet/Tests/FleetTest.cpp
+++ b/Libraries/LibFleet/Tests/FleetTest.cpp
@@ -15,6 +15,8 @@
     CPPUNIT_TEST(lostHistoryCausesFullRead);
     CPPUNIT_TEST(feedRecoversAfterOutage);
     CPPUNIT_TEST(changeAfterSilentOutageIsAppliedInTime);
+    CPPUNIT_TEST(feedsOfHostShareTheCallsOfAnOutage);
+    CPPUNIT_TEST(feedTriesForItselfInLongOutage);
     CPPUNIT_TEST(deletedEntryIsRemoved);
     CPPUNIT_TEST(entryExpiredInOutageIsKeptForGracePeriod);
     CPPUNIT_TEST(unreadableEntryRemovesReplica);
@@ -181,6 +183,79 @@
         }
     }
 
+    // Three feeds of one host, which share what they know of an outage.
+    struct HostFeeds {
+        explicit HostFeeds(Core::VirtualScheduler &scheduler, StandIns::MemoryRows &rows)
+        {
+            for (const std::string table : {"t", "u", "v"}) {
+                feeds.push_back(std::make_unique<RowsFeed>(
+                    scheduler, Fleet::FeedOptions {.name = table, .pollInterval = 100ms, .outage = &outage},
+                    [this, &rows, table](auto done) {
+                        ++calls;
+                        rows.readTable(table, std::move(done));
+                    },
+                    [this, &rows, table](auto after, auto wait, auto done) {
+                        ++calls;
+                        if (table == brokenTable) {
+                            done({.outcome = Platform::FeedOutcome::Failed, .error = "unreadable"});
+                        } else {
+                            rows.follow(table, after, wait, std::move(done));
+                        }
+                    },
+                    [this, table](Platform::FeedResult &&changes, RowsFeed::Extent) {
+                        for (const auto &row : changes.rows) {
+                            seen[table] = row.value;
+                        }
+                    }));
+            }
+            for (const auto &feed : feeds) {
+                feed->start();
+            }
+        }
+
+        Fleet::PlatformOutage outage;
+        std::vector<std::unique_ptr<RowsFeed>> feeds;
+        std::string brokenTable;
+        int calls = 0;
+        std::map<std::string, std::string> seen;
+    };
+
+    // Two hundred hosts each tried with three feeds and their lease while the store was away for eight seconds, which
+    // were half of the day's calls.
+    void feedsOfHostShareTheCallsOfAnOutage()
+    {
+        HostFeeds host(m_scheduler, m_rows);
+        m_scheduler.advance(2s);
+        m_rows.isDown = true;
+        m_scheduler.advance(2s);
+        CPPUNIT_ASSERT(host.outage.isOngoing());
+        host.calls = 0;
+        m_scheduler.advance(6s);
+        // Each for itself, the three feeds would call 15 times at their longest pause.
+        CPPUNIT_ASSERT(host.calls <= 7);
+        m_rows.isDown = false;
+        for (const auto *table : {"t", "u", "v"}) {
+            m_rows.put(table, "k", "new");
+        }
+        m_scheduler.advance(1900ms);
+        CPPUNIT_ASSERT(!host.outage.isOngoing());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), host.seen.size());
+    }
+
+    void feedTriesForItselfInLongOutage()
+    {
+        HostFeeds host(m_scheduler, m_rows);
+        m_scheduler.advance(2s);
+        m_rows.isDown = true;
+        m_scheduler.advance(3s);
+        // The platform is back but for the calls of the feed that goes on trying.
+        host.brokenTable = "t";
+        m_rows.isDown = false;
+        m_rows.put("u", "k", "new");
+        m_scheduler.advance(5500ms);
+        CPPUNIT_ASSERT_EQUAL(std::string("new"), host.seen["u"]);
+    }
+
     static Fleet::ReplicaChanges listChanges(const std::vector<std::string> &present,
                                              const std::vector<std::string> &removed)
     {
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -58,10 +58,14 @@
               return claimableReplicas();
           },
           [this](auto row, auto done) {
-              m_writer.write(std::move(row), std::move(done));
+              if (m_outage.isOngoing()) {
+                  done(false);
+              } else {
+                  m_writer.write(std::move(row), std::move(done));
+              }
           })
     , m_replicaFeed(
-          m_dependencies.scheduler, withReader(replicaFeedOptions(m_options.changes)),
+          m_dependencies.scheduler, withSharedState(replicaFeedOptions(m_options.changes)),
           [this](auto done) {
               m_deployment->readReplicas(std::move(done));
           },
@@ -72,7 +76,7 @@
               applyReplicaChanges(changes, extent == decltype(m_replicaFeed)::Extent::Full);
           })
     , m_configurationFeed(
-          m_dependencies.scheduler, withReader(configurationFeedOptions(m_options.changes)),
+          m_dependencies.scheduler, withSharedState(configurationFeedOptions(m_options.changes)),
           [this](auto done) {
               m_deployment->readConfiguration(std::move(done));
           },
@@ -83,7 +87,7 @@
               applyConfigurationChanges(std::move(changes));
           })
     , m_holderFeed(
-          m_dependencies.scheduler, withReader(holderFeedOptions(m_options.changes)),
+          m_dependencies.scheduler, withSharedState(holderFeedOptions(m_options.changes)),
           [this](auto done) {
               m_rows.readTable(Holding::HolderTable::Table, std::move(done));
           },
@@ -261,7 +265,7 @@
     return claimable;
 }
 
-Fleet::FeedOptions Gateway::withReader(Fleet::FeedOptions options)
+Fleet::FeedOptions Gateway::withSharedState(Fleet::FeedOptions options)
 {
     options.isRelayed = [this] {
         return m_reader.reader().has_value();
@@ -269,6 +273,7 @@
     options.onLost = [this] {
         m_reader.announceHealth();
     };
+    options.outage = &m_outage;
     return options;
 }
 
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -77,8 +77,8 @@
                               const std::function<void(const Holding::AdapterReply &)> &reply);
     void handleUseNotice(const Core::HostId &from, const Holding::UseNotice &notice);
     [[nodiscard]] std::vector<Holding::ClaimableReplica> claimableReplicas() const;
-    // Adds what the feed needs to know of the reader of the zone.
-    [[nodiscard]] Fleet::FeedOptions withReader(Fleet::FeedOptions options);
+    // Adds what the feed needs to know of the reader of the zone and of the other feeds.
+    [[nodiscard]] Fleet::FeedOptions withSharedState(Fleet::FeedOptions options);
     // Loads of the replicas that this host holds.
     [[nodiscard]] std::vector<Holding::ReplicaLoad> heldLoads() const;
     // The hosts of the other zones that may read the store for their zone.
@@ -94,6 +94,7 @@
     Fleet::ReleaseTable m_releases;
     FleetView m_fleet;
     ServiceRetryBudget m_retryBudget;
+    Fleet::PlatformOutage m_outage;
     Relay::ZoneReader m_reader;
     Relay::SharedRowFeed m_rows;
     Relay::SharedWriter m_writer;
--- a/Libraries/LibRelay/SharedWriter.h
+++ b/Libraries/LibRelay/SharedWriter.h
@@ -8,8 +8,9 @@
 namespace Relay {
 
 struct SharedWriterOptions {
-    // Rows that arrive within this time are written together.
-    Core::Duration batchDelay = std::chrono::milliseconds(200);
+    // Rows that arrive within this time are written together. The rows of a zone with forty hosts then take two
+    // transactions a second.
+    Core::Duration batchDelay = std::chrono::milliseconds(500);
     Core::Duration timeout = std::chrono::milliseconds(1500); // For a request to the reader, including its batch delay.
     std::size_t maxRows = 80; // Per transaction; the store allows 100.
 };
