LibPlacement, LibGateway: Send requests on to replicas that have the adapter cached

Cause: a new copy of an adapter counted as a load from the weight store (250 ms) wherever it was made. A replica keeps the adapters that left its engine in host memory, from which they load in a tenth of the time and without the store. Change: a host remembers which adapters left a replica's engine, as hashes (some 60 a replica), and counts a load there as one from the cache.

--- a/Libraries/LibGateway/FleetView.cpp
+++ b/Libraries/LibGateway/FleetView.cpp
@@ -1,5 +1,6 @@
 #include <LibGateway/FleetView.h>
 
+#include <LibCore/Rendezvous.h>
 #include <LibFleet/AdapterName.h>
 #include <algorithm>
 
@@ -16,6 +17,8 @@
 constexpr auto UnloadableDuration = std::chrono::milliseconds(300);
 // For this long, this host's own observation of an adapter counts as newer than a notice or an entry of the list.
 constexpr auto LocalObservationLifetime = std::chrono::milliseconds(500);
+// Adapters that a replica keeps in host memory for each one in the memory of its engine.
+constexpr std::size_t CachedPerResident = 5;
 
 }
 
@@ -48,9 +51,30 @@
             merged.erase(name);
         }
     }
+    for (const auto &[name, version] : view.resident) {
+        if (!merged.contains(name)) {
+            recordCached(view, name, version);
+        }
+    }
+    view.mostResident = std::max(view.mostResident, merged.size());
     view.resident = std::move(merged);
 }
 
+std::uint64_t FleetView::cacheKey(const std::string &name, std::uint64_t version)
+{
+    return Core::stableHash(name, std::max<std::uint64_t>(version, 1));
+}
+
+void FleetView::recordCached(ReplicaView &view, const std::string &name, std::uint64_t version)
+{
+    const auto key = cacheKey(name, version);
+    std::erase(view.cached, key);
+    view.cached.push_back(key);
+    if (view.cached.size() > view.mostResident * CachedPerResident) {
+        view.cached.erase(view.cached.begin());
+    }
+}
+
 void FleetView::recordDemand(const CallerRequest &request, Core::TimePoint now)
 {
     if (!request.adapter.empty()) {
@@ -73,6 +97,7 @@
         if (view.startedAt != replica.startedAt) {
             view.startedAt = replica.startedAt;
             view.resident.clear();
+            view.cached.clear();
             view.changedAt.clear();
             view.holderNoticeAt = {};
             view.loadUpdatedAt = {};
@@ -134,7 +159,10 @@
 void FleetView::setAbsent(const Core::TargetId &replica, const std::string &name, Core::TimePoint now)
 {
     auto &view = m_views[replica];
-    view.resident.erase(name);
+    if (const auto found = view.resident.find(name); found != view.resident.end()) {
+        recordCached(view, name, found->second);
+        view.resident.erase(found);
+    }
     view.changedAt[name] = now;
 }
 
@@ -180,6 +208,8 @@
     if (!adapter.empty() && !residentVersion(view, adapter, newest).has_value()) {
         candidate.residency = now < view.unloadableUntil || !m_isHeld(replica.id) ? Placement::Residency::Unloadable
                                                                                   : Placement::Residency::Absent;
+        const auto key = cacheKey(adapter, newest);
+        candidate.isCached = std::find(view.cached.begin(), view.cached.end(), key) != view.cached.end();
     }
     return candidate;
 }
--- a/Libraries/LibGateway/FleetView.h
+++ b/Libraries/LibGateway/FleetView.h
@@ -72,6 +72,10 @@
         std::map<std::string, std::uint64_t> resident; // Versions of adapters in memory, by "model/adapter".
         // When this host last observed a change of the adapter's residency itself, by "model/adapter".
         std::map<std::string, Core::TimePoint> changedAt;
+        // Adapters that left memory, the most recent last, as hashes of name and version. The replica keeps a copy of
+        // them from which they load without the weight store.
+        std::vector<std::uint64_t> cached;
+        std::size_t mostResident = 0; // Largest number of adapters seen in memory.
         Core::TimePoint holderNoticeAt {}; // When this host last received a notice from the holder.
         Core::TimePoint loadUpdatedAt {}; // When this host last learned the load, directly or through the zone readers.
         Core::Duration loadDelay {}; // Time until the load of another adapter would begin.
@@ -88,6 +92,8 @@
         bool wasUsed = false; // The last notice reported some use.
     };
 
+    static void recordCached(ReplicaView &view, const std::string &name, std::uint64_t version);
+    [[nodiscard]] static std::uint64_t cacheKey(const std::string &name, std::uint64_t version);
     static void applyLoad(ReplicaView &view, const Holding::ReplicaLoad &load, Core::TimePoint now);
     // Estimated requests per second for the adapter, over all hosts.
     [[nodiscard]] double demandFor(const std::string &adapter, Core::TimePoint now) const;
--- a/Libraries/LibPlacement/ReplicaChooser.cpp
+++ b/Libraries/LibPlacement/ReplicaChooser.cpp
@@ -41,7 +41,9 @@
         cost += m_options.costPerQueued * static_cast<int>(candidate.active - candidate.slots + 1);
     }
     cost += crowdingCost(placement, candidate);
-    if (candidate.residency != Residency::Resident) {
+    if (candidate.residency == Residency::Absent && candidate.isCached) {
+        cost += m_options.cachedLoadCost + candidate.loadDelay;
+    } else if (candidate.residency != Residency::Resident) {
         cost += m_options.loadCost + candidate.loadDelay + copyCost
             + m_options.additionalHomeCost * static_cast<int>(rank);
     }
--- a/Libraries/LibPlacement/ReplicaChooser.h
+++ b/Libraries/LibPlacement/ReplicaChooser.h
@@ -26,6 +26,7 @@
     std::string home; // Input of the rendezvous hash; stays the same when the replica restarts.
     Core::ZoneId zone;
     Residency residency = Residency::Resident;
+    bool isCached = false; // The adapter isn't in memory, but has been recently, so that it loads without the store.
     unsigned slots = 0;
     unsigned active = 0; // Requests that run or wait at the replica, from all hosts as far as known.
     std::uint64_t waitingTokens = 0; // Prompt tokens of requests that wait for prefill.
@@ -51,6 +52,8 @@
     Core::Duration crossZoneStreamCost = std::chrono::milliseconds(25);
     // Delay by a load, most loads being from the cache of the replica.
     Core::Duration loadCost = std::chrono::milliseconds(60);
+    // Delay by a load from the cache of the replica, and by what it does to the adapter that makes room.
+    Core::Duration cachedLoadCost = std::chrono::milliseconds(60);
     Core::Duration additionalHomeCost = std::chrono::milliseconds(8); // Added for a load at each additional home.
     // Cost of an additional copy of an adapter without known demand; about the time of a load from the weight store.
     Core::Duration additionalCopyCost = std::chrono::milliseconds(250);
--- a/Libraries/LibPlacement/Tests/PlacementTest.cpp
+++ b/Libraries/LibPlacement/Tests/PlacementTest.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(overloadedHomeAddsSecondHome);
     CPPUNIT_TEST(rareAdapterStaysAtModeratelyLoadedHome);
     CPPUNIT_TEST(rareAdapterIsNotCopiedWhileCopyIsModeratelyLoaded);
+    CPPUNIT_TEST(busyHomeSendsOnToReplicaWithCachedCopy);
     CPPUNIT_TEST(homeWithLongLoadDelayIsSkipped);
     CPPUNIT_TEST(demandLowersThresholdForSecondHome);
     CPPUNIT_TEST(demandDecays);
@@ -104,6 +105,23 @@
         CPPUNIT_ASSERT(home != *m_chooser.choose({.key = "m/a1", .request = "request"}, candidates));
     }
 
+    // Several prompts arrive at the home of a rare adapter within a quarter of a second and would interrupt its
+    // streams. Another replica loads the adapter in a tenth of the time if it has had it before, and the store isn't
+    // asked.
+    void busyHomeSendsOnToReplicaWithCachedCopy()
+    {
+        auto candidates = fleet(60);
+        const auto home = *m_chooser.choose({.key = "m/a1", .request = "request"}, candidates);
+        candidates[home].residency = Placement::Residency::Resident;
+        const auto cached = (home + 7) % candidates.size();
+        candidates[cached].isCached = true;
+        CPPUNIT_ASSERT_EQUAL(home, *m_chooser.choose({.key = "m/a1", .request = "request"}, candidates));
+        candidates[home].waitingTokens = 3000;
+        CPPUNIT_ASSERT_EQUAL(cached, *m_chooser.choose({.key = "m/a1", .request = "request"}, candidates));
+        candidates[cached].isCached = false;
+        CPPUNIT_ASSERT_EQUAL(home, *m_chooser.choose({.key = "m/a1", .request = "request"}, candidates));
+    }
+
     void rareAdapterIsNotCopiedWhileCopyIsModeratelyLoaded()
     {
         auto candidates = fleet(60);
