LibHolding, LibGateway: Tell hosts what changes at a replica, twice as often

Prompts of 10,000 to 19,000 tokens reached one replica within a quarter of a second from five to seven hosts, which knew its load as of up to 300 ms before. The notices held all adapters of a replica each time and were half of what the hosts told one another. Change: notices every 75 ms hold the load and the adapters that changed; a complete one follows each second and for a new receiver. Notices and uses without news are sent every 450 ms. Tests: noticesOfChangesAddUp, missedNoticeIsMadeUpForByCompleteOne, useIsReportedWhenItChanges.

--- a/Libraries/LibGateway/FleetView.cpp
+++ b/Libraries/LibGateway/FleetView.cpp
@@ -17,6 +17,9 @@
 constexpr auto UnloadableDuration = std::chrono::milliseconds(300);
 // For this long, this host's own observation of an adapter counts as newer than a notice or an entry of the list.
 constexpr auto LocalObservationLifetime = std::chrono::milliseconds(500);
+// How often an unchanged use of a replica is reported to its holder. Holders and their notices expire after 1.5
+// seconds.
+constexpr auto UseRefreshPeriod = std::chrono::milliseconds(450);
 // Adapters that a replica keeps in host memory for each one in the memory of its engine.
 constexpr std::size_t CachedPerResident = 5;
 
@@ -101,6 +104,7 @@
             view.changedAt.clear();
             view.holderNoticeAt = {};
             view.loadUpdatedAt = {};
+            view.noticeNumber = 0;
         }
         if (now - view.loadUpdatedAt >= HolderNoticeLifetime) {
             view.otherHostsActive = 0;
@@ -116,6 +120,7 @@
                 listed[Fleet::adapterName(model.model, adapter.adapter)] = adapter.version;
             }
         }
+        view.noticeNumber = 0;
         replaceResident(view, listed, now);
     }
 }
@@ -124,8 +129,8 @@
 {
     view.loadUpdatedAt = now;
     view.loadDelay = std::chrono::milliseconds(load.loadDelayMilliseconds);
-    view.otherHostsActive = load.active - std::min(load.active, view.reportedActive);
-    view.otherHostsWaitingTokens = load.waitingTokens - std::min(load.waitingTokens, view.reportedWaitingTokens);
+    view.otherHostsActive = load.active - std::min(load.active, view.reported.active);
+    view.otherHostsWaitingTokens = load.waitingTokens - std::min(load.waitingTokens, view.reported.waitingTokens);
 }
 
 void FleetView::applyExchangedLoad(const Holding::ReplicaLoad &load, Core::TimePoint now)
@@ -139,9 +144,20 @@
 void FleetView::applyNotice(const Holding::ReplicaNotice &notice, Core::TimePoint now)
 {
     auto &view = m_views[notice.load.replica];
-    view.holderNoticeAt = now;
     applyLoad(view, notice.load, now);
-    std::map<std::string, std::uint64_t> resident;
+    const bool isNext = view.noticeNumber != 0 && notice.number - view.noticeNumber <= 1;
+    if (!notice.isComplete && !isNext) {
+        return; // A notice is missing. A complete one follows.
+    }
+    view.holderNoticeAt = now;
+    if (!notice.isComplete && notice.number == view.noticeNumber) {
+        return;
+    }
+    view.noticeNumber = notice.number;
+    auto resident = notice.isComplete ? std::map<std::string, std::uint64_t> {} : view.resident;
+    for (const auto &name : notice.removed) {
+        resident.erase(name);
+    }
     for (const auto &adapter : notice.adapters) {
         resident[adapter.adapter] = adapter.version;
     }
@@ -273,7 +289,7 @@
     }
 }
 
-std::vector<Holding::ReplicaUse> FleetView::collectUse()
+std::vector<Holding::ReplicaUse> FleetView::collectUse(Core::TimePoint now)
 {
     std::vector<Holding::ReplicaUse> uses;
     for (auto &[id, view] : m_views) {
@@ -283,13 +299,15 @@
         }
         use.adapters.insert(use.adapters.end(), view.recentlyUsed.begin(), view.recentlyUsed.end());
         view.recentlyUsed.clear();
-        view.reportedActive = view.active;
-        view.reportedWaitingTokens = view.waitingTokens;
         const bool isUsed = use.active > 0 || !use.adapters.empty();
-        if (isUsed || view.wasUsed) {
+        const bool isDue = isUsed && now - view.reportedAt >= UseRefreshPeriod;
+        const bool isChanged = use.active != view.reported.active || use.waitingTokens != view.reported.waitingTokens
+            || use.adapters != view.reported.adapters;
+        if (isDue || isChanged) {
+            view.reported = use;
+            view.reportedAt = now;
             uses.push_back(std::move(use));
         }
-        view.wasUsed = isUsed;
     }
     return uses;
 }
--- a/Libraries/LibGateway/FleetView.h
+++ b/Libraries/LibGateway/FleetView.h
@@ -58,8 +58,8 @@
     // Records that the response has started.
     void recordResponseStarted(const Core::TargetId &replica, const CallerRequest &request);
     void recordAttemptEnded(const Core::TargetId &replica, const CallerRequest &request, bool hasResponded);
-    // This host's use of each replica since the last call.
-    [[nodiscard]] std::vector<Holding::ReplicaUse> collectUse();
+    // This host's use of each replica that has changed since the last call, or wasn't returned for some time.
+    [[nodiscard]] std::vector<Holding::ReplicaUse> collectUse(Core::TimePoint now);
 
     [[nodiscard]] Placement::ReplicaHealth &health();
 
@@ -83,13 +83,13 @@
         std::uint64_t startedAt = 0;
         unsigned otherHostsActive = 0; // Running requests of other hosts.
         std::uint64_t otherHostsWaitingTokens = 0;
-        unsigned reportedActive = 0; // Requests of this host in its last notice to the holder.
-        std::uint64_t reportedWaitingTokens = 0;
         unsigned active = 0; // Running requests of this host.
         std::uint64_t waitingTokens = 0;
         std::map<std::string, unsigned> running; // Running requests of this host, by "model/adapter".
         std::set<std::string> recentlyUsed; // Adapters whose last request has ended since the last notice.
-        bool wasUsed = false; // The last notice reported some use.
+        Holding::ReplicaUse reported; // The last notice to the holder.
+        Core::TimePoint reportedAt {};
+        std::uint64_t noticeNumber = 0; // Of the last notice of the holder; zero if a complete one is needed.
     };
 
     static void recordCached(ReplicaView &view, const std::string &name, std::uint64_t version);
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -5,6 +5,7 @@
 #include <LibGateway/FeedTimes.h>
 #include <LibGateway/ForwardedRequest.h>
 #include <LibHolding/HolderTable.h>
+#include <LibHolding/NoticeSeries.h>
 #include <LibHolding/ReplicaController.h>
 #include <LibPeer/PeerRouter.h>
 #include <LibRelay/LoadExchange.h>
@@ -18,8 +19,13 @@
     ServiceRetryBudgetOptions retryBudget;
     std::string peerKey; // Key shared by all hosts of the system.
     ChangeBounds changes;
-    // Interval between notices of use to holders, and between the holders' load notices.
-    Core::Duration noticePeriod = std::chrono::milliseconds(150);
+    // Interval between notices of use to holders, and between the holders' load notices. The prompts that a replica
+    // receives within a quarter of a second decide whether it interrupts its streams.
+    Core::Duration noticePeriod = std::chrono::milliseconds(75);
+    // Notices without news are sent at this interval.
+    Core::Duration quietNoticePeriod = std::chrono::milliseconds(450);
+    // A host that has missed a notice gets the complete state after at most this time.
+    Core::Duration completeNoticePeriod = std::chrono::milliseconds(1000);
     Core::Duration tickPeriod = std::chrono::milliseconds(75); // Interval between ticks of the replica controllers.
     // Timeout of a request to another holder to load an adapter.
     Core::Duration adapterTimeout = std::chrono::milliseconds(1100);
@@ -86,6 +92,17 @@
     // Live hosts of this host's zone.
     [[nodiscard]] std::vector<Relay::ZoneHost> zoneHosts() const;
 
+    // A host that uses replicas which this host holds.
+    struct Subscriber {
+        Core::TimePoint usedAt {}; // Of its last notice of use.
+        Core::TimePoint notifiedAt {};
+        Core::TimePoint completeAt {}; // Of the last notice with the complete state.
+    };
+
+    // Updates the notices of the held replicas. Returns whether any has changed.
+    bool advanceNotices();
+    void notify(const Core::HostId &host, Subscriber &subscriber, bool isChanged);
+
     GatewayDependencies m_dependencies;
     GatewayOptions m_options;
     Peer::PeerRouter m_router;
@@ -105,8 +122,8 @@
     Fleet::Feed<Fleet::ConfigurationChanges> m_configurationFeed;
     Fleet::Feed<Platform::FeedResult> m_holderFeed;
     std::map<Core::TargetId, std::unique_ptr<Holding::ReplicaController>> m_controllers;
-    // Hosts that receive load notices, with the time of their last notice of use.
-    std::map<Core::HostId, Core::TimePoint> m_subscribers;
+    std::map<Core::TargetId, Holding::NoticeSeries> m_notices; // Of the replicas that this host holds.
+    std::map<Core::HostId, Subscriber> m_subscribers; // Hosts that receive load notices.
     Core::TimePoint m_nextNotice {};
     bool m_isLeaving = false;
     bool m_refusesRequests = false;
--- a/Libraries/LibGateway/GatewayOrders.cpp
+++ b/Libraries/LibGateway/GatewayOrders.cpp
@@ -66,7 +66,7 @@
 {
     const auto now = m_dependencies.scheduler.now();
     std::map<Core::HostId, Holding::UseNotice> notices;
-    for (auto &use : m_fleet.collectUse()) {
+    for (auto &use : m_fleet.collectUse(now)) {
         if (const auto holder = m_holders.holderOf(use.replica); holder.has_value()) {
             notices[*holder].uses.push_back(std::move(use));
         }
@@ -79,25 +79,55 @@
         }
     }
     std::erase_if(m_subscribers, [now](const auto &subscriber) {
-        return now - subscriber.second > SubscriberTimeout;
+        return now - subscriber.second.usedAt > SubscriberTimeout;
     });
-    Holding::LoadNotice held;
+    const bool isChanged = advanceNotices();
+    for (auto &[host, subscriber] : m_subscribers) {
+        if (host != m_options.holding.self.host) {
+            notify(host, subscriber, isChanged);
+        }
+    }
+    for (const auto &[id, series] : m_notices) {
+        m_fleet.applyNotice(series.complete(), now);
+    }
+}
+
+bool Gateway::advanceNotices()
+{
+    std::erase_if(m_notices, [this](const auto &series) {
+        return !m_controllers.contains(series.first);
+    });
+    bool isChanged = false;
     for (const auto &[id, controller] : m_controllers) {
-        held.replicas.push_back(controller->notice());
+        const auto firstNumber = static_cast<std::uint64_t>(m_dependencies.scheduler.now().time_since_epoch().count());
+        auto &series = m_notices.try_emplace(id, firstNumber).first->second;
+        series.advance(controller->notice());
+        isChanged = isChanged || series.isChanged();
     }
-    for (const auto &[subscriber, at] : m_subscribers) {
-        if (subscriber != m_options.holding.self.host) {
-            m_router.send(subscriber, held);
-        }
+    return isChanged;
+}
+
+void Gateway::notify(const Core::HostId &host, Subscriber &subscriber, bool isChanged)
+{
+    const auto now = m_dependencies.scheduler.now();
+    const bool isComplete = now - subscriber.completeAt >= m_options.completeNoticePeriod;
+    if (!isChanged && !isComplete && now - subscriber.notifiedAt < m_options.quietNoticePeriod) {
+        return;
+    }
+    Holding::LoadNotice notice;
+    for (const auto &[id, series] : m_notices) {
+        notice.replicas.push_back(isComplete ? series.complete() : series.difference());
     }
-    for (const auto &replica : held.replicas) {
-        m_fleet.applyNotice(replica, now);
+    m_router.send(host, notice);
+    subscriber.notifiedAt = now;
+    if (isComplete) {
+        subscriber.completeAt = now;
     }
 }
 
 void Gateway::handleUseNotice(const Core::HostId &from, const Holding::UseNotice &notice)
 {
-    m_subscribers[from] = m_dependencies.scheduler.now();
+    m_subscribers[from].usedAt = m_dependencies.scheduler.now();
     for (const auto &use : notice.uses) {
         if (const auto controller = m_controllers.find(use.replica); controller != m_controllers.end()) {
             controller->second->recordUse(from, use);
--- a/Libraries/LibGateway/Tests/GatewayPartsTest.cpp
+++ b/Libraries/LibGateway/Tests/GatewayPartsTest.cpp
@@ -2,6 +2,7 @@
 #include <LibGateway/FleetView.h>
 #include <LibGateway/Framing.h>
 #include <LibGateway/ServiceRetryBudget.h>
+#include <LibHolding/NoticeSeries.h>
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace std::chrono_literals;
@@ -19,6 +20,10 @@
     CPPUNIT_TEST(localObservationOverridesOlderEntry);
     CPPUNIT_TEST(busyReplicaIsAvoidedThroughExchangedLoad);
     CPPUNIT_TEST(holderNoticeOverridesExchangedLoad);
+    CPPUNIT_TEST(noticesOfChangesAddUp);
+    CPPUNIT_TEST(missedNoticeIsMadeUpForByCompleteOne);
+    CPPUNIT_TEST(adapterThatLeftMemoryLoadsAtReplicaThatHadIt);
+    CPPUNIT_TEST(useIsReportedWhenItChanges);
     CPPUNIT_TEST_SUITE_END();
 
     const Core::TimePoint m_now {1h};
@@ -191,6 +196,102 @@
         m_view.applyExchangedLoad({.replica = first, .active = 30, .waitingTokens = 20000}, m_now + 100ms);
         CPPUNIT_ASSERT_EQUAL(first.value, m_view.choose(request(), "s", {}, m_now + 100ms)->id.value);
     }
+
+    // A replica's state with the given adapters, all of version 1.
+    static Holding::ReplicaNotice stateWith(const std::vector<std::string> &adapters)
+    {
+        Holding::ReplicaNotice notice {.load = {.replica = {"r"}}};
+        for (const auto &adapter : adapters) {
+            notice.adapters.push_back({.adapter = adapter, .version = 1});
+        }
+        return notice;
+    }
+
+    void expectResident(const std::set<std::string> &expected)
+    {
+        for (const std::string adapter : {"m/a1", "m/a2", "m/a3"}) {
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(adapter, expected.contains(adapter),
+                                         m_view.residentVersion({"r"}, adapter).has_value());
+        }
+    }
+
+    void noticesOfChangesAddUp()
+    {
+        m_replicas.apply(changesWithReplica(0), true, m_now, m_now - 1min);
+        m_view.refresh(m_now);
+        Holding::NoticeSeries series(7);
+        series.advance(stateWith({"m/a1"}));
+        m_view.applyNotice(series.complete(), m_now);
+        expectResident({"m/a1"});
+        series.advance(stateWith({"m/a1", "m/a2"}));
+        m_view.applyNotice(series.difference(), m_now + 75ms);
+        expectResident({"m/a1", "m/a2"});
+        // Only the load has changed.
+        series.advance(stateWith({"m/a1", "m/a2"}));
+        m_view.applyNotice(series.difference(), m_now + 150ms);
+        expectResident({"m/a1", "m/a2"});
+        series.advance(stateWith({"m/a2", "m/a3"}));
+        m_view.applyNotice(series.difference(), m_now + 225ms);
+        expectResident({"m/a2", "m/a3"});
+    }
+
+    void missedNoticeIsMadeUpForByCompleteOne()
+    {
+        m_replicas.apply(changesWithReplica(0), true, m_now, m_now - 1min);
+        m_view.refresh(m_now);
+        Holding::NoticeSeries series(7);
+        series.advance(stateWith({"m/a1"}));
+        m_view.applyNotice(series.complete(), m_now);
+        series.advance(stateWith({"m/a1", "m/a2"})); // This notice is lost.
+        series.advance(stateWith({"m/a2", "m/a3"}));
+        m_view.applyNotice(series.difference(), m_now + 150ms);
+        expectResident({"m/a1"});
+        series.advance(stateWith({"m/a2", "m/a3"}));
+        m_view.applyNotice(series.difference(), m_now + 225ms);
+        expectResident({"m/a1"});
+        m_view.applyNotice(series.complete(), m_now + 300ms);
+        expectResident({"m/a2", "m/a3"});
+    }
+
+    // Both replicas had the adapter, and the first one is crowded. Without the memory of that, a new copy costs so much
+    // that the request would wait behind the others.
+    void adapterThatLeftMemoryLoadsAtReplicaThatHadIt()
+    {
+        const Placement::ReplicaChooserOptions options {.ownZone = {"a"}};
+        Gateway::FleetView view(
+            m_replicas, m_releases, options,
+            [](const auto &) {
+                return true;
+            },
+            [] {
+                return std::size_t(1);
+            });
+        m_replicas.apply(changesWithTwoReplicas(), true, m_now, m_now - 1min);
+        view.refresh(m_now);
+        const auto first = view.choose(request(), "s", {}, m_now)->id;
+        const Core::TargetId second {first.value == "r" ? "other" : "r"};
+        view.applyNotice({.load = {.replica = second}}, m_now);
+        CPPUNIT_ASSERT(!view.residentVersion(second, "m/a1").has_value());
+        view.applyExchangedLoad({.replica = first, .waitingTokens = 3000}, m_now);
+        CPPUNIT_ASSERT_EQUAL(second.value, view.choose(request(), "s", {}, m_now)->id.value);
+    }
+
+    void useIsReportedWhenItChanges()
+    {
+        m_replicas.apply(changesWithReplica(1), true, m_now, m_now - 1min);
+        m_view.refresh(m_now);
+        m_view.recordAttemptStarted({"r"}, request());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_view.collectUse(m_now).size());
+        CPPUNIT_ASSERT(m_view.collectUse(m_now + 75ms).empty());
+        m_view.recordResponseStarted({"r"}, request());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_view.collectUse(m_now + 150ms).size());
+        // A holder forgets a use that isn't repeated.
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_view.collectUse(m_now + 650ms).size());
+        m_view.recordAttemptEnded({"r"}, request(), true);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_view.collectUse(m_now + 700ms).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_view.collectUse(m_now + 775ms).size());
+        CPPUNIT_ASSERT(m_view.collectUse(m_now + 5s).empty());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayPartsTest);
--- a/Libraries/LibHolding/HoldingMessages.h
+++ b/Libraries/LibHolding/HoldingMessages.h
@@ -77,12 +77,15 @@
     MSGPACK_DEFINE(replica, active, waitingTokens, loadDelayMilliseconds)
 };
 
-// The load of a replica and the adapters in its memory.
+// The load of a replica and the adapters in its memory, or those that have changed since the last notice.
 struct ReplicaNotice {
     ReplicaLoad load;
-    std::vector<ResidentAdapter> adapters;
+    std::vector<ResidentAdapter> adapters; // All adapters if isComplete, otherwise new ones and new versions.
+    std::uint64_t number = 0; // Increases by one with each change of the adapters.
+    bool isComplete = true;
+    std::vector<std::string> removed; // Adapters that are no longer in memory, as "model/adapter".
 
-    MSGPACK_DEFINE(load, adapters)
+    MSGPACK_DEFINE(load, adapters, number, isComplete, removed)
 };
 
 // Sent by a holder to the hosts that use its replicas.
