LibGateway: Log the longest pause of a stream and its prompt

Cause: an answer that was late by a pause in the middle of its stream couldn't be told from one on time. The log had the time to the first event and the total alone. Change: request-ended has pauseMs, the longest time between two events, and promptTokens. Measured: two fields a line.

--- a/Libraries/LibGateway/ForwardedRequest.cpp
+++ b/Libraries/LibGateway/ForwardedRequest.cpp
@@ -303,6 +303,8 @@
                 {"sends", std::to_string(m_sends)},
                 {"loads", std::to_string(m_loadRequests)},
                 {"firstMs", std::to_string(m_isStreaming ? Core::toMilliseconds(m_firstEventAt - m_startedAt) : -1)},
+                {"promptTokens", std::to_string(m_request.promptTokens)},
+                {"pauseMs", std::to_string(Core::toMilliseconds(m_longestPause))},
                 {"totalMs", std::to_string(Core::toMilliseconds(now - m_startedAt))},
                 {"reason", std::string(reason)}});
 }
--- a/Libraries/LibGateway/ForwardedRequest.h
+++ b/Libraries/LibGateway/ForwardedRequest.h
@@ -128,6 +128,8 @@
     EventSplitter m_events;
     bool m_isStreaming = false; // The head of the response has been sent to the caller.
     Core::TimePoint m_firstEventAt {};
+    Core::TimePoint m_lastEventAt {};
+    Core::Duration m_longestPause {}; // Between two events of the stream.
 };
 
 }
--- a/Libraries/LibGateway/ForwardedRequestResponses.cpp
+++ b/Libraries/LibGateway/ForwardedRequestResponses.cpp
@@ -4,6 +4,7 @@
 #include <LibCore/HttpStatus.h>
 #include <LibGateway/ForwardingLimits.h>
 #include <LibLog/Log.h>
+#include <algorithm>
 
 namespace Gateway {
 
@@ -54,6 +55,10 @@
     const auto sequence = m_events.split(bytes, events);
     if (!events.empty()) {
         m_lastProgressAt = m_dependencies.scheduler.now();
+        if (m_isStreaming) {
+            m_longestPause = std::max(m_longestPause, m_lastProgressAt - m_lastEventAt);
+        }
+        m_lastEventAt = m_lastProgressAt;
         if (!m_isStreaming) {
             m_isStreaming = true;
             m_firstEventAt = m_lastProgressAt;
