LibNet, LibEngine: End a stream whose engine sends bytes but no events

Cause, from an operator's report: any byte restarted the idle timeout of a stream, so that a stalled engine that sent one now and then kept its stream open until the caller's deadline. Change: a request may have its progress recorded by who reads it; a stream's progress is a complete event. Tests: stalledStreamThatSendsBytesIsEnded fails without the change; slowStreamIsNotCut.

--- a/Libraries/LibEngine/HttpEngineLink.cpp
+++ b/Libraries/LibEngine/HttpEngineLink.cpp
@@ -26,6 +26,7 @@
 
 // The state of one stream while its lines arrive.
 struct HttpEngineLink::StreamProgress {
+    Net::HttpRequestId request = Net::HttpRequestId::None;
     LineBuffer lines;
     StreamFunction events;
     bool hasStarted = false;
@@ -39,17 +40,21 @@
         }
     }
 
-    void handleBytes(long status, std::string_view bytes)
+    // Returns whether the bytes completed an event.
+    bool handleBytes(long status, std::string_view bytes)
     {
+        bool hasEvent = false;
         const bool isWithinLimit = lines.append(bytes, [&](std::string_view line) {
             if (status == Core::HttpStatus::Ok && !line.empty() && !hasEnded) {
                 hasStarted = true;
+                hasEvent = true;
                 emitEvent(parseLine(line));
             }
         });
         if (!isWithinLimit) {
             emitEvent(StreamFailure {.reason = "line is too long"});
         }
+        return hasEvent;
     }
 
     void handleResult(const Net::HttpResult &result)
@@ -131,15 +136,19 @@
          .headers = {"Content-Type: application/json", "traceparent: " + request.traceparent},
          .body = toJson(request).dump(),
          .idleTimeout = m_options.idleTimeout,
+         .idleProgress = Net::IdleProgress::Recorded,
          .connectionUse
          = request.connection == StreamConnection::Fresh ? Net::ConnectionUse::Fresh : Net::ConnectionUse::Reuse},
         [this, progress, number = m_lastStream + 1](const Net::HttpResult &result) {
             m_streams.erase(number);
             progress->handleResult(result);
         },
-        [progress](long status, std::string_view bytes) {
-            progress->handleBytes(status, bytes);
+        [this, progress](long status, std::string_view bytes) {
+            if (progress->handleBytes(status, bytes)) {
+                m_client.recordProgress(progress->request);
+            }
         });
+    progress->request = id;
     m_streams.emplace(++m_lastStream, RunningStream {.request = id, .progress = progress});
     return StreamId(m_lastStream);
 }
--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -158,7 +158,9 @@
         if (transfer->isCancelled) {
             return piece.size();
         }
-        transfer->lastActivity = transfer->client->m_loop.now();
+        if (transfer->request.idleProgress == IdleProgress::AnyData) {
+            transfer->lastActivity = transfer->client->m_loop.now();
+        }
         if (transfer->data) {
             long status = 0;
             curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
@@ -310,6 +312,13 @@
     });
 }
 
+void HttpClient::recordProgress(HttpRequestId id)
+{
+    if (const auto found = m_transfers.find(static_cast<std::uint64_t>(id)); found != m_transfers.end()) {
+        found->second->lastActivity = m_loop.now();
+    }
+}
+
 void HttpClient::handleSocketEvents()
 {
     std::array<epoll_event, 64> events {};
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -20,6 +20,8 @@
     HttpRequestId start(HttpRequest request, DoneFunction done, DataFunction data = nullptr,
                         HeadFunction head = nullptr) override;
     void cancel(HttpRequestId id) override;
+    // Restarts the idle timeout of a request whose progress is recorded.
+    void recordProgress(HttpRequestId id);
 
 private:
     struct Transfer;
--- a/Libraries/LibNet/HttpRequest.h
+++ b/Libraries/LibNet/HttpRequest.h
@@ -19,6 +19,13 @@
     Reuse,
 };
 
+// What restarts the idle timeout of a request, besides the head of the response.
+enum class IdleProgress {
+    AnyData,
+    // Only HttpClient::recordProgress(). For streams, whose server may be stalled and yet send a byte now and then.
+    Recorded,
+};
+
 // Which headers a request carries in addition to those in HttpRequest::headers.
 enum class HeaderDefaults {
     // The headers that curl adds by default, such as Accept.
@@ -42,7 +49,8 @@
     std::string body;
     Core::Duration connectTimeout = std::chrono::milliseconds(500);
     Core::Duration totalTimeout = {}; // Zero means no limit.
-    Core::Duration idleTimeout = {}; // Maximum time without received data; zero means no limit.
+    Core::Duration idleTimeout = {}; // Maximum time without progress; zero means no limit.
+    IdleProgress idleProgress = IdleProgress::AnyData;
     ConnectionUse connectionUse = ConnectionUse::Fresh;
     // Asked when the connection is established, right before the first byte of the request is sent. If it returns
     // false, nothing is sent and the request fails. For requests that depend on a lease, which may expire while the
