LibNet: Let the system choose the port of a test's server

Change: HttpServer tells its port, and the tests of LibNet share one loopback address. Assertions are unchanged.

--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -328,6 +328,11 @@
     MHD_stop_daemon(m_daemon);
 }
 
+std::uint16_t HttpServer::port() const
+{
+    return MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
+}
+
 void HttpServer::endKeepAlive()
 {
     m_isKeepAliveDisabled = true;
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -117,6 +117,8 @@
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
 
+    // The port on which the server listens, also if the system chose it because the options name port zero.
+    [[nodiscard]] std::uint16_t port() const;
     // Closes every connection after its next response, so that callers with persistent connections reconnect to another
     // host.
     void endKeepAlive();
--- a/Libraries/LibNet/Tests/HttpClientTest.cpp
+++ b/Libraries/LibNet/Tests/HttpClientTest.cpp
@@ -1,12 +1,9 @@
 #include <LibNet/HttpClient.h>
-#include <arpa/inet.h>
+#include <LibNet/Tests/Loopback.h>
 #include <atomic>
 #include <cppunit/extensions/HelperMacros.h>
 #include <functional>
-#include <netinet/in.h>
-#include <sys/socket.h>
 #include <thread>
-#include <unistd.h>
 
 using namespace std::chrono_literals;
 
@@ -22,9 +19,7 @@
         : m_serve(std::move(serve))
     {
         m_listener = socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in address {};
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        auto address = Net::loopback(0);
         bind(m_listener, reinterpret_cast<sockaddr *>(&address), sizeof address);
         listen(m_listener, 8);
         socklen_t size = sizeof address;
--- a/Libraries/LibNet/Tests/ServerDrainTest.cpp
+++ b/Libraries/LibNet/Tests/ServerDrainTest.cpp
@@ -1,41 +1,17 @@
 #include <LibCore/VirtualScheduler.h>
 #include <LibNet/HttpServer.h>
 #include <LibNet/ServerDrain.h>
-#include <arpa/inet.h>
+#include <LibNet/Tests/Loopback.h>
 #include <cppunit/extensions/HelperMacros.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 using namespace std::chrono_literals;
 
 namespace {
 
-sockaddr_in loopback(std::uint16_t port)
-{
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    address.sin_port = htons(port);
-    return address;
-}
-
-// A port that nothing listens on.
-std::uint16_t freePort()
-{
-    const int probe = socket(AF_INET, SOCK_STREAM, 0);
-    auto address = loopback(0);
-    socklen_t size = sizeof address;
-    bind(probe, reinterpret_cast<sockaddr *>(&address), size);
-    getsockname(probe, reinterpret_cast<sockaddr *>(&address), &size);
-    close(probe);
-    return ntohs(address.sin_port);
-}
-
 int connectTo(std::uint16_t port)
 {
     const int connection = socket(AF_INET, SOCK_STREAM, 0);
-    const auto address = loopback(port);
+    const auto address = Net::loopback(port);
     if (connect(connection, reinterpret_cast<const sockaddr *>(&address), sizeof address) != 0) {
         close(connection);
         return -1;
@@ -120,16 +96,15 @@
 
     void requestOnAcceptedConnectionIsAnsweredDuringDrain()
     {
-        const auto port = freePort();
         Net::EventLoop loop;
-        Net::HttpServer server(loop, {.port = port}, [&](const auto &exchange) {
+        Net::HttpServer server(loop, {}, [&](const auto &exchange) {
             // A response that takes a moment, so that the stop finds it open.
             loop.runAfter(30ms, [exchange] {
                 exchange->respond({.status = 503}, "stopping");
             });
         });
         server.endKeepAlive();
-        const int accepted = connectTo(port);
+        const int accepted = connectTo(server.port());
         CPPUNIT_ASSERT(accepted >= 0);
         Net::ServerDrain drain(loop, Net::drainedServer(server), {});
         std::string response;
@@ -144,7 +119,7 @@
             const std::string_view request = "GET / HTTP/1.1\r\nHost: test.example\r\n\r\n";
             CPPUNIT_ASSERT(send(accepted, request.data(), request.size(), MSG_NOSIGNAL)
                            == static_cast<ssize_t>(request.size()));
-            const int late = connectTo(port);
+            const int late = connectTo(server.port());
             isRefused = late < 0;
             if (late >= 0) {
                 close(late);
