LibGateway: Send notices with each tick

Cause: notices and ticks have the same interval since notices are sent every 75 ms, so that the time of the next notice was always due: state that says nothing. Change: one interval. Nothing else differs; a tick follows the last one by the interval at least.

--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -19,14 +19,14 @@
     ServiceRetryBudgetOptions retryBudget;
     std::string peerKey; // Key shared by all hosts of the system.
     ChangeBounds changes;
-    // Interval between notices of use to holders, and between the holders' load notices. The prompts that a replica
-    // receives within a quarter of a second decide whether it interrupts its streams.
-    Core::Duration noticePeriod = std::chrono::milliseconds(75);
     // Notices without news are sent at this interval.
     Core::Duration quietNoticePeriod = std::chrono::milliseconds(450);
     // A host that has missed a notice gets the complete state after at most this time.
     Core::Duration completeNoticePeriod = std::chrono::milliseconds(1000);
-    Core::Duration tickPeriod = std::chrono::milliseconds(75); // Interval between ticks of the replica controllers.
+    // Interval between ticks of the replica controllers, between notices of use to holders, and between the holders'
+    // load notices. The prompts that a replica receives within a quarter of a second decide whether it interrupts its
+    // streams.
+    Core::Duration tickPeriod = std::chrono::milliseconds(75);
     // Timeout of a request to another holder to load an adapter.
     Core::Duration adapterTimeout = std::chrono::milliseconds(1100);
 };
@@ -124,7 +124,6 @@
     std::map<Core::TargetId, std::unique_ptr<Holding::ReplicaController>> m_controllers;
     std::map<Core::TargetId, Holding::NoticeSeries> m_notices; // Of the replicas that this host holds.
     std::map<Core::HostId, Subscriber> m_subscribers; // Hosts that receive load notices.
-    Core::TimePoint m_nextNotice {};
     bool m_isLeaving = false;
     bool m_refusesRequests = false;
 };
--- a/Libraries/LibGateway/GatewayOrders.cpp
+++ b/Libraries/LibGateway/GatewayOrders.cpp
@@ -53,10 +53,7 @@
     for (const auto &[id, controller] : m_controllers) {
         controller->tick();
     }
-    if (now >= m_nextNotice) {
-        m_nextNotice = now + m_options.noticePeriod;
-        sendNotices();
-    }
+    sendNotices();
     m_dependencies.scheduler.runAfter(m_options.tickPeriod, [this] {
         tick();
     });
