LibGateway: Leave a silent request where it is until it can be retried

Callers got 502 for idempotent requests whose replica was sound and silent for a moment: the attempt was cancelled at the idle timeout before it was known whether a retry was possible, and failed if the retry budget was used up or no other replica was free.

The attempt now stays until another replica can take the request, as a stream does.

The test failed before at its first assertion: the transfer was cancelled and the request had failed.

--- a/Libraries/LibGateway/ForwardedRequest.h
+++ b/Libraries/LibGateway/ForwardedRequest.h
@@ -78,10 +78,10 @@
     // Whether the replica has sent nothing complete for the idle timeout.
     [[nodiscard]] bool isIdle() const;
     void abandonSilentAttempt();
-    // Prepares another replica for a stream whose replica is silent. The stream stays where it is until the other
-    // replica can continue it, and for good if an event arrives before that.
+    // Prepares another replica for a request whose replica is silent. The request stays where it is until the other
+    // replica can take it, and for good if the response goes on before that.
     void prepareMove();
-    void moveStream(const Fleet::Replica &replica, std::uint64_t version);
+    void moveAttempt(const Fleet::Replica &replica, std::uint64_t version);
     void recordOutcome(Placement::AttemptOutcome outcome);
     void endAttempt();
     void retryOrFail(std::string_view reason);
--- a/Libraries/LibGateway/ForwardedRequestContinuation.cpp
+++ b/Libraries/LibGateway/ForwardedRequestContinuation.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-// An idempotent request is retried elsewhere if the replica sends nothing for this many times the latency objective.
+// An idempotent request is moved elsewhere if the replica sends nothing for this many times the latency objective.
 constexpr int IdleTimeoutObjectives = 2;
 // Lower limit of the idle timeout before the first bytes, for routes with a short latency objective.
 constexpr auto MinIdleTimeout = std::chrono::milliseconds(250);
@@ -91,13 +91,10 @@
     if (m_stage != Stage::Sending) {
         return;
     }
-    if (!isIdle()) {
-        startIdleTimer();
-    } else if (m_isStreaming) {
+    if (isIdle()) {
         prepareMove();
     } else {
-        abandonSilentAttempt();
-        retryOrFail("the replica sent nothing before the idle timeout");
+        startIdleTimer();
     }
 }
 
@@ -124,7 +121,7 @@
     const auto name = FleetView::adapterName(m_request);
     if (const auto version = m_dependencies.fleet.residentVersion(replica->id, name);
         name.empty() || version.has_value()) {
-        moveStream(*replica, version.value_or(0));
+        moveAttempt(*replica, version.value_or(0));
         return;
     }
     m_dependencies.loadAdapter(
@@ -134,14 +131,14 @@
                 return;
             }
             if (reply.outcome == static_cast<std::uint8_t>(Holding::AdapterOutcome::Ready)) {
-                self->moveStream(replica, reply.version);
+                self->moveAttempt(replica, reply.version);
             } else {
                 self->startIdleTimer();
             }
         });
 }
 
-void ForwardedRequest::moveStream(const Fleet::Replica &replica, std::uint64_t version)
+void ForwardedRequest::moveAttempt(const Fleet::Replica &replica, std::uint64_t version)
 {
     const auto now = m_dependencies.scheduler.now();
     const bool isPossible = isIdle() && m_dependencies.fleet.isAvailable(replica)
--- a/Libraries/LibGateway/Tests/ForwardedRequestTest.cpp
+++ b/Libraries/LibGateway/Tests/ForwardedRequestTest.cpp
@@ -10,6 +10,7 @@
     CPPUNIT_TEST(slowStreamIsNotCut);
     CPPUNIT_TEST(silentStreamStaysWhereItIsUntilAnotherReplicaIsReady);
     CPPUNIT_TEST(silentStreamContinuesAtReplicaThatIsReady);
+    CPPUNIT_TEST(silentRequestStaysWhereItIsUntilItCanBeRetried);
     CPPUNIT_TEST(bytesWithoutEventsAreNoProgress);
     CPPUNIT_TEST(brokenStreamIsContinuedUntilItsDeadline);
     CPPUNIT_TEST(slowLoadIsAwaitedAtTheSameReplica);
@@ -70,6 +71,18 @@
         CPPUNIT_ASSERT(m_exchange->isEnded && !m_exchange->isAborted);
     }
 
+    // A request failed because its replica was silent for a moment while the retry budget was used up.
+    void silentRequestStaysWhereItIsUntilItCanBeRetried()
+    {
+        while (m_budget.tryRetry("s", 1, m_scheduler.now())) { }
+        start({.kind = Routes::RequestKind::Safe, .timeout = 5s, .objective = 300ms, .maxAttempts = 2}, {});
+        m_scheduler.advance(1s);
+        CPPUNIT_ASSERT(!m_transport.transfers[0].isCancelled && !m_exchange->isEnded);
+        answerHead(0, 200, {{"Attempt", "caller-1"}});
+        end(0, {.status = 200});
+        CPPUNIT_ASSERT_EQUAL(200U, m_exchange->status);
+    }
+
     // A stalled replica sends a byte now and then.
     void bytesWithoutEventsAreNoProgress()
     {
