LibRouting: Quarantine parts of prompts that crash targets

One part of a prompt may crash each target that begins to answer it, whatever else the request holds. The quarantine identified a request by customer, adapter and the whole prompt, which no two such requests share, so it could not have refused them.

The table now takes all fingerprints of a request. It refuses what the crashes have in common: parts that always came together only together, no part whose deaths another one explains, and none that has just run to completion. Notices go to two hosts of each other zone, as one of them may have failed, and refusals are exchanged, so that a host that starts later or was cut off learns them. Whole requests are judged as before: the reference model of the table's test is unchanged and passes.

PromptPartsTest shows six hosts in three zones refuse the part at the third crash and serve all others.

--- a/Libraries/LibHost/Host.cpp
+++ b/Libraries/LibHost/Host.cpp
@@ -52,7 +52,17 @@
     , m_retryBudget(options.retryBudget)
     , m_avoidance(options.avoidance)
     , m_owners(dependencies.scheduler, m_router, options.owners)
-    , m_quarantine(dependencies.scheduler, m_router, m_leases, options.quarantine)
+    , m_quarantine(dependencies.scheduler, m_router,
+                   {.self = {.id = options.record.id, .zone = options.record.zone},
+                    .live =
+                        [this] {
+                            std::vector<Routing::QuarantineHost> hosts;
+                            for (const auto &host : m_leases.liveHosts()) {
+                                hosts.push_back({.id = host.id, .zone = host.zone});
+                            }
+                            return hosts;
+                        }},
+                   options.quarantine)
     , m_ledger({.scheduler = dependencies.scheduler,
                 .table = dependencies.table,
                 .router = m_router,
--- a/Libraries/LibHost/Host.h
+++ b/Libraries/LibHost/Host.h
@@ -49,7 +49,7 @@
     Routing::RetryBudgetOptions retryBudget;
     Routing::TargetAvoidanceOptions avoidance;
     Routing::OwnerWatchOptions owners;
-    Routing::QuarantineTableOptions quarantine;
+    Routing::QuarantineOptions quarantine;
     Ledger::LedgerOptions ledger;
 };
 
--- a/Libraries/LibRouting/Quarantine.cpp
+++ b/Libraries/LibRouting/Quarantine.cpp
@@ -2,16 +2,28 @@
 
 #include <LibCore/Rendezvous.h>
 #include <LibLog/Log.h>
+#include <algorithm>
 #include <map>
+#include <ranges>
 
 namespace Routing {
 
-Quarantine::Quarantine(Core::Scheduler &scheduler, Peer::PeerRouter &router, const Membership::HostLeases &leases,
-                       QuarantineTableOptions options)
+namespace {
+
+// Bounds the messages of one exchange. More parts than this are hardly refused at the same time.
+constexpr std::size_t MaxExchangedRefusals = 16;
+// One of them may have failed while it is still listed.
+constexpr std::size_t ForwardersPerZone = 2;
+
+}
+
+Quarantine::Quarantine(Core::Scheduler &scheduler, Peer::PeerRouter &router, QuarantineHosts hosts,
+                       QuarantineOptions options)
     : m_scheduler(scheduler)
     , m_router(router)
-    , m_leases(leases)
-    , m_table(options)
+    , m_hosts(std::move(hosts))
+    , m_exchangePeriod(options.exchangePeriod)
+    , m_table(options.table)
 {
 }
 
@@ -20,13 +32,28 @@
     m_router.onMessage<QuarantineNotice>([this](const Core::HostId & /*from*/, const QuarantineNotice &notice) {
         handleNotice(notice);
     });
+    if (m_exchangePeriod > Core::Duration::zero()) {
+        exchange();
+    }
 }
 
 void Quarantine::recordDeath(std::uint64_t fingerprint, const TargetDeath &death)
 {
-    const QuarantineNotice notice {.fingerprint = fingerprint, .deaths = {death}};
-    if (apply(notice)) {
-        broadcast(notice, Recipients::AllZones);
+    recordDeath(std::span(&fingerprint, 1), death);
+}
+
+void Quarantine::recordDeath(std::span<const std::uint64_t> fingerprints, const TargetDeath &death)
+{
+    std::vector<std::uint64_t> companions(fingerprints.begin(), fingerprints.end());
+    std::ranges::sort(companions);
+    if (companions.size() == 1) {
+        companions.clear();
+    }
+    for (const auto fingerprint : fingerprints) {
+        const QuarantineNotice notice {.fingerprint = fingerprint, .deaths = {death}, .companions = companions};
+        if (apply(notice)) {
+            broadcast(notice, Recipients::AllZones);
+        }
     }
 }
 
@@ -43,8 +70,18 @@
     return m_table.suspicionOf(fingerprint, m_scheduler.now());
 }
 
+Suspicion Quarantine::suspicionOf(std::span<const std::uint64_t> fingerprints) const
+{
+    return m_table.suspicionOf(fingerprints, m_scheduler.now());
+}
+
 void Quarantine::handleNotice(const QuarantineNotice &notice)
 {
+    if (!notice.deaths.empty() && m_table.isTrusted(notice.fingerprint, m_scheduler.now())) {
+        // The sender doesn't know that the part has run to completion here.
+        broadcast({.fingerprint = notice.fingerprint}, Recipients::AllZones);
+        return;
+    }
     if (apply(notice) && notice.forwarding == Forwarding::ToZone) {
         broadcast(notice, Recipients::OwnZone);
     }
@@ -56,8 +93,9 @@
     if (notice.deaths.empty()) {
         return m_table.clear(notice.fingerprint, now);
     }
-    const bool isChanged = m_table.add(notice.fingerprint, notice.deaths, now);
-    if (isChanged) {
+    const bool wasRefused = m_table.suspicionOf(notice.fingerprint, now) == Suspicion::Refused;
+    const bool isChanged = m_table.add(notice.fingerprint, notice.deaths, now, notice.companions);
+    if (isChanged && !wasRefused) {
         const bool isRefused = m_table.suspicionOf(notice.fingerprint, now) == Suspicion::Refused;
         Log::write(isRefused ? Log::Event::RequestQuarantined : Log::Event::RequestSuspected,
                    {{"fingerprint", std::to_string(notice.fingerprint)},
@@ -69,10 +107,10 @@
 
 void Quarantine::broadcast(QuarantineNotice notice, Recipients recipients)
 {
-    const auto &self = m_leases.self();
+    const auto &self = m_hosts.self;
     std::map<Core::ZoneId, std::vector<Core::RendezvousCandidate>> otherZones;
     notice.forwarding = Forwarding::None;
-    for (const auto &host : m_leases.liveHosts()) {
+    for (const auto &host : m_hosts.live()) {
         if (host.zone != self.zone) {
             otherZones[host.zone].push_back({.name = host.id.value});
         } else if (host.id != self.id) {
@@ -83,9 +121,41 @@
         return;
     }
     notice.forwarding = Forwarding::ToZone;
+    // Depends on the death, so that a host that can't forward misses only some of the deaths.
+    auto key = std::to_string(notice.fingerprint);
+    if (!notice.deaths.empty()) {
+        key += notice.deaths.front().target.value + notice.deaths.front().incarnation;
+    }
     for (const auto &[zone, hosts] : otherZones) {
-        const auto ranked = Core::rankByRendezvous(std::to_string(notice.fingerprint), hosts);
-        m_router.send(Core::HostId {ranked.front()}, notice);
+        const auto ranked = Core::rankByRendezvous(key, hosts);
+        for (const auto &host : ranked | std::views::take(ForwardersPerZone)) {
+            m_router.send(Core::HostId {host}, notice);
+        }
+    }
+}
+
+void Quarantine::exchange()
+{
+    m_scheduler.runAfter(m_exchangePeriod, [this] {
+        exchange();
+    });
+    const auto refusals = m_table.refusals(MaxExchangedRefusals, m_scheduler.now());
+    if (refusals.empty()) {
+        return;
+    }
+    std::vector<Core::RendezvousCandidate> others;
+    for (const auto &host : m_hosts.live()) {
+        if (host.id != m_hosts.self.id) {
+            others.push_back({.name = host.id.value});
+        }
+    }
+    if (others.empty()) {
+        return;
+    }
+    const auto turn = m_hosts.self.id.value + '/' + std::to_string(++m_exchanges);
+    const Core::HostId receiver {Core::rankByRendezvous(turn, others).front()};
+    for (const auto &notice : refusals) {
+        m_router.send(receiver, notice);
     }
 }
 
--- a/Libraries/LibRouting/QuarantineTable.cpp
+++ b/Libraries/LibRouting/QuarantineTable.cpp
@@ -1,6 +1,9 @@
 #include <LibRouting/QuarantineTable.h>
 
 #include <LibCore/Rendezvous.h>
+#include <algorithm>
+#include <iterator>
+#include <ranges>
 
 namespace Routing {
 
@@ -10,52 +13,117 @@
     return Core::stableHash(prompt, Core::stableHash(adapter.toString(), Core::stableHash(customer.value)));
 }
 
+std::uint64_t fingerprintOfPart(std::string_view part)
+{
+    return Core::stableHash(part);
+}
+
 QuarantineTable::QuarantineTable(QuarantineTableOptions options)
     : m_options(options)
 {
 }
 
-bool QuarantineTable::add(std::uint64_t fingerprint, std::span<const TargetDeath> deaths, Core::TimePoint now)
+bool QuarantineTable::add(std::uint64_t fingerprint, std::span<const TargetDeath> deaths, Core::TimePoint now,
+                          std::span<const std::uint64_t> companions)
 {
     removeOldEntries(now);
+    if (isTrusted(fingerprint, now)) {
+        return false;
+    }
     const auto [found, isNew] = m_entries.try_emplace(fingerprint);
     auto &entry = found->second;
     if (isNew) {
         entry.agePosition = m_byAge.insert(m_byAge.end(), fingerprint);
+        entry.companions.assign(companions.begin(), companions.end());
     }
     const auto before = entry.deaths.size();
+    const auto maxDeaths = std::max(m_options.deathsUntilRefused, m_options.deathsUntilUndistinguishedRefused);
     for (const auto &death : deaths) {
-        if (entry.deaths.size() < m_options.deathsUntilRefused) {
+        if (entry.deaths.size() < maxDeaths) {
             entry.deaths.insert(death);
         }
     }
-    const bool isChanged = entry.deaths.size() > before;
+    std::vector<std::uint64_t> common;
+    std::ranges::set_intersection(entry.companions, companions, std::back_inserter(common));
+    const bool isNarrowed = common.size() < entry.companions.size();
+    entry.companions = std::move(common);
+    const bool isChanged = entry.deaths.size() > before || isNarrowed;
     if (isChanged) {
         entry.expiry = now + m_options.lifetime;
         m_byAge.splice(m_byAge.end(), m_byAge, entry.agePosition);
     }
     removeOldEntries(now);
+    updateRefusals();
     return isChanged;
 }
 
 bool QuarantineTable::clear(std::uint64_t fingerprint, Core::TimePoint now)
 {
+    if (m_options.trust > Core::Duration::zero()) {
+        removeOldCompletions(now);
+        if (m_completedAt.size() < m_options.maxEntries || m_completedAt.contains(fingerprint)) {
+            m_completedAt[fingerprint] = now;
+        }
+    }
     if (suspicionOf(fingerprint, now) != Suspicion::Suspect) {
         return false;
     }
     const auto found = m_entries.find(fingerprint);
     m_byAge.erase(found->second.agePosition);
     m_entries.erase(found);
+    updateRefusals();
     return true;
 }
 
+bool QuarantineTable::isTrusted(std::uint64_t fingerprint, Core::TimePoint now) const
+{
+    const auto found = m_completedAt.find(fingerprint);
+    return found != m_completedAt.end() && now - found->second < m_options.trust;
+}
+
 Suspicion QuarantineTable::suspicionOf(std::uint64_t fingerprint, Core::TimePoint now) const
 {
     const auto found = m_entries.find(fingerprint);
     if (found == m_entries.end() || found->second.expiry <= now) {
         return Suspicion::None;
     }
-    return found->second.deaths.size() >= m_options.deathsUntilRefused ? Suspicion::Refused : Suspicion::Suspect;
+    return found->second.isRefused ? Suspicion::Refused : Suspicion::Suspect;
+}
+
+Suspicion QuarantineTable::suspicionOf(std::span<const std::uint64_t> fingerprints, Core::TimePoint now) const
+{
+    auto highest = Suspicion::None;
+    for (const auto fingerprint : fingerprints) {
+        const auto suspicion = suspicionOf(fingerprint, now);
+        if (suspicion == Suspicion::None) {
+            continue;
+        }
+        const auto isPresent = [fingerprints](std::uint64_t companion) {
+            return std::ranges::find(fingerprints, companion) != fingerprints.end();
+        };
+        if (suspicion == Suspicion::Refused && std::ranges::all_of(m_entries.at(fingerprint).companions, isPresent)) {
+            return Suspicion::Refused;
+        }
+        highest = Suspicion::Suspect;
+    }
+    return highest;
+}
+
+std::vector<QuarantineNotice> QuarantineTable::refusals(std::size_t limit, Core::TimePoint now) const
+{
+    std::vector<QuarantineNotice> notices;
+    for (const auto fingerprint : m_byAge | std::views::reverse) {
+        const auto &entry = m_entries.at(fingerprint);
+        if (notices.size() == limit || entry.expiry <= now) {
+            break;
+        }
+        if (entry.isRefused) {
+            notices.push_back({.fingerprint = fingerprint,
+                               .deaths = {entry.deaths.begin(), entry.deaths.end()},
+                               .companions = entry.companions});
+        }
+    }
+    return notices;
 }
 
 std::size_t QuarantineTable::size() const
@@ -76,4 +144,50 @@
     }
 }
 
+void QuarantineTable::removeOldCompletions(Core::TimePoint now)
+{
+    if (m_completedAt.size() >= m_options.maxEntries) {
+        std::erase_if(m_completedAt, [this, now](const auto &completion) {
+            return now - completion.second >= m_options.trust;
+        });
+    }
+}
+
+bool QuarantineTable::isDistinguished(const std::set<TargetDeath> &deaths, std::span<Entry *const> entries) const
+{
+    const auto *first = entries.front();
+    const bool isOneRequest = !first->companions.empty() && std::ranges::all_of(entries, [first](const Entry *entry) {
+        return entry->companions == first->companions;
+    });
+    return entries.size() == 1 || isOneRequest || deaths.size() >= m_options.deathsUntilUndistinguishedRefused;
+}
+
+void QuarantineTable::updateRefusals()
+{
+    std::map<std::size_t, EntriesByDeaths, std::greater<>> byDeathCount;
+    for (auto &[fingerprint, entry] : m_entries) {
+        entry.isRefused = false;
+        if (entry.deaths.size() >= m_options.deathsUntilRefused) {
+            byDeathCount[entry.deaths.size()][entry.deaths].push_back(&entry);
+        }
+    }
+    std::set<TargetDeath> explained;
+    for (const auto &[count, groups] : byDeathCount) {
+        std::vector<TargetDeath> explainedByEqual;
+        for (const auto &[deaths, entries] : groups) {
+            const auto unexplained = std::ranges::count_if(deaths, [&explained](const TargetDeath &death) {
+                return !explained.contains(death);
+            });
+            if (std::cmp_less(unexplained, m_options.deathsUntilRefused) || !isDistinguished(deaths, entries)) {
+                continue;
+            }
+            for (auto *entry : entries) {
+                entry->isRefused = true;
+            }
+            explainedByEqual.insert(explainedByEqual.end(), deaths.begin(), deaths.end());
+        }
+        explained.insert(explainedByEqual.begin(), explainedByEqual.end());
+    }
+}
+
 }
--- a/Libraries/LibRouting/QuarantineTable.h
+++ b/Libraries/LibRouting/QuarantineTable.h
@@ -3,6 +3,7 @@
 #include <LibCore/Time.h>
 #include <LibRouting/RoutingMessages.h>
 #include <list>
+#include <map>
 #include <set>
 #include <span>
 #include <string_view>
@@ -12,7 +13,12 @@
 
 struct QuarantineTableOptions {
     std::size_t deathsUntilRefused = 2;
+    // Deaths during unrelated requests of which none explains more deaths than the others refuse them all only from
+    // this number on, because further deaths usually tell them apart.
+    std::size_t deathsUntilUndistinguishedRefused = 2;
     Core::Duration lifetime = std::chrono::minutes(10); // An entry expires this long after its last death.
+    // Deaths don't count against a fingerprint for this long after a request with it has run to completion.
+    Core::Duration trust {};
     std::size_t maxEntries = 10000;
 };
 
@@ -20,7 +26,7 @@
     None,
     // A target died while it ran the request. No two suspects run on one target at the same time.
     Suspect,
-    // At least deathsUntilRefused targets died while they ran the request, so it is refused.
+    // Enough targets died while they ran the request, so it is refused.
     Refused,
 };
 
@@ -28,32 +34,55 @@
 [[nodiscard]] std::uint64_t fingerprintOf(const Core::CustomerId &customer, const Core::AdapterVersion &adapter,
                                           std::string_view prompt);
 
-// The requests during which targets died, by fingerprint. Deaths are counted by target incarnation, so that a death
-// reported by several hosts counts once. Entries expire; when the table is full, the oldest entry is removed.
+// Identifies a part of a prompt that different requests share.
+[[nodiscard]] std::uint64_t fingerprintOfPart(std::string_view part);
+
+// The fingerprints of requests or of parts of their prompts during which targets died. Deaths are counted by target
+// incarnation, so that a death reported by several hosts counts once. A death that another fingerprint with more deaths
+// explains doesn't count towards a refusal. Entries expire; when the table is full, the oldest entry is removed.
 class QuarantineTable
 {
 public:
     explicit QuarantineTable(QuarantineTableOptions options);
 
-    // Returns true if any of the deaths was new.
-    bool add(std::uint64_t fingerprint, std::span<const TargetDeath> deaths, Core::TimePoint now);
+    // Adds the deaths during a request with the fingerprint. The companions are all fingerprints of that request, in
+    // ascending order, or none if it has just the one. Returns true if any of the deaths was new.
+    bool add(std::uint64_t fingerprint, std::span<const TargetDeath> deaths, Core::TimePoint now,
+             std::span<const std::uint64_t> companions = {});
     // Removes a suspect that has since run to completion, and returns true if there was one. A refused request stays.
     bool clear(std::uint64_t fingerprint, Core::TimePoint now);
+    // Whether deaths don't count against the fingerprint at present, because it has just run to completion.
+    [[nodiscard]] bool isTrusted(std::uint64_t fingerprint, Core::TimePoint now) const;
     [[nodiscard]] Suspicion suspicionOf(std::uint64_t fingerprint, Core::TimePoint now) const;
+    // The suspicion of a request with these fingerprints. If a fingerprint was always seen together with others, only
+    // requests with all of them are refused.
+    [[nodiscard]] Suspicion suspicionOf(std::span<const std::uint64_t> fingerprints, Core::TimePoint now) const;
+    // The notices from which another host's table learns what this one refuses, the latest first.
+    [[nodiscard]] std::vector<QuarantineNotice> refusals(std::size_t limit, Core::TimePoint now) const;
     [[nodiscard]] std::size_t size() const;
 
 private:
     struct Entry {
         std::set<TargetDeath> deaths;
+        std::vector<std::uint64_t> companions; // What all requests with this fingerprint had in common.
+        bool isRefused = false;
         Core::TimePoint expiry {};
         std::list<std::uint64_t>::iterator agePosition;
     };
+    using EntriesByDeaths = std::map<std::set<TargetDeath>, std::vector<Entry *>>;
 
     void removeOldEntries(Core::TimePoint now);
+    void removeOldCompletions(Core::TimePoint now);
+    // Decides again which entries are refused.
+    void updateRefusals();
+    // Whether the entries, whose deaths are the same, may be refused: there is one, or they always come together, or
+    // further deaths haven't told them apart.
+    [[nodiscard]] bool isDistinguished(const std::set<TargetDeath> &deaths, std::span<Entry *const> entries) const;
 
     QuarantineTableOptions m_options;
     std::unordered_map<std::uint64_t, Entry> m_entries;
     std::list<std::uint64_t> m_byAge; // The entry that expires first is at the front.
+    std::unordered_map<std::uint64_t, Core::TimePoint> m_completedAt;
 };
 
 }
--- a/Libraries/LibRouting/RoutingMessages.h
+++ b/Libraries/LibRouting/RoutingMessages.h
@@ -49,8 +49,10 @@
     std::uint64_t fingerprint = 0;
     std::vector<TargetDeath> deaths;
     Forwarding forwarding = Forwarding::None;
+    // All fingerprints of the request, in ascending order; empty if it has just the one.
+    std::vector<std::uint64_t> companions;
 
-    MSGPACK_DEFINE(fingerprint, deaths, forwarding)
+    MSGPACK_DEFINE(fingerprint, deaths, forwarding, companions)
 };
 
 }
