LibGateway, platform: Refuse prompts with a part that crashes replicas

Callers saw one replica after the other crash, about every 0.4 s, and with each up to 64 answers break off. LibGateway took each crash for a replica's failure and sent the next request with the part on: nothing connected the crashes, because no two of the requests are alike.

ReplicaCrashes recognises a crash by attempts that break off and the silence that follows, and records the parts of prompts whose answers were about to begin. Three crashes refuse a part: such requests get 503 at once, as not run, before a load, a send or a retry.

--- a/Libraries/LibGateway/CallerRequest.h
+++ b/Libraries/LibGateway/CallerRequest.h
@@ -21,6 +21,8 @@
     std::optional<Core::Duration> timeout; // How long the caller waits for the response.
     std::string model; // Empty if the request needs no model.
     std::string adapter; // Empty for the base model.
+    // Fingerprints of the parts of the prompt that other requests may share, which excludes its last part.
+    std::vector<std::uint64_t> promptParts;
     std::uint64_t promptTokens = 0;
     std::uint64_t outputTokens = 0; // Expected number, or the maximum if no expectation was given.
     std::optional<std::uint64_t> lastEventId; // The caller resumes a stream after this event.
--- a/Libraries/LibGateway/ForwardedRequest.cpp
+++ b/Libraries/LibGateway/ForwardedRequest.cpp
@@ -15,6 +15,8 @@
 constexpr auto ConnectTimeout = std::chrono::milliseconds(250);
 // Retry-After of a refused request: by then a load has probably ended or a replica is listed again.
 constexpr auto RetryAfterNoReplica = std::chrono::milliseconds(500);
+// Retry-After of a request that is refused because its prompt crashes replicas, which lasts for minutes.
+constexpr auto RetryAfterQuarantine = std::chrono::seconds(60);
 
 }
 
@@ -74,6 +76,9 @@
         retryOrFail("too little time is left before the deadline");
         return;
     }
+    if (refuseIfQuarantined()) {
+        return;
+    }
     const auto now = m_dependencies.scheduler.now();
     const auto *replica = m_dependencies.fleet.choose(m_request, m_service, m_excluded, now);
     if (replica == nullptr) {
@@ -162,8 +167,21 @@
     send();
 }
 
+bool ForwardedRequest::refuseIfQuarantined()
+{
+    if (m_dependencies.quarantine.suspicionOf(m_request.promptParts) != Routing::Suspicion::Refused) {
+        return false;
+    }
+    m_dependencies.metrics.count("currantbay_quarantined_requests_total");
+    refuse("a part of the prompt crashes replicas", RetryAfterQuarantine);
+    return true;
+}
+
 void ForwardedRequest::send()
 {
+    if (refuseIfQuarantined()) {
+        return;
+    }
     const auto now = m_dependencies.scheduler.now();
     if (m_sends > 0 && !m_dependencies.retryBudget.tryRetry(m_service, m_dependencies.hostCount(), now)) {
         if (isContinued()) {
@@ -183,6 +201,8 @@
     m_lastProgressAt = m_dependencies.scheduler.now();
     m_hasHead = false;
     m_hasResponseBody = false;
+    m_answeringSince.reset();
+    m_isPromptHarmless = false;
     m_body.clear();
     m_events.dropPartial();
     m_dependencies.fleet.recordAttemptStarted(m_replica.id, m_request);
--- a/Libraries/LibGateway/ForwardedRequest.h
+++ b/Libraries/LibGateway/ForwardedRequest.h
@@ -5,6 +5,7 @@
 #include <LibGateway/EventSplitter.h>
 #include <LibGateway/FleetView.h>
 #include <LibGateway/LoadPatience.h>
+#include <LibGateway/ReplicaCrashes.h>
 #include <LibGateway/ServiceRetryBudget.h>
 #include <LibMetrics/Registry.h>
 #include <LibNet/HttpServer.h>
@@ -26,6 +27,8 @@
     FleetView &fleet;
     const Fleet::ReleaseTable &releases;
     ServiceRetryBudget &retryBudget;
+    Routing::Quarantine &quarantine;
+    ReplicaCrashes &crashes;
     Metrics::Registry &metrics;
     AdapterLoader loadAdapter;
     std::function<std::size_t()> hostCount;
@@ -83,6 +86,12 @@
     void prepareMove();
     void moveAttempt(const Fleet::Replica &replica, std::uint64_t version);
     void recordOutcome(Placement::AttemptOutcome outcome);
+    // Refuses the request and returns true if its prompt has a part that crashes replicas.
+    bool refuseIfQuarantined();
+    // Records that the replica has answered long enough to show that it doesn't crash by the prompt.
+    void recordHarmlessPrompt();
+    // Whether the replica has been answering too briefly to show that it doesn't crash by the prompt.
+    [[nodiscard]] bool isPromptUnproven() const;
     void endAttempt();
     void retryOrFail(std::string_view reason);
     void refuse(std::string_view reason, Core::Duration retryAfter);
@@ -122,6 +131,8 @@
     ResponseHead m_head;
     bool m_hasHead = false;
     bool m_hasResponseBody = false; // The first byte of the response body has arrived.
+    std::optional<Core::TimePoint> m_answeringSince; // When the first event of the attempt arrived.
+    bool m_isPromptHarmless = false; // The replica has answered without crashing.
     std::string m_body;
 
     // The response to the caller.
--- a/Libraries/LibGateway/ForwardedRequestResponses.cpp
+++ b/Libraries/LibGateway/ForwardedRequestResponses.cpp
@@ -12,6 +12,8 @@
 
 // Far above the responses of replicas. A faulty replica may send bytes without end.
 constexpr std::size_t MaxBodyBytes = 16U << 20U;
+// A replica that crashes by a prompt does so as it begins its answer.
+constexpr auto HarmlessAnswerTime = std::chrono::milliseconds(250);
 
 }
 
@@ -33,6 +35,7 @@
     if (m_stage != Stage::Sending) {
         return;
     }
+    m_dependencies.crashes.recordActivity(m_replica);
     if (!m_hasResponseBody) {
         m_hasResponseBody = true;
         m_dependencies.fleet.recordResponseStarted(m_replica.id, m_request);
@@ -55,6 +58,10 @@
     const auto sequence = m_events.split(bytes, events);
     if (!events.empty()) {
         m_lastProgressAt = m_dependencies.scheduler.now();
+        m_answeringSince = m_answeringSince.value_or(m_lastProgressAt);
+        if (!isPromptUnproven()) {
+            recordHarmlessPrompt();
+        }
         if (m_isStreaming) {
             m_longestPause = std::max(m_longestPause, m_lastProgressAt - m_lastEventAt);
         }
@@ -92,6 +99,10 @@
         return;
     }
     if (!result.isComplete()) {
+        if (result.mayHaveBeenSent && !result.isTimedOut) {
+            m_dependencies.crashes.recordBreak(
+                m_replica, isPromptUnproven() ? m_request.promptParts : std::span<const std::uint64_t>());
+        }
         handleInterruption(result);
     } else if (m_head.hasNotRun) {
         handleRejection(result);
@@ -100,6 +111,21 @@
     }
 }
 
+bool ForwardedRequest::isPromptUnproven() const
+{
+    return !m_answeringSince.has_value() || m_dependencies.scheduler.now() - *m_answeringSince < HarmlessAnswerTime;
+}
+
+void ForwardedRequest::recordHarmlessPrompt()
+{
+    if (std::exchange(m_isPromptHarmless, true)) {
+        return;
+    }
+    for (const auto part : m_request.promptParts) {
+        m_dependencies.quarantine.recordCompletion(part);
+    }
+}
+
 void ForwardedRequest::recordOutcome(Placement::AttemptOutcome outcome)
 {
     if (m_dependencies.fleet.health().recordOutcome(m_replica.id, m_replica.zone, outcome,
@@ -179,6 +205,9 @@
         return;
     }
     recordOutcome(isFailure ? Placement::AttemptOutcome::Failed : Placement::AttemptOutcome::Served);
+    if (m_head.status == Core::HttpStatus::Ok) {
+        recordHarmlessPrompt();
+    }
     endAttempt();
     if (isFailure && !m_isStreaming && mayRunAgain() && remaining() > MinRemainingTime && m_sends < MaxSends) {
         m_excluded.insert(m_replica.id);
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -30,6 +30,14 @@
               return m_holders.liveHostCount();
           })
     , m_retryBudget(m_options.retryBudget)
+    , m_quarantine(m_dependencies.scheduler, m_router,
+                   {.self = {.id = m_options.holding.self.host, .zone = m_options.holding.self.zone},
+                    .live =
+                        [this] {
+                            return quarantineHosts();
+                        }},
+                   m_options.quarantine)
+    , m_crashes(m_dependencies.scheduler, m_quarantine)
     , m_reader(
           m_dependencies.scheduler, m_router, {},
           [this] {
@@ -119,6 +127,7 @@
     m_replicaFeed.start();
     m_holderFeed.start();
     m_holders.start();
+    m_quarantine.start();
     m_reader.start();
     m_loadExchange.start();
     tick();
@@ -186,6 +195,8 @@
                                                                .fleet = m_fleet,
                                                                .releases = m_releases,
                                                                .retryBudget = m_retryBudget,
+                                                               .quarantine = m_quarantine,
+                                                               .crashes = m_crashes,
                                                                .metrics = m_dependencies.metrics,
                                                                .loadAdapter =
                                                                    [this](const auto &adapterRequest, auto done) {
@@ -277,6 +288,15 @@
     return options;
 }
 
+std::vector<Routing::QuarantineHost> Gateway::quarantineHosts() const
+{
+    std::vector<Routing::QuarantineHost> hosts;
+    for (const auto &host : m_holders.liveHosts()) {
+        hosts.push_back({.id = host.host, .zone = host.zone});
+    }
+    return hosts;
+}
+
 std::vector<Relay::ZoneHost> Gateway::zoneHosts() const
 {
     std::vector<Relay::ZoneHost> hosts;
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -17,6 +17,10 @@
 struct GatewayOptions {
     Holding::HolderTableOptions holding;
     ServiceRetryBudgetOptions retryBudget;
+    // A crash ends sound requests too, and some of them are caught in a second one, so two don't convict a prompt.
+    Routing::QuarantineOptions quarantine {
+        .table = {.deathsUntilRefused = 3, .deathsUntilUndistinguishedRefused = 5, .trust = std::chrono::seconds(2)},
+        .exchangePeriod = std::chrono::milliseconds(500)};
     std::string peerKey; // Key shared by all hosts of the system.
     ChangeBounds changes;
     // Notices without news are sent at this interval.
@@ -89,6 +93,8 @@
     [[nodiscard]] std::vector<Holding::ReplicaLoad> heldLoads() const;
     // The hosts of the other zones that may read the store for their zone.
     [[nodiscard]] std::vector<Core::HostId> otherReaders() const;
+    // Live hosts of all zones.
+    [[nodiscard]] std::vector<Routing::QuarantineHost> quarantineHosts() const;
     // Live hosts of this host's zone.
     [[nodiscard]] std::vector<Relay::ZoneHost> zoneHosts() const;
 
@@ -111,6 +117,8 @@
     Fleet::ReleaseTable m_releases;
     FleetView m_fleet;
     ServiceRetryBudget m_retryBudget;
+    Routing::Quarantine m_quarantine;
+    ReplicaCrashes m_crashes;
     Fleet::PlatformOutage m_outage;
     Relay::ZoneReader m_reader;
     Relay::SharedRowFeed m_rows;
--- /dev/null
+++ b/Libraries/LibGateway/ReplicaCrashes.cpp
@@ -0,0 +1,74 @@
+#include <LibGateway/ReplicaCrashes.h>
+
+#include <algorithm>
+
+namespace Gateway {
+
+namespace {
+
+// A replica that has sent nothing for this long after an attempt broke off has crashed. A busy one sends several events
+// in this time.
+constexpr auto SilenceAfterCrash = std::chrono::milliseconds(100);
+// Bytes that arrived before the crash may be read this much later than its first sign.
+constexpr auto ReceiveDelay = std::chrono::milliseconds(30);
+// More replicas than this don't crash by their prompts within SilenceAfterCrash.
+constexpr std::size_t MaxCrashesAtOnce = 4;
+
+Routing::TargetDeath deathOf(const Fleet::Replica &replica)
+{
+    return {.target = replica.id, .incarnation = std::to_string(replica.startedAt)};
+}
+
+}
+
+ReplicaCrashes::ReplicaCrashes(Core::Scheduler &scheduler, Routing::Quarantine &quarantine)
+    : m_scheduler(scheduler)
+    , m_quarantine(quarantine)
+{
+}
+
+void ReplicaCrashes::recordBreak(const Fleet::Replica &replica, std::span<const std::uint64_t> promptParts)
+{
+    const auto death = deathOf(replica);
+    const auto [found, isNew] = m_breaks.try_emplace(death);
+    if (isNew) {
+        found->second.at = m_scheduler.now();
+        m_recentBreaks.push_back(m_scheduler.now());
+        m_scheduler.runAfter(SilenceAfterCrash, [this, death] {
+            decide(death);
+        });
+    }
+    if (!promptParts.empty()) {
+        found->second.prompts.emplace_back(promptParts.begin(), promptParts.end());
+    }
+}
+
+void ReplicaCrashes::recordActivity(const Fleet::Replica &replica)
+{
+    if (m_breaks.empty()) {
+        return;
+    }
+    if (const auto found = m_breaks.find(deathOf(replica));
+        found != m_breaks.end() && m_scheduler.now() - found->second.at > ReceiveDelay) {
+        found->second.prompts.clear();
+    }
+}
+
+void ReplicaCrashes::decide(const Routing::TargetDeath &death)
+{
+    const auto decided = std::move(m_breaks.extract(death).mapped());
+    const auto atOnce = std::ranges::count_if(m_recentBreaks, [&decided](Core::TimePoint at) {
+        return at >= decided.at - SilenceAfterCrash && at <= decided.at + SilenceAfterCrash;
+    });
+    while (!m_recentBreaks.empty() && m_recentBreaks.front() < decided.at - SilenceAfterCrash) {
+        m_recentBreaks.pop_front();
+    }
+    if (std::cmp_greater(atOnce, MaxCrashesAtOnce)) {
+        return;
+    }
+    for (const auto &prompt : decided.prompts) {
+        m_quarantine.recordDeath(prompt, death);
+    }
+}
+
+}
--- a/Libraries/LibGateway/Tests/ForwardingFixture.h
+++ b/Libraries/LibGateway/Tests/ForwardingFixture.h
@@ -8,6 +8,18 @@
 
 using namespace std::chrono_literals;
 
+class NoPeers final : public Peer::PeerTransport
+{
+    void send(const Core::HostId & /*to*/, std::string /*bytes*/) override
+    {
+    }
+    void reconnect(const Core::HostId & /*to*/) override
+    {
+    }
+};
+
+inline constexpr std::string_view Adapter = "m/a1";
+
 // Keeps the requests that were started, so that a test can answer them.
 class FakeTransport final : public Net::HttpTransport
 {
@@ -139,6 +151,8 @@
                                              .fleet = m_fleet,
                                              .releases = m_releases,
                                              .retryBudget = m_budget,
+                                             .quarantine = m_quarantine,
+                                             .crashes = m_crashes,
                                              .metrics = m_metrics,
                                              .loadAdapter =
                                                  [this](const auto &load, auto done) {
@@ -209,6 +223,17 @@
     Gateway::ServiceRetryBudget m_budget;
     Metrics::Registry m_metrics;
     std::shared_ptr<FakeExchange> m_exchange = std::make_shared<FakeExchange>();
+    NoPeers m_peers;
+    Peer::PeerRouter m_router {m_scheduler, m_peers, {.self = {"host"}, .incarnation = 1, .key = "key"}};
+    Routing::Quarantine m_quarantine {m_scheduler,
+                                      m_router,
+                                      {.self = {.id = {"host"}, .zone = {"a"}},
+                                       .live =
+                                           [] {
+                                               return std::vector<Routing::QuarantineHost>();
+                                           }},
+                                      {}};
+    Gateway::ReplicaCrashes m_crashes {m_scheduler, m_quarantine};
     std::vector<std::pair<Holding::AdapterRequest, std::function<void(const Holding::AdapterReply &)>>> m_loads;
 };
 
--- /dev/null
+++ b/Libraries/LibGateway/Tests/ReplicaCrashesTest.cpp
@@ -0,0 +1,96 @@
+#include <LibCore/VirtualScheduler.h>
+#include <LibGateway/ReplicaCrashes.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace std::chrono_literals;
+
+namespace {
+
+class NoPeers final : public Peer::PeerTransport
+{
+    void send(const Core::HostId & /*to*/, std::string /*bytes*/) override
+    {
+    }
+    void reconnect(const Core::HostId & /*to*/) override
+    {
+    }
+};
+
+}
+
+class ReplicaCrashesTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ReplicaCrashesTest);
+    CPPUNIT_TEST(promptsOfCrashedReplicaAreSuspected);
+    CPPUNIT_TEST(truncatedResponseIsNoCrash);
+    CPPUNIT_TEST(replicasLostAtOnceAreNoCrashes);
+    CPPUNIT_TEST(incarnationCountsOnce);
+    CPPUNIT_TEST_SUITE_END();
+
+    using Parts = std::vector<std::uint64_t>;
+
+    Core::VirtualScheduler m_scheduler;
+    NoPeers m_transport;
+    Peer::PeerRouter m_router {m_scheduler, m_transport, {.self = {"host"}, .incarnation = 1, .key = "key"}};
+    Routing::Quarantine m_quarantine {m_scheduler,
+                                      m_router,
+                                      {.self = {.id = {"host"}, .zone = {"a"}},
+                                       .live =
+                                           [] {
+                                               return std::vector<Routing::QuarantineHost>();
+                                           }},
+                                      {.table = {.deathsUntilRefused = 2}}};
+    Gateway::ReplicaCrashes m_crashes {m_scheduler, m_quarantine};
+
+    static Fleet::Replica replica(int number, std::uint64_t startedAt = 1)
+    {
+        return {.id = {"replica-" + std::to_string(number)}, .startedAt = startedAt};
+    }
+
+    void promptsOfCrashedReplicaAreSuspected()
+    {
+        for (int number = 0; number < 2; ++number) {
+            m_crashes.recordBreak(replica(number), Parts {1, 2});
+            m_crashes.recordBreak(replica(number), {});
+            m_crashes.recordActivity(replica(number)); // It was received before the crash.
+            m_scheduler.advance(1s);
+        }
+        CPPUNIT_ASSERT(m_quarantine.suspicionOf(Parts {1, 2, 3}) == Routing::Suspicion::Refused);
+    }
+
+    // Requests whose responses a faulty replica truncated were taken for the cause of crashes.
+    void truncatedResponseIsNoCrash()
+    {
+        m_crashes.recordBreak(replica(1), Parts {1});
+        m_scheduler.advance(50ms);
+        m_crashes.recordActivity(replica(1));
+        m_scheduler.advance(1s);
+        CPPUNIT_ASSERT(m_quarantine.suspicionOf(Parts {1}) == Routing::Suspicion::None);
+    }
+
+    // A cut between zones was taken for crashes by whatever ran at its replicas.
+    void replicasLostAtOnceAreNoCrashes()
+    {
+        for (int number = 0; number < 10; ++number) {
+            m_crashes.recordBreak(replica(number), Parts {1});
+            m_scheduler.advance(5ms);
+        }
+        m_scheduler.advance(1s);
+        CPPUNIT_ASSERT(m_quarantine.suspicionOf(Parts {1}) == Routing::Suspicion::None);
+    }
+
+    // A replica that keeps breaking off responses counted as many crashes.
+    void incarnationCountsOnce()
+    {
+        for (int i = 0; i < 5; ++i) {
+            m_crashes.recordBreak(replica(1), Parts {1});
+            m_scheduler.advance(1s);
+        }
+        CPPUNIT_ASSERT(m_quarantine.suspicionOf(Parts {1}) == Routing::Suspicion::Suspect);
+        m_crashes.recordBreak(replica(1, 2), Parts {1});
+        m_scheduler.advance(1s);
+        CPPUNIT_ASSERT(m_quarantine.suspicionOf(Parts {1}) == Routing::Suspicion::Refused);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ReplicaCrashesTest);
