LibRouting: Let refusals of prompt parts expire and be disproved

Notices carry the age of the last death. A request that has run to completion removes its parts, also from what was refused together. Deaths within 100 ms count once. Trust is told to the sender of a notice alone, and the refusals are decided again only after a change.

--- a/Libraries/LibRouting/Quarantine.cpp
+++ b/Libraries/LibRouting/Quarantine.cpp
@@ -17,6 +17,16 @@
 
 }
 
+QuarantineOptions QuarantineOptions::forPromptParts()
+{
+    return {.table = {.deathsUntilRefused = 3,
+                      .deathsUntilUndistinguishedRefused = 5,
+                      .deathsKept = 16,
+                      .simultaneity = std::chrono::milliseconds(100),
+                      .trust = std::chrono::seconds(2)},
+            .exchangePeriod = std::chrono::milliseconds(500)};
+}
+
 Quarantine::Quarantine(Core::Scheduler &scheduler, Peer::PeerRouter &router, QuarantineHosts hosts,
                        QuarantineOptions options)
     : m_scheduler(scheduler)
@@ -29,8 +39,8 @@
 
 void Quarantine::start()
 {
-    m_router.onMessage<QuarantineNotice>([this](const Core::HostId & /*from*/, const QuarantineNotice &notice) {
-        handleNotice(notice);
+    m_router.onMessage<QuarantineNotice>([this](const Core::HostId &from, const QuarantineNotice &notice) {
+        handleNotice(from, notice);
     });
     if (m_exchangePeriod > Core::Duration::zero()) {
         exchange();
@@ -39,16 +49,16 @@
 
 void Quarantine::recordDeath(std::uint64_t fingerprint, const TargetDeath &death)
 {
-    recordDeath(std::span(&fingerprint, 1), death);
+    const QuarantineNotice notice {.fingerprint = fingerprint, .deaths = {death}};
+    if (apply(notice)) {
+        broadcast(notice, Recipients::AllZones);
+    }
 }
 
 void Quarantine::recordDeath(std::span<const std::uint64_t> fingerprints, const TargetDeath &death)
 {
     std::vector<std::uint64_t> companions(fingerprints.begin(), fingerprints.end());
     std::ranges::sort(companions);
-    if (companions.size() == 1) {
-        companions.clear();
-    }
     for (const auto fingerprint : fingerprints) {
         const QuarantineNotice notice {.fingerprint = fingerprint, .deaths = {death}, .companions = companions};
         if (apply(notice)) {
@@ -65,6 +75,13 @@
     }
 }
 
+void Quarantine::recordCompletion(std::span<const std::uint64_t> fingerprints)
+{
+    if (m_table.clear(fingerprints, m_scheduler.now())) {
+        broadcast({.companions = {fingerprints.begin(), fingerprints.end()}}, Recipients::AllZones);
+    }
+}
+
 Suspicion Quarantine::suspicionOf(std::uint64_t fingerprint) const
 {
     return m_table.suspicionOf(fingerprint, m_scheduler.now());
@@ -75,11 +92,11 @@
     return m_table.suspicionOf(fingerprints, m_scheduler.now());
 }
 
-void Quarantine::handleNotice(const QuarantineNotice &notice)
+void Quarantine::handleNotice(const Core::HostId &from, const QuarantineNotice &notice)
 {
     if (!notice.deaths.empty() && m_table.isTrusted(notice.fingerprint, m_scheduler.now())) {
         // The sender doesn't know that the part has run to completion here.
-        broadcast({.fingerprint = notice.fingerprint}, Recipients::AllZones);
+        m_router.send(from, QuarantineNotice {.companions = {notice.fingerprint}});
         return;
     }
     if (apply(notice) && notice.forwarding == Forwarding::ToZone) {
@@ -91,10 +108,11 @@
 {
     const auto now = m_scheduler.now();
     if (notice.deaths.empty()) {
-        return m_table.clear(notice.fingerprint, now);
+        return notice.companions.empty() ? m_table.clear(notice.fingerprint, now)
+                                         : m_table.clear(notice.companions, now);
     }
     const bool wasRefused = m_table.suspicionOf(notice.fingerprint, now) == Suspicion::Refused;
-    const bool isChanged = m_table.add(notice.fingerprint, notice.deaths, now, notice.companions);
+    const bool isChanged = m_table.add(notice, now);
     if (isChanged && !wasRefused) {
         const bool isRefused = m_table.suspicionOf(notice.fingerprint, now) == Suspicion::Refused;
         Log::write(isRefused ? Log::Event::RequestQuarantined : Log::Event::RequestSuspected,
--- a/Libraries/LibRouting/Quarantine.h
+++ b/Libraries/LibRouting/Quarantine.h
@@ -17,6 +17,10 @@
     // Interval at which the refusals are sent to one other host, so that a host that has missed notices or has started
     // since learns them; zero for never.
     Core::Duration exchangePeriod {};
+
+    // For parts of prompts. A crash ends sound requests too, and some of them are caught in a second one, so two don't
+    // convict a part.
+    [[nodiscard]] static QuarantineOptions forPromptParts();
 };
 
 // The hosts to which notices are sent.
@@ -41,13 +45,15 @@
     void recordDeath(std::span<const std::uint64_t> fingerprints, const TargetDeath &death);
     // Records that the request ran to completion, which removes it from the table if it is a suspect.
     void recordCompletion(std::uint64_t fingerprint);
+    // Records that a request with these fingerprints ran to completion, which shows that none of them crashes targets.
+    void recordCompletion(std::span<const std::uint64_t> fingerprints);
     [[nodiscard]] Suspicion suspicionOf(std::uint64_t fingerprint) const;
     [[nodiscard]] Suspicion suspicionOf(std::span<const std::uint64_t> fingerprints) const;
 
 private:
     enum class Recipients { OwnZone, AllZones };
 
-    void handleNotice(const QuarantineNotice &notice);
+    void handleNotice(const Core::HostId &from, const QuarantineNotice &notice);
     // Returns true if the notice changed the table.
     [[nodiscard]] bool apply(const QuarantineNotice &notice);
     void broadcast(QuarantineNotice notice, Recipients recipients);
--- a/Libraries/LibRouting/QuarantineTable.cpp
+++ b/Libraries/LibRouting/QuarantineTable.cpp
@@ -23,41 +23,47 @@
 {
 }
 
-bool QuarantineTable::add(std::uint64_t fingerprint, std::span<const TargetDeath> deaths, Core::TimePoint now,
-                          std::span<const std::uint64_t> companions)
+bool QuarantineTable::add(std::uint64_t fingerprint, std::span<const TargetDeath> deaths, Core::TimePoint now)
+{
+    return add({.fingerprint = fingerprint, .deaths = {deaths.begin(), deaths.end()}}, now);
+}
+
+bool QuarantineTable::add(const QuarantineNotice &notice, Core::TimePoint now)
 {
     removeOldEntries(now);
-    if (isTrusted(fingerprint, now)) {
+    const auto lastDeathAt = now - std::chrono::milliseconds(notice.ageMilliseconds);
+    if (isTrusted(notice.fingerprint, now) || now - lastDeathAt >= m_options.lifetime) {
         return false;
     }
-    const auto [found, isNew] = m_entries.try_emplace(fingerprint);
+    const auto [found, isNew] = m_entries.try_emplace(notice.fingerprint);
     auto &entry = found->second;
     if (isNew) {
-        entry.agePosition = m_byAge.insert(m_byAge.end(), fingerprint);
-        entry.companions.assign(companions.begin(), companions.end());
+        entry.agePosition = m_byAge.insert(m_byAge.end(), notice.fingerprint);
+        entry.companions = notice.companions;
+    } else if (notice.deaths.size() == 1 && now - entry.lastDeathAt < m_options.simultaneity) {
+        return false;
     }
     const auto before = entry.deaths.size();
-    const auto maxDeaths = std::max(m_options.deathsUntilRefused, m_options.deathsUntilUndistinguishedRefused);
-    for (const auto &death : deaths) {
-        if (entry.deaths.size() < maxDeaths) {
+    for (const auto &death : notice.deaths) {
+        if (entry.deaths.size() < m_options.deathsKept) {
             entry.deaths.insert(death);
         }
     }
     std::vector<std::uint64_t> common;
-    std::ranges::set_intersection(entry.companions, companions, std::back_inserter(common));
+    std::ranges::set_intersection(entry.companions, notice.companions, std::back_inserter(common));
     const bool isNarrowed = common.size() < entry.companions.size();
     entry.companions = std::move(common);
     const bool isChanged = entry.deaths.size() > before || isNarrowed;
     if (isChanged) {
-        entry.expiry = now + m_options.lifetime;
+        entry.lastDeathAt = std::max(entry.lastDeathAt, lastDeathAt);
         m_byAge.splice(m_byAge.end(), m_byAge, entry.agePosition);
+        removeOldEntries(now);
+        updateRefusals();
     }
-    removeOldEntries(now);
-    updateRefusals();
     return isChanged;
 }
 
-bool QuarantineTable::clear(std::uint64_t fingerprint, Core::TimePoint now)
+void QuarantineTable::trust(std::uint64_t fingerprint, Core::TimePoint now)
 {
     if (m_options.trust > Core::Duration::zero()) {
         removeOldCompletions(now);
@@ -65,16 +71,46 @@
             m_completedAt[fingerprint] = now;
         }
     }
-    if (suspicionOf(fingerprint, now) != Suspicion::Suspect) {
-        return false;
-    }
+}
+
+void QuarantineTable::remove(std::uint64_t fingerprint)
+{
     const auto found = m_entries.find(fingerprint);
     m_byAge.erase(found->second.agePosition);
     m_entries.erase(found);
+}
+
+bool QuarantineTable::clear(std::uint64_t fingerprint, Core::TimePoint now)
+{
+    trust(fingerprint, now);
+    if (suspicionOf(fingerprint, now) != Suspicion::Suspect) {
+        return false;
+    }
+    remove(fingerprint);
     updateRefusals();
     return true;
 }
 
+bool QuarantineTable::clear(std::span<const std::uint64_t> fingerprints, Core::TimePoint now)
+{
+    bool isChanged = false;
+    for (const auto fingerprint : fingerprints) {
+        trust(fingerprint, now);
+        if (!m_entries.contains(fingerprint)) {
+            continue;
+        }
+        remove(fingerprint);
+        for (auto &[other, entry] : m_entries) {
+            std::erase(entry.companions, fingerprint);
+        }
+        isChanged = true;
+    }
+    if (isChanged) {
+        updateRefusals();
+    }
+    return isChanged;
+}
+
 bool QuarantineTable::isTrusted(std::uint64_t fingerprint, Core::TimePoint now) const
 {
     const auto found = m_completedAt.find(fingerprint);
@@ -84,7 +120,7 @@
 Suspicion QuarantineTable::suspicionOf(std::uint64_t fingerprint, Core::TimePoint now) const
 {
     const auto found = m_entries.find(fingerprint);
-    if (found == m_entries.end() || found->second.expiry <= now) {
+    if (found == m_entries.end() || isExpired(found->second, now)) {
         return Suspicion::None;
     }
     return found->second.isRefused ? Suspicion::Refused : Suspicion::Suspect;
@@ -114,13 +150,15 @@
     std::vector<QuarantineNotice> notices;
     for (const auto fingerprint : m_byAge | std::views::reverse) {
         const auto &entry = m_entries.at(fingerprint);
-        if (notices.size() == limit || entry.expiry <= now) {
+        if (notices.size() == limit) {
             break;
         }
-        if (entry.isRefused) {
-            notices.push_back({.fingerprint = fingerprint,
-                               .deaths = {entry.deaths.begin(), entry.deaths.end()},
-                               .companions = entry.companions});
+        if (entry.isRefused && !isExpired(entry, now)) {
+            notices.push_back(
+                {.fingerprint = fingerprint,
+                 .deaths = {entry.deaths.begin(), entry.deaths.end()},
+                 .companions = entry.companions,
+                 .ageMilliseconds = static_cast<std::uint64_t>(Core::toMilliseconds(now - entry.lastDeathAt))});
         }
     }
     return notices;
@@ -131,11 +169,16 @@
     return m_entries.size();
 }
 
+bool QuarantineTable::isExpired(const Entry &entry, Core::TimePoint now) const
+{
+    return now - entry.lastDeathAt >= m_options.lifetime;
+}
+
 void QuarantineTable::removeOldEntries(Core::TimePoint now)
 {
     while (!m_byAge.empty()) {
         const auto oldest = m_entries.find(m_byAge.front());
-        const bool isNeeded = oldest->second.expiry > now || oldest->second.deaths.empty();
+        const bool isNeeded = !isExpired(oldest->second, now) || oldest->second.deaths.empty();
         if (m_entries.size() <= m_options.maxEntries && isNeeded) {
             return;
         }
@@ -156,10 +199,10 @@
 bool QuarantineTable::isDistinguished(const std::set<TargetDeath> &deaths, std::span<Entry *const> entries) const
 {
     const auto *first = entries.front();
-    const bool isOneRequest = !first->companions.empty() && std::ranges::all_of(entries, [first](const Entry *entry) {
-        return entry->companions == first->companions;
+    const bool areOneRequest = std::ranges::all_of(entries, [first](const Entry *entry) {
+        return !entry->companions.empty() && entry->companions == first->companions;
     });
-    return entries.size() == 1 || isOneRequest || deaths.size() >= m_options.deathsUntilUndistinguishedRefused;
+    return entries.size() == 1 || areOneRequest || deaths.size() >= m_options.deathsUntilUndistinguishedRefused;
 }
 
 void QuarantineTable::updateRefusals()
--- a/Libraries/LibRouting/QuarantineTable.h
+++ b/Libraries/LibRouting/QuarantineTable.h
@@ -16,6 +16,9 @@
     // Deaths during unrelated requests of which none explains more deaths than the others refuse them all only from
     // this number on, because further deaths usually tell them apart.
     std::size_t deathsUntilUndistinguishedRefused = 2;
+    std::size_t deathsKept = 2; // Deaths of an entry beyond this number aren't recorded.
+    // Deaths within this time of each other have a common cause, such as a power failure, and count once.
+    Core::Duration simultaneity {};
     Core::Duration lifetime = std::chrono::minutes(10); // An entry expires this long after its last death.
     // Deaths don't count against a fingerprint for this long after a request with it has run to completion.
     Core::Duration trust {};
@@ -45,12 +48,14 @@
 public:
     explicit QuarantineTable(QuarantineTableOptions options);
 
-    // Adds the deaths during a request with the fingerprint. The companions are all fingerprints of that request, in
-    // ascending order, or none if it has just the one. Returns true if any of the deaths was new.
-    bool add(std::uint64_t fingerprint, std::span<const TargetDeath> deaths, Core::TimePoint now,
-             std::span<const std::uint64_t> companions = {});
+    // Adds the deaths that the notice reports. Returns true if it changed anything.
+    bool add(const QuarantineNotice &notice, Core::TimePoint now);
+    bool add(std::uint64_t fingerprint, std::span<const TargetDeath> deaths, Core::TimePoint now);
     // Removes a suspect that has since run to completion, and returns true if there was one. A refused request stays.
     bool clear(std::uint64_t fingerprint, Core::TimePoint now);
+    // Removes the fingerprints of a request that has run to completion, also from what was refused together with
+    // others. Returns true if it changed anything.
+    bool clear(std::span<const std::uint64_t> fingerprints, Core::TimePoint now);
     // Whether deaths don't count against the fingerprint at present, because it has just run to completion.
     [[nodiscard]] bool isTrusted(std::uint64_t fingerprint, Core::TimePoint now) const;
     [[nodiscard]] Suspicion suspicionOf(std::uint64_t fingerprint, Core::TimePoint now) const;
@@ -66,12 +71,15 @@
         std::set<TargetDeath> deaths;
         std::vector<std::uint64_t> companions; // What all requests with this fingerprint had in common.
         bool isRefused = false;
-        Core::TimePoint expiry {};
+        Core::TimePoint lastDeathAt {};
         std::list<std::uint64_t>::iterator agePosition;
     };
     using EntriesByDeaths = std::map<std::set<TargetDeath>, std::vector<Entry *>>;
 
+    [[nodiscard]] bool isExpired(const Entry &entry, Core::TimePoint now) const;
+    void remove(std::uint64_t fingerprint);
     void removeOldEntries(Core::TimePoint now);
+    void trust(std::uint64_t fingerprint, Core::TimePoint now);
     void removeOldCompletions(Core::TimePoint now);
     // Decides again which entries are refused.
     void updateRefusals();
--- a/Libraries/LibRouting/RoutingMessages.h
+++ b/Libraries/LibRouting/RoutingMessages.h
@@ -42,7 +42,8 @@
     ToZone,
 };
 
-// Reports target deaths during a request that may have caused them. A notice without deaths clears the request.
+// Reports target deaths during a request that may have caused them. A notice without deaths clears what a request that
+// has run to completion disproves.
 struct QuarantineNotice {
     static constexpr auto Kind = Peer::MessageKind::QuarantineNotice;
 
@@ -51,8 +52,9 @@
     Forwarding forwarding = Forwarding::None;
     // All fingerprints of the request, in ascending order; empty if it has just the one.
     std::vector<std::uint64_t> companions;
+    std::uint64_t ageMilliseconds = 0; // Of the last death.
 
-    MSGPACK_DEFINE(fingerprint, deaths, forwarding, companions)
+    MSGPACK_DEFINE(fingerprint, deaths, forwarding, companions, ageMilliseconds)
 };
 
 }
--- a/Libraries/LibRouting/Tests/PromptPartsTest.cpp
+++ b/Libraries/LibRouting/Tests/PromptPartsTest.cpp
@@ -28,8 +28,7 @@
                               [this] {
                                   return hosts.list();
                               }},
-                         {.table = {.deathsUntilRefused = 3, .deathsUntilUndistinguishedRefused = 5, .trust = 2s},
-                          .exchangePeriod = 500ms})
+                         Routing::QuarantineOptions::forPromptParts())
         {
             quarantine.start();
         }
@@ -84,10 +83,7 @@
     }
     void complete(const Parts &parts)
     {
-        for (const auto part : parts) {
-            all.at(next % all.size())->quarantine.recordCompletion(part);
-        }
-        ++next;
+        all.at(next++ % all.size())->quarantine.recordCompletion(parts);
         scheduler.advance(200ms);
     }
     std::size_t refusing(const Parts &parts) const
@@ -113,7 +109,9 @@
     CPPUNIT_TEST(equallySuspectPartsWaitForFurtherCrash);
     CPPUNIT_TEST(partOfOthersIsNotRefusedByForgedPrompts);
     CPPUNIT_TEST(hostsThatMissedNoticesLearnRefusals);
-    CPPUNIT_TEST(refusalExpires);
+    CPPUNIT_TEST(refusalExpiresThoughHostsLearnItLate);
+    CPPUNIT_TEST(completedPartIsNoLongerRefusedWithOthers);
+    CPPUNIT_TEST(crashesAtOnceCountAsOne);
     CPPUNIT_TEST_SUITE_END();
 
     // Requests of one kind crashed one replica after the other, because no two of them were alike.
@@ -188,16 +186,45 @@
         CPPUNIT_ASSERT_EQUAL(hosts.all.size(), hosts.refusing({Deadly}));
     }
 
-    // A part was refused for good, though the replicas' software had been mended.
-    void refusalExpires()
+    // A part was refused for good, because hosts that had learned it later told those that had forgotten it.
+    void refusalExpiresThoughHostsLearnItLate()
     {
         Hosts hosts(3);
         for (int i = 0; i < 3; ++i) {
             hosts.crash({{Deadly}});
         }
-        hosts.scheduler.advance(Routing::QuarantineTableOptions {}.lifetime);
+        hosts.scheduler.advance(5min);
+        hosts.add();
+        hosts.scheduler.advance(ContactTime);
+        CPPUNIT_ASSERT_EQUAL(hosts.all.size(), hosts.refusing({Deadly}));
+        hosts.scheduler.advance(5min);
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), hosts.refusing({Deadly}));
     }
+
+    // A sound part that was refused together with the deadly one stayed suspect, and a further crash convicted it.
+    void completedPartIsNoLongerRefusedWithOthers()
+    {
+        Hosts hosts(3);
+        for (int i = 0; i < 3; ++i) {
+            hosts.crash({{Common, Deadly}});
+        }
+        hosts.complete({Common, 5});
+        hosts.scheduler.advance(10s);
+        hosts.crash({{Common, 6}});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), hosts.refusing({Common}));
+        CPPUNIT_ASSERT_EQUAL(hosts.all.size(), hosts.refusing({Deadly}));
+    }
+
+    // A power failure was taken for crashes by whatever was open at several of its replicas.
+    void crashesAtOnceCountAsOne()
+    {
+        Hosts hosts(1);
+        for (int replica = 0; replica < 10; ++replica) {
+            hosts.all[0]->quarantine.recordDeath(Parts {7}, {.target = {std::to_string(replica)}, .incarnation = "1"});
+            hosts.scheduler.advance(5ms);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), hosts.refusing({7}));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PromptPartsTest);
