LibGateway: Move no silent request whose prompt is quarantined

Found by a reviewer: a request that waits at a crowded replica was moved to the next one after its part had been refused, because only a selection and a send asked the quarantine. The move and its preparation ask it now. silentRequestIsNotMovedOnceItsPartIsRefused guards it. Replicas that end at once are counted by the quarantine, which sees those of all hosts, and no longer by each host.

--- a/Libraries/LibGateway/ForwardedRequest.cpp
+++ b/Libraries/LibGateway/ForwardedRequest.cpp
@@ -167,9 +167,14 @@
     send();
 }
 
+bool ForwardedRequest::isQuarantined() const
+{
+    return m_dependencies.quarantine.suspicionOf(m_request.promptParts) == Routing::Suspicion::Refused;
+}
+
 bool ForwardedRequest::refuseIfQuarantined()
 {
-    if (m_dependencies.quarantine.suspicionOf(m_request.promptParts) != Routing::Suspicion::Refused) {
+    if (!isQuarantined()) {
         return false;
     }
     m_dependencies.metrics.count("currantbay_quarantined_requests_total");
--- a/Libraries/LibGateway/ForwardedRequest.h
+++ b/Libraries/LibGateway/ForwardedRequest.h
@@ -86,6 +86,8 @@
     void prepareMove();
     void moveAttempt(const Fleet::Replica &replica, std::uint64_t version);
     void recordOutcome(Placement::AttemptOutcome outcome);
+    // Whether the prompt has a part that crashes replicas.
+    [[nodiscard]] bool isQuarantined() const;
     // Refuses the request and returns true if its prompt has a part that crashes replicas.
     bool refuseIfQuarantined();
     // Records that the replica has answered long enough to show that it doesn't crash by the prompt.
--- a/Libraries/LibGateway/ForwardedRequestContinuation.cpp
+++ b/Libraries/LibGateway/ForwardedRequestContinuation.cpp
@@ -114,7 +114,7 @@
     excluded.insert(m_replica.id);
     const auto now = m_dependencies.scheduler.now();
     const auto *replica = m_dependencies.fleet.choose(m_request, m_service, excluded, now);
-    if (replica == nullptr || remaining() < MinRemainingTime) {
+    if (replica == nullptr || remaining() < MinRemainingTime || isQuarantined()) {
         startIdleTimer();
         return;
     }
@@ -141,7 +141,7 @@
 void ForwardedRequest::moveAttempt(const Fleet::Replica &replica, std::uint64_t version)
 {
     const auto now = m_dependencies.scheduler.now();
-    const bool isPossible = isIdle() && m_dependencies.fleet.isAvailable(replica)
+    const bool isPossible = isIdle() && m_dependencies.fleet.isAvailable(replica) && !isQuarantined()
         && m_dependencies.retryBudget.tryRetry(m_service, m_dependencies.hostCount(), now);
     if (!isPossible) {
         startIdleTimer();
--- a/Libraries/LibGateway/ForwardedRequestResponses.cpp
+++ b/Libraries/LibGateway/ForwardedRequestResponses.cpp
@@ -121,9 +121,7 @@
     if (std::exchange(m_isPromptHarmless, true)) {
         return;
     }
-    for (const auto part : m_request.promptParts) {
-        m_dependencies.quarantine.recordCompletion(part);
-    }
+    m_dependencies.quarantine.recordCompletion(m_request.promptParts);
 }
 
 void ForwardedRequest::recordOutcome(Placement::AttemptOutcome outcome)
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -17,10 +17,7 @@
 struct GatewayOptions {
     Holding::HolderTableOptions holding;
     ServiceRetryBudgetOptions retryBudget;
-    // A crash ends sound requests too, and some of them are caught in a second one, so two don't convict a prompt.
-    Routing::QuarantineOptions quarantine {
-        .table = {.deathsUntilRefused = 3, .deathsUntilUndistinguishedRefused = 5, .trust = std::chrono::seconds(2)},
-        .exchangePeriod = std::chrono::milliseconds(500)};
+    Routing::QuarantineOptions quarantine = Routing::QuarantineOptions::forPromptParts();
     std::string peerKey; // Key shared by all hosts of the system.
     ChangeBounds changes;
     // Notices without news are sent at this interval.
--- a/Libraries/LibGateway/ReplicaCrashes.cpp
+++ b/Libraries/LibGateway/ReplicaCrashes.cpp
@@ -1,7 +1,5 @@
 #include <LibGateway/ReplicaCrashes.h>
 
-#include <algorithm>
-
 namespace Gateway {
 
 namespace {
@@ -11,8 +9,6 @@
 constexpr auto SilenceAfterCrash = std::chrono::milliseconds(100);
 // Bytes that arrived before the crash may be read this much later than its first sign.
 constexpr auto ReceiveDelay = std::chrono::milliseconds(30);
-// More replicas than this don't crash by their prompts within SilenceAfterCrash.
-constexpr std::size_t MaxCrashesAtOnce = 4;
 
 Routing::TargetDeath deathOf(const Fleet::Replica &replica)
 {
@@ -33,7 +29,6 @@
     const auto [found, isNew] = m_breaks.try_emplace(death);
     if (isNew) {
         found->second.at = m_scheduler.now();
-        m_recentBreaks.push_back(m_scheduler.now());
         m_scheduler.runAfter(SilenceAfterCrash, [this, death] {
             decide(death);
         });
@@ -57,15 +52,6 @@
 void ReplicaCrashes::decide(const Routing::TargetDeath &death)
 {
     const auto decided = std::move(m_breaks.extract(death).mapped());
-    const auto atOnce = std::ranges::count_if(m_recentBreaks, [&decided](Core::TimePoint at) {
-        return at >= decided.at - SilenceAfterCrash && at <= decided.at + SilenceAfterCrash;
-    });
-    while (!m_recentBreaks.empty() && m_recentBreaks.front() < decided.at - SilenceAfterCrash) {
-        m_recentBreaks.pop_front();
-    }
-    if (std::cmp_greater(atOnce, MaxCrashesAtOnce)) {
-        return;
-    }
     for (const auto &prompt : decided.prompts) {
         m_quarantine.recordDeath(prompt, death);
     }
--- a/Libraries/LibGateway/ReplicaCrashes.h
+++ b/Libraries/LibGateway/ReplicaCrashes.h
@@ -3,7 +3,6 @@
 #include <LibCore/Scheduler.h>
 #include <LibFleet/Replica.h>
 #include <LibRouting/Quarantine.h>
-#include <deque>
 #include <map>
 #include <span>
 #include <vector>
@@ -11,9 +10,8 @@
 namespace Gateway {
 
 // Recognises that a replica has crashed by the attempts that break off there and the silence that follows, and records
-// the parts of the prompts whose answers were about to begin. A single attempt that breaks off at a replica that goes
-// on sending to others is no crash. If many replicas seem to crash at once, the network or a power supply has failed,
-// and no prompt is suspected.
+// the parts of the prompts whose answers were about to begin. An attempt that breaks off at a replica that goes on
+// sending to others is no crash.
 class ReplicaCrashes
 {
 public:
@@ -37,7 +35,6 @@
     Core::Scheduler &m_scheduler;
     Routing::Quarantine &m_quarantine;
     std::map<Routing::TargetDeath, Break> m_breaks;
-    std::deque<Core::TimePoint> m_recentBreaks; // Of different replicas, the latest at the end.
 };
 
 }
--- a/Libraries/LibGateway/Tests/QuarantinedRequestTest.cpp
+++ b/Libraries/LibGateway/Tests/QuarantinedRequestTest.cpp
@@ -9,6 +9,7 @@
     CPPUNIT_TEST_SUITE(QuarantinedRequestTest);
     CPPUNIT_TEST(requestWithDeadlyPartIsRefusedAtOnce);
     CPPUNIT_TEST(requestIsNotRepeatedOnceItsPartIsRefused);
+    CPPUNIT_TEST(silentRequestIsNotMovedOnceItsPartIsRefused);
     CPPUNIT_TEST(onlyBeginningAnswerIsSuspected);
     CPPUNIT_TEST_SUITE_END();
 
@@ -51,6 +52,17 @@
         CPPUNIT_ASSERT_EQUAL(502U, m_exchange->status);
     }
 
+    // A request that waited at a crowded replica was moved to the next one after its part had been convicted.
+    void silentRequestIsNotMovedOnceItsPartIsRefused()
+    {
+        startPrompt();
+        recordCrash("r8");
+        recordCrash("r9");
+        m_scheduler.advance(10s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_transport.transfers.size());
+        CPPUNIT_ASSERT(!m_transport.transfers[0].isCancelled);
+    }
+
     // A crash ends up to 64 streams, and those that were long under way were taken for its cause.
     void onlyBeginningAnswerIsSuspected()
     {
--- a/Libraries/LibGateway/Tests/ReplicaCrashesTest.cpp
+++ b/Libraries/LibGateway/Tests/ReplicaCrashesTest.cpp
@@ -23,7 +23,6 @@
     CPPUNIT_TEST_SUITE(ReplicaCrashesTest);
     CPPUNIT_TEST(promptsOfCrashedReplicaAreSuspected);
     CPPUNIT_TEST(truncatedResponseIsNoCrash);
-    CPPUNIT_TEST(replicasLostAtOnceAreNoCrashes);
     CPPUNIT_TEST(incarnationCountsOnce);
     CPPUNIT_TEST_SUITE_END();
 
@@ -47,6 +46,7 @@
         return {.id = {"replica-" + std::to_string(number)}, .startedAt = startedAt};
     }
 
+    // Crashes weren't connected with the prompts that caused them.
     void promptsOfCrashedReplicaAreSuspected()
     {
         for (int number = 0; number < 2; ++number) {
@@ -68,17 +68,6 @@
         CPPUNIT_ASSERT(m_quarantine.suspicionOf(Parts {1}) == Routing::Suspicion::None);
     }
 
-    // A cut between zones was taken for crashes by whatever ran at its replicas.
-    void replicasLostAtOnceAreNoCrashes()
-    {
-        for (int number = 0; number < 10; ++number) {
-            m_crashes.recordBreak(replica(number), Parts {1});
-            m_scheduler.advance(5ms);
-        }
-        m_scheduler.advance(1s);
-        CPPUNIT_ASSERT(m_quarantine.suspicionOf(Parts {1}) == Routing::Suspicion::None);
-    }
-
     // A replica that keeps breaking off responses counted as many crashes.
     void incarnationCountsOnce()
     {
