LibGateway: Prepare the move of a silent request less often

A request that hasn't begun and can't be moved asked the holder of another replica to load its adapter every 100 ms. It now asks again after a further idle timeout; a response that has begun still asks soon.

--- a/Libraries/LibGateway/ForwardedRequestContinuation.cpp
+++ b/Libraries/LibGateway/ForwardedRequestContinuation.cpp
@@ -79,7 +79,10 @@
         return;
     }
     const auto due = m_lastProgressAt + idleTimeout() - m_dependencies.scheduler.now();
-    const auto delay = std::max<Core::Duration>(due, ContinuationPause);
+    // A move that isn't possible yet is tried again, for a response that has begun soon.
+    const auto pause
+        = due > Core::Duration::zero() || m_isStreaming ? Core::Duration(ContinuationPause) : idleTimeout();
+    const auto delay = std::max<Core::Duration>(due, pause);
     m_idleTimer = m_dependencies.scheduler.runAfter(delay, [self = shared_from_this()] {
         self->m_idleTimer = Core::TimerId::None;
         self->handleIdleTimer();
