LibNet: Treat a response that ends in its head as broken

Callers could get an empty answer with the status of a response whose sender had stopped in its head and closed, framed as whole; the order sender and the store client could take such a status for a verdict. Cause: curl reports success if the connection is closed in order after the first line of the head. The head function isn't called then, but the result bore the status of that line, no error and an empty body. Change: a result without a complete final head is an error, with status 0, and the request may have been sent. The blank line at the end of the head, which curl passes on like a field, tells that the head is complete; a new status line undoes this, as after an interim head.

--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -44,6 +44,7 @@
     HeadFunction head;
     std::size_t sentBodyBytes = 0;
     std::size_t headBytes = 0; // Received, of interim and final heads together.
+    bool hasHead = false; // The final head is complete.
     std::string_view violation; // Why the client has ended the transfer; empty if it hasn't.
     HttpFields fields;
     std::string body;
@@ -137,14 +138,16 @@
         }
         if (line.starts_with("HTTP/")) {
             transfer->fields.clear();
+            transfer->hasHead = false;
         } else if (const auto colon = line.find(':'); colon != std::string_view::npos) {
             auto value = line.substr(colon + 1);
             value.remove_prefix(std::min(value.find_first_not_of(" \t"), value.size()));
             transfer->fields.emplace_back(line.substr(0, colon), value);
-        } else if (line.empty() && transfer->head && !transfer->isCancelled) {
+        } else if (line.empty()) {
             long status = 0;
             curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
-            if (status >= FirstFinalStatus) {
+            transfer->hasHead = status >= FirstFinalStatus;
+            if (transfer->hasHead && transfer->head && !transfer->isCancelled) {
                 transfer->head(status, transfer->fields);
             }
         }
@@ -369,6 +372,10 @@
                                                   : std::string(transfer.violation);
         result.isTimedOut = curlCode == CURLE_OPERATION_TIMEDOUT;
         result.mayHaveBeenSent = sentBytes > 0;
+    } else if (!transfer.hasHead) {
+        // curl reports success if the connection is closed after the status line.
+        result.status = 0;
+        result.error = "connection closed in the head of the response";
     }
     const char *contentType = nullptr;
     curl_easy_getinfo(transfer.easy, CURLINFO_CONTENT_TYPE, &contentType);
--- a/Libraries/LibNet/Tests/HttpClientTest.cpp
+++ b/Libraries/LibNet/Tests/HttpClientTest.cpp
@@ -89,6 +89,7 @@
     CPPUNIT_TEST(endlessHeadIsBrokenOff);
     CPPUNIT_TEST(endlessInterimHeadsAreBrokenOff);
     CPPUNIT_TEST(endlessBodyIsBrokenOff);
+    CPPUNIT_TEST(responseCutInItsHeadIsAnError);
     CPPUNIT_TEST_SUITE_END();
 
     // Sends two requests in sequence and returns how many the server received. A third one would be a retry by curl.
@@ -220,6 +221,26 @@
         return sentBytes;
     }
 
+    // Sends a request to a server that writes the text and closes the connection.
+    static Net::HttpResult receive(const std::string &text)
+    {
+        LoopbackServer server([&text](int connection) {
+            if (readRequest(connection)) {
+                writeText(connection, text);
+            }
+        });
+        Net::EventLoop loop;
+        Net::HttpClient client(loop);
+        Net::HttpResult received;
+        client.start({.method = "POST", .url = server.url(), .body = "body", .totalTimeout = 2s},
+                     [&](Net::HttpResult result) {
+                         received = std::move(result);
+                         loop.stop();
+                     });
+        loop.run();
+        return received;
+    }
+
     // The socket buffers of both ends, beyond what the client has read.
     static constexpr std::size_t BufferedBytes = 16U << 20U;
 
@@ -243,6 +264,23 @@
                                             "the body of the response is too large");
         CPPUNIT_ASSERT(sent < BufferedBytes + Net::DefaultMaxBodyBytes);
     }
+
+    // Guards against a response that breaks off inside its head being taken for a whole response with an empty body.
+    void responseCutInItsHeadIsAnError()
+    {
+        for (const std::string text :
+             {"", "\r\n", "no head\r\n", "HTTP/1.1 20", "HTTP/1.1 200 OK", "HTTP/1.1 200 OK\r\n",
+              "HTTP/1.1 200 OK\r\nX-Fie", "HTTP/1.1 200 OK\r\nX-Field: 1", "HTTP/1.1 200 OK\r\nX-Field: 1\r\n",
+              "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r",
+              "HTTP/1.1 204 No Content\r\n", "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n",
+              "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n",
+              "HTTP/1.1 101 Upgrade\r\n\r\n"}) {
+            const auto result = receive(text);
+            CPPUNIT_ASSERT_MESSAGE(text, !result.isComplete());
+            CPPUNIT_ASSERT_EQUAL(0L, result.status);
+            CPPUNIT_ASSERT(result.mayHaveBeenSent);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpClientTest);
