LibNet: Test responses that end with their connection

A response may come with neither a length nor chunks. It is whole if its connection ends in order, and broken if the connection is reset; one with a length or chunks is broken if the connection ends before them. Change: a test of this for plain responses and for event streams, through HttpClient.

--- a/Libraries/LibNet/Tests/HttpClientTest.cpp
+++ b/Libraries/LibNet/Tests/HttpClientTest.cpp
@@ -72,6 +72,12 @@
     return true;
 }
 
+void resetWhenClosed(int connection)
+{
+    const linger abort {.l_onoff = 1, .l_linger = 0};
+    setsockopt(connection, SOL_SOCKET, SO_LINGER, &abort, sizeof abort);
+}
+
 bool writeText(int connection, std::string_view text)
 {
     return send(connection, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size());
@@ -90,6 +96,7 @@
     CPPUNIT_TEST(endlessInterimHeadsAreBrokenOff);
     CPPUNIT_TEST(endlessBodyIsBrokenOff);
     CPPUNIT_TEST(responseCutInItsHeadIsAnError);
+    CPPUNIT_TEST(unframedResponseIsWholeOnlyIfItsConnectionEndsInOrder);
     CPPUNIT_TEST_SUITE_END();
 
     // Sends two requests in sequence and returns how many the server received. A third one would be a retry by curl.
@@ -105,8 +112,7 @@
                 receivedRequests += readRequest(connection) ? 1 : 0;
             }
             if (closeMode == CloseMode::Reset) {
-                const linger abort {.l_onoff = 1, .l_linger = 0};
-                setsockopt(connection, SOL_SOCKET, SO_LINGER, &abort, sizeof abort);
+                resetWhenClosed(connection);
             }
         });
         Net::EventLoop loop;
@@ -222,22 +228,31 @@
     }
 
     // Sends a request to a server that writes the text and closes the connection.
-    static Net::HttpResult receive(const std::string &text)
+    static Net::HttpResult receive(const std::string &text, CloseMode closeMode = CloseMode::Graceful)
     {
-        LoopbackServer server([&text](int connection) {
+        LoopbackServer server([&text, closeMode](int connection) {
             if (readRequest(connection)) {
                 writeText(connection, text);
             }
+            if (closeMode == CloseMode::Reset) {
+                resetWhenClosed(connection);
+            }
         });
         Net::EventLoop loop;
         Net::HttpClient client(loop);
         Net::HttpResult received;
-        client.start({.method = "POST", .url = server.url(), .body = "body", .totalTimeout = 2s},
-                     [&](Net::HttpResult result) {
-                         received = std::move(result);
-                         loop.stop();
-                     });
+        std::string body;
+        client.start(
+            {.method = "POST", .url = server.url(), .body = "body", .totalTimeout = 2s},
+            [&](Net::HttpResult result) {
+                received = std::move(result);
+                loop.stop();
+            },
+            [&body](long /*status*/, std::string_view bytes) {
+                body += bytes;
+            });
         loop.run();
+        received.body = body;
         return received;
     }
 
@@ -281,6 +296,22 @@
             CPPUNIT_ASSERT(result.mayHaveBeenSent);
         }
     }
+
+    // Guards against a response without a length being dropped, and against one that was reset being taken for whole.
+    void unframedResponseIsWholeOnlyIfItsConnectionEndsInOrder()
+    {
+        for (const std::string type : {"text/plain", "text/event-stream"}) {
+            const auto text = "HTTP/1.1 200 OK\r\nContent-Type: " + type + "\r\n\r\nid: 0\ndata: x\n\n";
+            const auto whole = receive(text, CloseMode::Graceful);
+            CPPUNIT_ASSERT_EQUAL(std::string(), whole.error);
+            CPPUNIT_ASSERT_EQUAL(std::string("id: 0\ndata: x\n\n"), whole.body);
+            CPPUNIT_ASSERT(!receive(text, CloseMode::Reset).isComplete());
+        }
+        for (const std::string framed :
+             {"Content-Length: 5\r\n\r\nid", "Transfer-Encoding: chunked\r\n\r\n2\r\nid\r\n"}) {
+            CPPUNIT_ASSERT_MESSAGE(framed, !receive("HTTP/1.1 200 OK\r\n" + framed).isComplete());
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpClientTest);
