LibGateway: Treat a stream that ends inside an event as broken

Callers could receive a stream as complete, with half an event at its end, whose replica had stopped in the middle of that event and closed the connection. Cause: a response may have neither a length nor chunks and end with its connection. Then only the event tells that it broke off, but the bytes after the last complete event were forwarded and the stream was ended as complete. Change: such an end is an interruption, like a reset. The stream continues at another replica if it may run again; else the caller's stream is aborted. The half event isn't forwarded. Line ends after the last event are still no event. Measured: before, streamThatEndsInsideAnEventIsNotComplete failed: the caller's stream held "id: 1\nda" after its first event, and hadn't been aborted.

--- a/Libraries/LibGateway/EventSplitter.cpp
+++ b/Libraries/LibGateway/EventSplitter.cpp
@@ -85,6 +85,11 @@
     return m_partial;
 }
 
+bool EventSplitter::isInsideEvent() const
+{
+    return m_partial.find_first_not_of("\r\n") != std::string::npos;
+}
+
 const std::optional<std::uint64_t> &EventSplitter::lastId() const
 {
     return m_lastId;
--- a/Libraries/LibGateway/EventSplitter.h
+++ b/Libraries/LibGateway/EventSplitter.h
@@ -30,6 +30,8 @@
     void dropPartial();
     // Bytes after the last complete event.
     [[nodiscard]] const std::string &partial() const;
+    // Whether an event has begun and isn't complete.
+    [[nodiscard]] bool isInsideEvent() const;
     // The ID of the last complete event.
     [[nodiscard]] const std::optional<std::uint64_t> &lastId() const;
     void setLastId(std::uint64_t id);
--- a/Libraries/LibGateway/ForwardedRequest.h
+++ b/Libraries/LibGateway/ForwardedRequest.h
@@ -92,6 +92,8 @@
     void end(unsigned status, std::string_view reason);
     [[nodiscard]] bool mayRunAgain() const;
     [[nodiscard]] bool isUsableHead() const;
+    // Whether the response is an event stream whose events are forwarded as they arrive.
+    [[nodiscard]] bool isEventStream() const;
     [[nodiscard]] Core::Duration remaining() const;
 
     ForwardingDependencies m_dependencies;
--- a/Libraries/LibGateway/ForwardedRequestResponses.cpp
+++ b/Libraries/LibGateway/ForwardedRequestResponses.cpp
@@ -21,6 +21,11 @@
     return isForAttempt && m_head.hasServerStamp && !m_head.isEncoded;
 }
 
+bool ForwardedRequest::isEventStream() const
+{
+    return m_head.isEventStream && m_head.status == Core::HttpStatus::Ok && isUsableHead();
+}
+
 void ForwardedRequest::handleHead(long status, const Net::HttpFields &fields)
 {
     m_head = m_dependencies.protocol.readHead(status, fields);
@@ -37,8 +42,7 @@
         m_hasResponseBody = true;
         m_dependencies.fleet.recordResponseStarted(m_replica.id, m_request);
     }
-    const bool isStream = m_head.isEventStream && m_head.status == Core::HttpStatus::Ok && isUsableHead();
-    if (isStream) {
+    if (isEventStream()) {
         forwardEvents(bytes);
         return;
     }
@@ -95,6 +99,8 @@
         handleInterruption(result);
     } else if (m_head.hasNotRun) {
         handleRejection(result);
+    } else if (isEventStream() && m_events.isInsideEvent()) {
+        handleInterruption({.error = "the event stream ended inside an event"});
     } else {
         handleResponse(result);
     }
--- a/Libraries/LibGateway/Tests/BrokenResponseTest.cpp
+++ b/Libraries/LibGateway/Tests/BrokenResponseTest.cpp
@@ -9,6 +9,7 @@
 {
     CPPUNIT_TEST_SUITE(BrokenResponseTest);
     CPPUNIT_TEST(headOfEarlierAttemptIsNotTrusted);
+    CPPUNIT_TEST(streamThatEndsInsideAnEventIsNotComplete);
     CPPUNIT_TEST_SUITE_END();
 
     const Net::HttpFields m_streamFields {{"Attempt", "caller-1"}, {"Stream", "yes"}};
@@ -49,6 +50,23 @@
         end(1, {.status = 200});
         assertAborted(event(0));
     }
+
+    // Guards against a stream that broke off inside an event being passed on as complete.
+    void streamThatEndsInsideAnEventIsNotComplete()
+    {
+        startAnswered(false, event(0) + "id: 1\nda");
+        end(0, {.status = 200});
+        assertAborted(event(0));
+
+        startAnswered(true, event(0) + "id: 1\nda");
+        end(0, {.status = 200});
+        CPPUNIT_ASSERT_EQUAL(std::string("after 0"), m_transport.transfers.at(1).request.headers.back());
+        answerHead(1, 200, m_streamFields);
+        m_transport.transfers.at(1).data(200, event(1) + "\n");
+        end(1, {.status = 200});
+        CPPUNIT_ASSERT_EQUAL(event(0) + event(1) + "\n", m_exchange->body);
+        CPPUNIT_ASSERT(m_exchange->isEnded && !m_exchange->isAborted);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BrokenResponseTest);
