LibGateway: Treat a stream without any event as broken

Callers could receive a complete, empty stream from a replica that had closed the connection before its first event. Cause: the end of a response without a length was taken for its completion even if nothing had been answered. Change: a stream that ends before its first event is an interruption: the request is sent to another replica if it may run again, else it fails with 502, which promises nothing. A request that resumes a stream may rightly get no further event, so that its response is still passed on. Measured: before, streamThatEndsBeforeItsFirstEventIsNotComplete failed with 200 where 502 is expected.

--- a/Libraries/LibGateway/ForwardedRequestResponses.cpp
+++ b/Libraries/LibGateway/ForwardedRequestResponses.cpp
@@ -101,6 +101,9 @@
         handleRejection(result);
     } else if (isEventStream() && m_events.isInsideEvent()) {
         handleInterruption({.error = "the event stream ended inside an event"});
+    } else if (isEventStream() && !m_isStreaming && !m_request.lastEventId.has_value()) {
+        // A stream that is resumed may have no further events.
+        handleInterruption({.error = "the event stream ended before its first event"});
     } else {
         handleResponse(result);
     }
--- a/Libraries/LibGateway/Tests/BrokenResponseTest.cpp
+++ b/Libraries/LibGateway/Tests/BrokenResponseTest.cpp
@@ -10,6 +10,7 @@
     CPPUNIT_TEST_SUITE(BrokenResponseTest);
     CPPUNIT_TEST(headOfEarlierAttemptIsNotTrusted);
     CPPUNIT_TEST(streamThatEndsInsideAnEventIsNotComplete);
+    CPPUNIT_TEST(streamThatEndsBeforeItsFirstEventIsNotComplete);
     CPPUNIT_TEST_SUITE_END();
 
     const Net::HttpFields m_streamFields {{"Attempt", "caller-1"}, {"Stream", "yes"}};
@@ -67,6 +68,20 @@
         CPPUNIT_ASSERT_EQUAL(event(0) + event(1) + "\n", m_exchange->body);
         CPPUNIT_ASSERT(m_exchange->isEnded && !m_exchange->isAborted);
     }
+
+    // Guards against a stream that broke off before its first event being passed on as a complete, empty response.
+    void streamThatEndsBeforeItsFirstEventIsNotComplete()
+    {
+        for (const auto *bytes : {"", "id: 0\nda"}) {
+            startAnswered(false, bytes);
+            end(0, {.status = 200});
+            CPPUNIT_ASSERT_EQUAL(502U, m_exchange->status);
+            startAnswered(true, bytes);
+            end(0, {.status = 200});
+            CPPUNIT_ASSERT(!m_exchange->isEnded);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_transport.transfers.size());
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BrokenResponseTest);
