LibGateway: Let no plain response end a begun stream

A stream had begun and broke off, and the replica that was to continue it answered with status 200 and no event stream, as a replica in trouble does. The caller's stream ended as if it were complete. Cause: a response that can't continue a stream was told by its status alone. Change: once a stream has begun, any response that isn't an event stream for this request is dropped, and the stream continues elsewhere or is aborted. Measured: errorAfterTheBeginOfAStreamStaysOutOfIt plays 13 responses of the next replica: 200, 206, 400, 421, 429, 500, 503 and 504 with a body, with and without the mark that the request hasn't run, some as event streams. Before, the first one, 200 without a stream, failed at "m_exchange->isAborted". The other 12 passed: their text and head reached no caller, and no stream ended as complete.

--- a/Libraries/LibGateway/ForwardedRequestResponses.cpp
+++ b/Libraries/LibGateway/ForwardedRequestResponses.cpp
@@ -176,7 +176,7 @@
 {
     ++m_possibleRuns;
     const bool isFailure = m_head.status >= Core::HttpStatus::InternalServerError;
-    if (!isUsableHead() || (m_isStreaming && m_head.status != Core::HttpStatus::Ok)) {
+    if (!isUsableHead() || (m_isStreaming && !isEventStream())) {
         recordOutcome(Placement::AttemptOutcome::Failed);
         endAttempt();
         m_excluded.insert(m_replica.id);
--- a/Libraries/LibGateway/Tests/BrokenResponseTest.cpp
+++ b/Libraries/LibGateway/Tests/BrokenResponseTest.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST(headOfEarlierAttemptIsNotTrusted);
     CPPUNIT_TEST(streamThatEndsInsideAnEventIsNotComplete);
     CPPUNIT_TEST(streamThatEndsBeforeItsFirstEventIsNotComplete);
+    CPPUNIT_TEST(errorAfterTheBeginOfAStreamStaysOutOfIt);
     CPPUNIT_TEST_SUITE_END();
 
     const Net::HttpFields m_streamFields {{"Attempt", "caller-1"}, {"Stream", "yes"}};
@@ -82,6 +83,39 @@
             CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_transport.transfers.size());
         }
     }
+
+    // Guards against an error of the replica that continues a stream reaching the caller or ending the stream.
+    void errorAfterTheBeginOfAStreamStaysOutOfIt()
+    {
+        const std::pair<std::string, std::string> own {"Attempt", "caller-1"};
+        const std::pair<std::string, std::string> notRun {"Not-Run", "1"};
+        const std::vector<std::pair<long, Net::HttpFields>> cases {{200, {own}},
+                                                                   {200, {{"Attempt", "caller-0"}, {"Stream", "yes"}}},
+                                                                   {206, {own, {"Stream", "yes"}}},
+                                                                   {400, {own}},
+                                                                   {400, {own, notRun}},
+                                                                   {421, {own, notRun}},
+                                                                   {429, {own}},
+                                                                   {429, {own, notRun}},
+                                                                   {500, {own}},
+                                                                   {500, {own, {"Stream", "yes"}}},
+                                                                   {503, {own}},
+                                                                   {503, {own, notRun}},
+                                                                   {504, {own}}};
+        for (const auto &[status, fields] : cases) {
+            startAnswered(true, event(0));
+            end(0, {.error = "reset"});
+            // All further replicas answer in the same way.
+            for (std::size_t i = 1; i < m_transport.transfers.size(); ++i) {
+                answerHead(i, status, fields);
+                m_transport.transfers.at(i).data(status, "error");
+                end(i, {.status = status});
+            }
+            m_scheduler.advance(20s);
+            CPPUNIT_ASSERT(m_transport.transfers.size() > 1);
+            assertAborted(event(0));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BrokenResponseTest);
