LibGateway: Trust only refusals that name the request

Callers could be told "not run, try again" for a request that a replica had run or was running, or such a request could run at a second replica, if a faulty replica wrote the refusal of an earlier request once more. Cause: a refusal was taken for a promise by its status and mark, whichever request it named. Other responses were checked for that. Change: a refusal that doesn't name this request is handled like any response of another request: this one may have run, so that it isn't called refused, and is sent elsewhere only if it is idempotent. Forwarded requests always use a new connection, on which no earlier refusal can be left over. The check no longer relies on that. Measured: before, refusalOfAnotherRequestPromisesNothing failed: a request that isn't idempotent was sent to two replicas where one is expected. The 38 tests of LibGateway pass.

--- a/Libraries/LibGateway/ForwardedRequest.h
+++ b/Libraries/LibGateway/ForwardedRequest.h
@@ -91,6 +91,8 @@
     void handleCallerDisconnect();
     void end(unsigned status, std::string_view reason);
     [[nodiscard]] bool mayRunAgain() const;
+    // Whether the head names this request. A replica may send the response to another one.
+    [[nodiscard]] bool isHeadForRequest() const;
     [[nodiscard]] bool isUsableHead() const;
     // Whether the response is an event stream whose events are forwarded as they arrive.
     [[nodiscard]] bool isEventStream() const;
--- a/Libraries/LibGateway/ForwardedRequestResponses.cpp
+++ b/Libraries/LibGateway/ForwardedRequestResponses.cpp
@@ -15,10 +15,14 @@
 
 }
 
+bool ForwardedRequest::isHeadForRequest() const
+{
+    return m_request.attemptId.empty() || m_head.attemptId == m_request.attemptId;
+}
+
 bool ForwardedRequest::isUsableHead() const
 {
-    const bool isForAttempt = m_request.attemptId.empty() || m_head.attemptId == m_request.attemptId;
-    return isForAttempt && m_head.hasServerStamp && !m_head.isEncoded;
+    return isHeadForRequest() && m_head.hasServerStamp && !m_head.isEncoded;
 }
 
 bool ForwardedRequest::isEventStream() const
@@ -97,7 +101,7 @@
     }
     if (!result.isComplete()) {
         handleInterruption(result);
-    } else if (m_head.hasNotRun) {
+    } else if (m_head.hasNotRun && isHeadForRequest()) {
         handleRejection(result);
     } else if (isEventStream() && m_events.isInsideEvent()) {
         handleInterruption({.error = "the event stream ended inside an event"});
--- a/Libraries/LibGateway/Tests/BrokenResponseTest.cpp
+++ b/Libraries/LibGateway/Tests/BrokenResponseTest.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(streamThatEndsInsideAnEventIsNotComplete);
     CPPUNIT_TEST(streamThatEndsBeforeItsFirstEventIsNotComplete);
     CPPUNIT_TEST(errorAfterTheBeginOfAStreamStaysOutOfIt);
+    CPPUNIT_TEST(refusalOfAnotherRequestPromisesNothing);
     CPPUNIT_TEST_SUITE_END();
 
     const Net::HttpFields m_streamFields {{"Attempt", "caller-1"}, {"Stream", "yes"}};
@@ -116,6 +117,21 @@
             assertAborted(event(0));
         }
     }
+
+    // Guards against the refusal of another request being taken for a promise that this one has not run.
+    void refusalOfAnotherRequestPromisesNothing()
+    {
+        for (const long status : {400L, 421L, 429L, 503L}) {
+            m_scheduler.advance(60s);
+            m_transport.transfers.clear();
+            m_exchange = std::make_shared<FakeExchange>();
+            startUnsafe();
+            answerHead(0, status, {{"Attempt", "caller-0"}, {"Not-Run", "1"}});
+            end(0, {.status = status});
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_transport.transfers.size());
+            CPPUNIT_ASSERT_EQUAL(502U, m_exchange->status);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BrokenResponseTest);
