LibEngine: Trust no refusal on a reused connection

A faulty engine that writes an earlier refusal once more on a kept connection could have a request called not run that the engine was running; the front then asked for another grant or answered 503. Cause: streams may reuse a connection, and a refusal, unlike a stream, doesn't name the attempt it belongs to. Change: the HTTP client tells whether the connection had carried an earlier request. A refusal on such a connection counts as a broken stream that may have run. Measured: before, refusalOnReusedConnectionPromisesNothing failed at "std::holds_alternative<Engine::StreamFailure>(second)". The 6 tests of LibEngine and the 13 of LibNet pass.

--- a/Libraries/LibEngine/HttpEngineLink.cpp
+++ b/Libraries/LibEngine/HttpEngineLink.cpp
@@ -17,6 +17,12 @@
     }
 }
 
+std::string reasonFor(const Net::HttpResult &result)
+{
+    const bool isEnded = result.isComplete() && result.status == Core::HttpStatus::Ok;
+    return isEnded ? "stream ended without an end marker" : result.describeFailure();
+}
+
 bool isLast(const StreamEvent &event)
 {
     return std::holds_alternative<StreamEnd>(event) || std::holds_alternative<StreamFailure>(event);
@@ -59,13 +65,15 @@
 
     void handleResult(const Net::HttpResult &result)
     {
-        if (result.isComplete() && result.status != Core::HttpStatus::Ok) {
+        // A refusal doesn't name its stream, and on a reused connection it may be the copy of an earlier one.
+        const bool isRefusal = result.isComplete() && result.status != Core::HttpStatus::Ok;
+        if (isRefusal && !result.isConnectionReused) {
             emitEvent(StreamRefusal {.status = result.status, .reason = lines.rest()});
             return;
         }
         emitEvent(StreamFailure {.mayHaveRun = hasStarted || result.mayHaveBeenSent,
                                  .isIdleTimeout = result.isTimedOut,
-                                 .reason = result.isComplete() ? "stream ended without an end marker" : result.error});
+                                 .reason = reasonFor(result)});
     }
 };
 
--- a/Libraries/LibEngine/Tests/HttpEngineLinkTest.cpp
+++ b/Libraries/LibEngine/Tests/HttpEngineLinkTest.cpp
@@ -10,6 +10,7 @@
     CPPUNIT_TEST_SUITE(HttpEngineLinkTest);
     CPPUNIT_TEST(stalledStreamThatSendsBytesIsEnded);
     CPPUNIT_TEST(slowStreamIsNotCut);
+    CPPUNIT_TEST(refusalOnReusedConnectionPromisesNothing);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr auto IdleTimeout = 300ms;
@@ -58,6 +59,33 @@
                             "\n")
                             .has_value());
     }
+
+    // Guards against the refusal of an earlier stream being taken for a promise that this one has not run.
+    void refusalOnReusedConnectionPromisesNothing()
+    {
+        using Connection = Engine::StreamConnection;
+        Net::EventLoop loop;
+        Net::HttpServer engine(loop, {}, [](const auto &exchange) {
+            exchange->respond({.status = 503}, "full");
+        });
+        Net::HttpClient client(loop);
+        Engine::HttpEngineLink link(client, {.idleTimeout = IdleTimeout});
+        const auto generate = [&](Connection connection) {
+            std::optional<Engine::StreamEvent> received;
+            link.generate({.target = {"e1"}, .address = "127.0.0.1:" + std::to_string(engine.port())},
+                          {.attempt = {"1"}, .connection = connection}, [&](const Engine::StreamEvent &event) {
+                              received = event;
+                              loop.stop();
+                          });
+            loop.run();
+            return received.value();
+        };
+        CPPUNIT_ASSERT(std::holds_alternative<Engine::StreamRefusal>(generate(Connection::Any)));
+        const auto second = generate(Connection::Any);
+        CPPUNIT_ASSERT(std::holds_alternative<Engine::StreamFailure>(second));
+        CPPUNIT_ASSERT(std::get<Engine::StreamFailure>(second).mayHaveRun);
+        CPPUNIT_ASSERT(std::holds_alternative<Engine::StreamRefusal>(generate(Connection::Fresh)));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpEngineLinkTest);
--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -364,8 +364,11 @@
 {
     HttpResult result;
     long sentBytes = 0;
+    long openedConnections = 0;
     curl_easy_getinfo(transfer.easy, CURLINFO_RESPONSE_CODE, &result.status);
     curl_easy_getinfo(transfer.easy, CURLINFO_REQUEST_SIZE, &sentBytes);
+    curl_easy_getinfo(transfer.easy, CURLINFO_NUM_CONNECTS, &openedConnections);
+    result.isConnectionReused = openedConnections == 0;
     if (curlCode != CURLE_OK) {
         result.status = 0;
         result.error = transfer.violation.empty() ? curl_easy_strerror(static_cast<CURLcode>(curlCode))
--- a/Libraries/LibNet/HttpRequest.h
+++ b/Libraries/LibNet/HttpRequest.h
@@ -70,6 +70,8 @@
     std::string body; // Empty when a data function received the body.
     std::string error; // Empty when the response is complete.
     bool isTimedOut = false; // The connect, total or idle timeout expired.
+    // The connection had carried an earlier request, whose response may have come a second time.
+    bool isConnectionReused = false;
     bool mayHaveBeenSent = true; // False only when certainly no byte of the request was sent.
 
     [[nodiscard]] bool isComplete() const
