LibGateway: Treat an unframed continuation without events as broken

A begun stream could end as complete although the replica that was to continue it had closed the connection before its first event. Cause: a stream that is resumed may rightly have no events left, so that an empty continuation always counted as the end. Change: it counts only if the response has a length or chunks and has ended by them. Else it is an interruption: the stream continues elsewhere or is aborted, and its caller may resume it. Measured: before, unframedContinuationWithoutEventsIsNotComplete failed: the caller's stream hadn't been aborted. The 39 tests of LibGateway and the 7 of the platform pass.

--- a/Libraries/LibGateway/CallerRequest.h
+++ b/Libraries/LibGateway/CallerRequest.h
@@ -44,6 +44,7 @@
     bool hasServerStamp = false;
     bool isEncoded = false; // The body has a content encoding, so its bytes aren't those of the replica.
     bool isEventStream = false;
+    bool isFramed = false; // By a length or chunks, so that a body that is cut short shows.
     std::string attemptId;
     Net::HttpFields fields; // Headers that are forwarded to the caller.
 };
--- a/Libraries/LibGateway/ForwardedRequest.cpp
+++ b/Libraries/LibGateway/ForwardedRequest.cpp
@@ -184,6 +184,7 @@
     m_head = {};
     m_hasHead = false;
     m_hasResponseBody = false;
+    m_hasEvent = false;
     m_body.clear();
     m_events.dropPartial();
     m_dependencies.fleet.recordAttemptStarted(m_replica.id, m_request);
--- a/Libraries/LibGateway/ForwardedRequest.h
+++ b/Libraries/LibGateway/ForwardedRequest.h
@@ -96,6 +96,8 @@
     [[nodiscard]] bool isUsableHead() const;
     // Whether the response is an event stream whose events are forwarded as they arrive.
     [[nodiscard]] bool isEventStream() const;
+    // Whether a response without events is broken. A stream that is resumed may have none left, if its framing says so.
+    [[nodiscard]] bool lacksFirstEvent() const;
     [[nodiscard]] Core::Duration remaining() const;
 
     ForwardingDependencies m_dependencies;
@@ -126,6 +128,7 @@
     ResponseHead m_head;
     bool m_hasHead = false;
     bool m_hasResponseBody = false; // The first byte of the response body has arrived.
+    bool m_hasEvent = false; // An event of this attempt has been forwarded.
     std::string m_body;
 
     // The response to the caller.
--- a/Libraries/LibGateway/ForwardedRequestResponses.cpp
+++ b/Libraries/LibGateway/ForwardedRequestResponses.cpp
@@ -30,6 +30,12 @@
     return m_head.isEventStream && m_head.status == Core::HttpStatus::Ok && isUsableHead();
 }
 
+bool ForwardedRequest::lacksFirstEvent() const
+{
+    const bool isResumed = m_isStreaming || m_request.lastEventId.has_value();
+    return isEventStream() && !m_hasEvent && !(isResumed && m_head.isFramed);
+}
+
 void ForwardedRequest::handleHead(long status, const Net::HttpFields &fields)
 {
     m_head = m_dependencies.protocol.readHead(status, fields);
@@ -62,6 +68,7 @@
     std::string events;
     const auto sequence = m_events.split(bytes, events);
     if (!events.empty()) {
+        m_hasEvent = true;
         m_lastProgressAt = m_dependencies.scheduler.now();
         if (m_isStreaming) {
             m_longestPause = std::max(m_longestPause, m_lastProgressAt - m_lastEventAt);
@@ -105,8 +112,7 @@
         handleRejection(result);
     } else if (isEventStream() && m_events.isInsideEvent()) {
         handleInterruption({.error = "the event stream ended inside an event"});
-    } else if (isEventStream() && !m_isStreaming && !m_request.lastEventId.has_value()) {
-        // A stream that is resumed may have no further events.
+    } else if (lacksFirstEvent()) {
         handleInterruption({.error = "the event stream ended before its first event"});
     } else {
         handleResponse(result);
--- a/Libraries/LibGateway/Tests/BrokenResponseTest.cpp
+++ b/Libraries/LibGateway/Tests/BrokenResponseTest.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST(headOfEarlierAttemptIsNotTrusted);
     CPPUNIT_TEST(streamThatEndsInsideAnEventIsNotComplete);
     CPPUNIT_TEST(streamThatEndsBeforeItsFirstEventIsNotComplete);
+    CPPUNIT_TEST(unframedContinuationWithoutEventsIsNotComplete);
     CPPUNIT_TEST(errorAfterTheBeginOfAStreamStaysOutOfIt);
     CPPUNIT_TEST(refusalOfAnotherRequestPromisesNothing);
     CPPUNIT_TEST_SUITE_END();
@@ -85,6 +86,21 @@
         }
     }
 
+    // Guards against a stream ending as complete when the replica that continues it closes before its first event.
+    void unframedContinuationWithoutEventsIsNotComplete()
+    {
+        for (const bool isFramed : {false, true}) {
+            startAnswered(true, event(0));
+            end(0, {.error = "reset"});
+            auto fields = m_streamFields;
+            fields.emplace_back("Framed", isFramed ? "yes" : "");
+            answerHead(1, 200, fields);
+            end(1, {.status = 200});
+            CPPUNIT_ASSERT(m_exchange->isEnded);
+            CPPUNIT_ASSERT_EQUAL(!isFramed, m_exchange->isAborted);
+        }
+    }
+
     // Guards against an error of the replica that continues a stream reaching the caller or ending the stream.
     void errorAfterTheBeginOfAStreamStaysOutOfIt()
     {
--- a/Libraries/LibGateway/Tests/ForwardingFixture.h
+++ b/Libraries/LibGateway/Tests/ForwardingFixture.h
@@ -77,7 +77,7 @@
     ClosedFunction callerLeaves;
 };
 
-// Reads the headers "Attempt", "Not-Run" and "Stream".
+// Reads the headers "Attempt", "Not-Run", "Stream" and "Framed".
 class FakeProtocol final : public Gateway::Protocol
 {
 public:
@@ -101,6 +101,7 @@
                 .hasNotRun = !Net::valueOf(fields, "Not-Run").empty(),
                 .hasServerStamp = true,
                 .isEventStream = !Net::valueOf(fields, "Stream").empty(),
+                .isFramed = !Net::valueOf(fields, "Framed").empty(),
                 .attemptId = std::string(Net::valueOf(fields, "Attempt"))};
     }
 };
