--- a/Libraries/LibGateway/ForwardedRequest.h
+++ b/Libraries/LibGateway/ForwardedRequest.h
@@ -69,6 +69,8 @@
     // Ends the attempt because the replica sends something that is no response.
     void breakOff(std::string_view reason);
     void handleEnd(const Net::HttpResult &result);
+    // Handles an attempt that the replica has broken off, by which it may have crashed.
+    void handleBreak(const Net::HttpResult &result);
     void handleRejection(const Net::HttpResult &result);
     void handleInterruption(const Net::HttpResult &result);
     void handleResponse(const Net::HttpResult &result);
@@ -102,7 +104,14 @@
     void handleCallerDisconnect();
     void end(unsigned status, std::string_view reason);
     [[nodiscard]] bool mayRunAgain() const;
+    // Whether the head names this request. A replica may send the response to another one.
+    [[nodiscard]] bool isHeadForRequest() const;
     [[nodiscard]] bool isUsableHead() const;
+    // Whether the response is an event stream whose events are forwarded as they arrive.
+    [[nodiscard]] bool isEventStream() const;
+    // Why the response isn't the whole event stream that it seems to be; empty if it is or if it is something else. A
+    // stream that is resumed may have no events left, if its framing says so.
+    [[nodiscard]] std::string_view streamDefect() const;
     [[nodiscard]] Core::Duration remaining() const;
 
     ForwardingDependencies m_dependencies;
--- a/Libraries/LibGateway/ForwardedRequestResponses.cpp
+++ b/Libraries/LibGateway/ForwardedRequestResponses.cpp
@@ -17,10 +17,32 @@
 
 }
 
+bool ForwardedRequest::isHeadForRequest() const
+{
+    return m_request.attemptId.empty() || m_head.attemptId == m_request.attemptId;
+}
+
 bool ForwardedRequest::isUsableHead() const
 {
-    const bool isForAttempt = m_request.attemptId.empty() || m_head.attemptId == m_request.attemptId;
-    return isForAttempt && m_head.hasServerStamp && !m_head.isEncoded;
+    return isHeadForRequest() && m_head.hasServerStamp && !m_head.isEncoded;
+}
+
+bool ForwardedRequest::isEventStream() const
+{
+    return m_head.isEventStream && m_head.status == Core::HttpStatus::Ok && isUsableHead();
+}
+
+std::string_view ForwardedRequest::streamDefect() const
+{
+    if (!isEventStream()) {
+        return {};
+    }
+    if (m_events.isInsideEvent()) {
+        return "the event stream ended inside an event";
+    }
+    const bool isResumed = m_isStreaming || m_request.lastEventId.has_value();
+    const bool hasEvents = m_answeringSince.has_value() || (isResumed && m_head.isFramed);
+    return hasEvents ? "" : "the event stream ended before its first event";
 }
 
 void ForwardedRequest::handleHead(long status, const Net::HttpFields &fields)
@@ -40,8 +62,7 @@
         m_hasResponseBody = true;
         m_dependencies.fleet.recordResponseStarted(m_replica.id, m_request);
     }
-    const bool isStream = m_head.isEventStream && m_head.status == Core::HttpStatus::Ok && isUsableHead();
-    if (isStream) {
+    if (isEventStream()) {
         forwardEvents(bytes);
         return;
     }
@@ -99,18 +120,25 @@
         return;
     }
     if (!result.isComplete()) {
-        if (result.mayHaveBeenSent && !result.isTimedOut) {
-            m_dependencies.crashes.recordBreak(
-                m_replica, isPromptUnproven() ? m_request.promptParts : std::span<const std::uint64_t>());
-        }
-        handleInterruption(result);
-    } else if (m_head.hasNotRun) {
+        handleBreak(result);
+    } else if (m_head.hasNotRun && isHeadForRequest()) {
         handleRejection(result);
+    } else if (const auto defect = streamDefect(); !defect.empty()) {
+        handleBreak({.error = std::string(defect)});
     } else {
         handleResponse(result);
     }
 }
 
+void ForwardedRequest::handleBreak(const Net::HttpResult &result)
+{
+    if (result.mayHaveBeenSent && !result.isTimedOut) {
+        m_dependencies.crashes.recordBreak(
+            m_replica, isPromptUnproven() ? m_request.promptParts : std::span<const std::uint64_t>());
+    }
+    handleInterruption(result);
+}
+
 bool ForwardedRequest::isPromptUnproven() const
 {
     return !m_answeringSince.has_value() || m_dependencies.scheduler.now() - *m_answeringSince < HarmlessAnswerTime;
@@ -191,7 +219,7 @@
 {
     ++m_possibleRuns;
     const bool isFailure = m_head.status >= Core::HttpStatus::InternalServerError;
-    if (!isUsableHead() || (m_isStreaming && m_head.status != Core::HttpStatus::Ok)) {
+    if (!isUsableHead() || (m_isStreaming && !isEventStream())) {
         recordOutcome(Placement::AttemptOutcome::Failed);
         endAttempt();
         m_excluded.insert(m_replica.id);
@@ -203,7 +231,8 @@
         return;
     }
     recordOutcome(isFailure ? Placement::AttemptOutcome::Failed : Placement::AttemptOutcome::Served);
-    if (m_head.status == Core::HttpStatus::Ok) {
+    // A crash can't be told from the end of a response without framing.
+    if (m_head.status == Core::HttpStatus::Ok && m_head.isFramed) {
         recordHarmlessPrompt();
     }
     endAttempt();
--- a/Libraries/LibGateway/Tests/ForwardingFixture.h
+++ b/Libraries/LibGateway/Tests/ForwardingFixture.h
@@ -87,7 +87,7 @@
     ClosedFunction callerLeaves;
 };
 
-// Reads the headers "Attempt", "Not-Run" and "Stream".
+// Reads the headers "Attempt", "Not-Run", "Stream" and "Framed".
 class FakeProtocol final : public Gateway::Protocol
 {
 public:
@@ -111,6 +111,7 @@
                 .hasNotRun = !Net::valueOf(fields, "Not-Run").empty(),
                 .hasServerStamp = true,
                 .isEventStream = !Net::valueOf(fields, "Stream").empty(),
+                .isFramed = !Net::valueOf(fields, "Framed").empty(),
                 .attemptId = std::string(Net::valueOf(fields, "Attempt"))};
     }
 };
