--- a/Libraries/LibRouting/Quarantine.cpp
+++ b/Libraries/LibRouting/Quarantine.cpp
@@ -4,7 +4,6 @@
 #include <LibLog/Log.h>
 #include <algorithm>
 #include <map>
-#include <ranges>
 
 namespace Routing {
 
@@ -146,7 +145,7 @@
     }
     for (const auto &[zone, hosts] : otherZones) {
         const auto ranked = Core::rankByRendezvous(key, hosts);
-        for (const auto &host : ranked | std::views::take(ForwardersPerZone)) {
+        for (const auto &host : std::span(ranked).first(std::min(ForwardersPerZone, ranked.size()))) {
             m_router.send(Core::HostId {host}, notice);
         }
     }
--- a/Libraries/LibRouting/QuarantineTable.cpp
+++ b/Libraries/LibRouting/QuarantineTable.cpp
@@ -3,7 +3,6 @@
 #include <LibCore/Rendezvous.h>
 #include <algorithm>
 #include <iterator>
-#include <ranges>
 
 namespace Routing {
 
@@ -148,11 +147,9 @@
 std::vector<QuarantineNotice> QuarantineTable::refusals(std::size_t limit, Core::TimePoint now) const
 {
     std::vector<QuarantineNotice> notices;
-    for (const auto fingerprint : m_byAge | std::views::reverse) {
+    for (auto position = m_byAge.rbegin(); position != m_byAge.rend() && notices.size() < limit; ++position) {
+        const auto fingerprint = *position;
         const auto &entry = m_entries.at(fingerprint);
-        if (notices.size() == limit) {
-            break;
-        }
         if (entry.isRefused && !isExpired(entry, now)) {
             notices.push_back(
                 {.fingerprint = fingerprint,
