--- a/Libraries/LibGateway/ForwardedRequest.h
+++ b/Libraries/LibGateway/ForwardedRequest.h
@@ -5,6 +5,7 @@
 #include <LibGateway/EventSplitter.h>
 #include <LibGateway/FleetView.h>
 #include <LibGateway/LoadPatience.h>
+#include <LibGateway/ReplicaCrashes.h>
 #include <LibGateway/ServiceRetryBudget.h>
 #include <LibMetrics/Registry.h>
 #include <LibNet/HttpServer.h>
@@ -26,6 +27,8 @@
     FleetView &fleet;
     const Fleet::ReleaseTable &releases;
     ServiceRetryBudget &retryBudget;
+    Routing::Quarantine &quarantine;
+    ReplicaCrashes &crashes;
     Metrics::Registry &metrics;
     AdapterLoader loadAdapter;
     std::function<std::size_t()> hostCount;
@@ -66,6 +69,8 @@
     // Ends the attempt because the replica sends something that is no response.
     void breakOff(std::string_view reason);
     void handleEnd(const Net::HttpResult &result);
+    // Handles an attempt that the replica has broken off, by which it may have crashed.
+    void handleBreak(const Net::HttpResult &result);
     void handleRejection(const Net::HttpResult &result);
     void handleInterruption(const Net::HttpResult &result);
     void handleResponse(const Net::HttpResult &result);
@@ -78,11 +83,19 @@
     // Whether the replica has sent nothing complete for the idle timeout.
     [[nodiscard]] bool isIdle() const;
     void abandonSilentAttempt();
-    // Prepares another replica for a stream whose replica is silent. The stream stays where it is until the other
-    // replica can continue it, and for good if an event arrives before that.
+    // Prepares another replica for a request whose replica is silent. The request stays where it is until the other
+    // replica can take it, and for good if the response goes on before that.
     void prepareMove();
-    void moveStream(const Fleet::Replica &replica, std::uint64_t version);
+    void moveAttempt(const Fleet::Replica &replica, std::uint64_t version);
     void recordOutcome(Placement::AttemptOutcome outcome);
+    // Whether the prompt has a part that crashes replicas.
+    [[nodiscard]] bool isQuarantined() const;
+    // Refuses the request and returns true if its prompt has a part that crashes replicas.
+    bool refuseIfQuarantined();
+    // Records that the replica has answered long enough to show that it doesn't crash by the prompt.
+    void recordHarmlessPrompt();
+    // Whether the replica has been answering too briefly to show that it doesn't crash by the prompt.
+    [[nodiscard]] bool isPromptUnproven() const;
     void endAttempt();
     void retryOrFail(std::string_view reason);
     void refuse(std::string_view reason, Core::Duration retryAfter);
@@ -91,7 +104,14 @@
     void handleCallerDisconnect();
     void end(unsigned status, std::string_view reason);
     [[nodiscard]] bool mayRunAgain() const;
+    // Whether the head names this request. A replica may send the response to another one.
+    [[nodiscard]] bool isHeadForRequest() const;
     [[nodiscard]] bool isUsableHead() const;
+    // Whether the response is an event stream whose events are forwarded as they arrive.
+    [[nodiscard]] bool isEventStream() const;
+    // Why the response isn't the whole event stream that it seems to be; empty if it is or if it is something else. A
+    // stream that is resumed may have no events left, if its framing says so.
+    [[nodiscard]] std::string_view streamDefect() const;
     [[nodiscard]] Core::Duration remaining() const;
 
     ForwardingDependencies m_dependencies;
@@ -122,6 +142,8 @@
     ResponseHead m_head;
     bool m_hasHead = false;
     bool m_hasResponseBody = false; // The first byte of the response body has arrived.
+    std::optional<Core::TimePoint> m_answeringSince; // When the first event of the attempt arrived.
+    bool m_isPromptHarmless = false; // The replica has answered without crashing.
     std::string m_body;
 
     // The response to the caller.
--- a/Libraries/LibGateway/ForwardedRequestContinuation.cpp
+++ b/Libraries/LibGateway/ForwardedRequestContinuation.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-// An idempotent request is retried elsewhere if the replica sends nothing for this many times the latency objective.
+// An idempotent request is moved elsewhere if the replica sends nothing for this many times the latency objective.
 constexpr int IdleTimeoutObjectives = 2;
 // Lower limit of the idle timeout before the first bytes, for routes with a short latency objective.
 constexpr auto MinIdleTimeout = std::chrono::milliseconds(250);
@@ -79,7 +79,10 @@
         return;
     }
     const auto due = m_lastProgressAt + idleTimeout() - m_dependencies.scheduler.now();
-    const auto delay = std::max<Core::Duration>(due, ContinuationPause);
+    // A move that isn't possible yet is tried again, for a response that has begun soon.
+    const auto pause
+        = due > Core::Duration::zero() || m_isStreaming ? Core::Duration(ContinuationPause) : idleTimeout();
+    const auto delay = std::max<Core::Duration>(due, pause);
     m_idleTimer = m_dependencies.scheduler.runAfter(delay, [self = shared_from_this()] {
         self->m_idleTimer = Core::TimerId::None;
         self->handleIdleTimer();
@@ -91,13 +94,10 @@
     if (m_stage != Stage::Sending) {
         return;
     }
-    if (!isIdle()) {
-        startIdleTimer();
-    } else if (m_isStreaming) {
+    if (isIdle()) {
         prepareMove();
     } else {
-        abandonSilentAttempt();
-        retryOrFail("the replica sent nothing before the idle timeout");
+        startIdleTimer();
     }
 }
 
@@ -117,14 +117,14 @@
     excluded.insert(m_replica.id);
     const auto now = m_dependencies.scheduler.now();
     const auto *replica = m_dependencies.fleet.choose(m_request, m_service, excluded, now);
-    if (replica == nullptr || remaining() < MinRemainingTime) {
+    if (replica == nullptr || remaining() < MinRemainingTime || isQuarantined()) {
         startIdleTimer();
         return;
     }
     const auto name = FleetView::adapterName(m_request);
     if (const auto version = m_dependencies.fleet.residentVersion(replica->id, name);
         name.empty() || version.has_value()) {
-        moveStream(*replica, version.value_or(0));
+        moveAttempt(*replica, version.value_or(0));
         return;
     }
     m_dependencies.loadAdapter(
@@ -134,17 +134,17 @@
                 return;
             }
             if (reply.outcome == static_cast<std::uint8_t>(Holding::AdapterOutcome::Ready)) {
-                self->moveStream(replica, reply.version);
+                self->moveAttempt(replica, reply.version);
             } else {
                 self->startIdleTimer();
             }
         });
 }
 
-void ForwardedRequest::moveStream(const Fleet::Replica &replica, std::uint64_t version)
+void ForwardedRequest::moveAttempt(const Fleet::Replica &replica, std::uint64_t version)
 {
     const auto now = m_dependencies.scheduler.now();
-    const bool isPossible = isIdle() && m_dependencies.fleet.isAvailable(replica)
+    const bool isPossible = isIdle() && m_dependencies.fleet.isAvailable(replica) && !isQuarantined()
         && m_dependencies.retryBudget.tryRetry(m_service, m_dependencies.hostCount(), now);
     if (!isPossible) {
         startIdleTimer();
--- a/Libraries/LibGateway/ForwardedRequestResponses.cpp
+++ b/Libraries/LibGateway/ForwardedRequestResponses.cpp
@@ -12,13 +12,37 @@
 
 // Far above the responses of replicas. A faulty replica may send bytes without end.
 constexpr std::size_t MaxBodyBytes = 16U << 20U;
+// A replica that crashes by a prompt does so as it begins its answer.
+constexpr auto HarmlessAnswerTime = std::chrono::milliseconds(250);
 
 }
 
+bool ForwardedRequest::isHeadForRequest() const
+{
+    return m_request.attemptId.empty() || m_head.attemptId == m_request.attemptId;
+}
+
 bool ForwardedRequest::isUsableHead() const
 {
-    const bool isForAttempt = m_request.attemptId.empty() || m_head.attemptId == m_request.attemptId;
-    return isForAttempt && m_head.hasServerStamp && !m_head.isEncoded;
+    return isHeadForRequest() && m_head.hasServerStamp && !m_head.isEncoded;
+}
+
+bool ForwardedRequest::isEventStream() const
+{
+    return m_head.isEventStream && m_head.status == Core::HttpStatus::Ok && isUsableHead();
+}
+
+std::string_view ForwardedRequest::streamDefect() const
+{
+    if (!isEventStream()) {
+        return {};
+    }
+    if (m_events.isInsideEvent()) {
+        return "the event stream ended inside an event";
+    }
+    const bool isResumed = m_isStreaming || m_request.lastEventId.has_value();
+    const bool hasEvents = m_answeringSince.has_value() || (isResumed && m_head.isFramed);
+    return hasEvents ? "" : "the event stream ended before its first event";
 }
 
 void ForwardedRequest::handleHead(long status, const Net::HttpFields &fields)
@@ -33,12 +57,12 @@
     if (m_stage != Stage::Sending) {
         return;
     }
+    m_dependencies.crashes.recordActivity(m_replica);
     if (!m_hasResponseBody) {
         m_hasResponseBody = true;
         m_dependencies.fleet.recordResponseStarted(m_replica.id, m_request);
     }
-    const bool isStream = m_head.isEventStream && m_head.status == Core::HttpStatus::Ok && isUsableHead();
-    if (isStream) {
+    if (isEventStream()) {
         forwardEvents(bytes);
         return;
     }
@@ -55,6 +79,10 @@
     const auto sequence = m_events.split(bytes, events);
     if (!events.empty()) {
         m_lastProgressAt = m_dependencies.scheduler.now();
+        m_answeringSince = m_answeringSince.value_or(m_lastProgressAt);
+        if (!isPromptUnproven()) {
+            recordHarmlessPrompt();
+        }
         if (m_isStreaming) {
             m_longestPause = std::max(m_longestPause, m_lastProgressAt - m_lastEventAt);
         }
@@ -92,14 +120,38 @@
         return;
     }
     if (!result.isComplete()) {
-        handleInterruption(result);
-    } else if (m_head.hasNotRun) {
+        handleBreak(result);
+    } else if (m_head.hasNotRun && isHeadForRequest()) {
         handleRejection(result);
+    } else if (const auto defect = streamDefect(); !defect.empty()) {
+        handleBreak({.error = std::string(defect)});
     } else {
         handleResponse(result);
     }
 }
 
+void ForwardedRequest::handleBreak(const Net::HttpResult &result)
+{
+    if (result.mayHaveBeenSent && !result.isTimedOut) {
+        m_dependencies.crashes.recordBreak(
+            m_replica, isPromptUnproven() ? m_request.promptParts : std::span<const std::uint64_t>());
+    }
+    handleInterruption(result);
+}
+
+bool ForwardedRequest::isPromptUnproven() const
+{
+    return !m_answeringSince.has_value() || m_dependencies.scheduler.now() - *m_answeringSince < HarmlessAnswerTime;
+}
+
+void ForwardedRequest::recordHarmlessPrompt()
+{
+    if (std::exchange(m_isPromptHarmless, true)) {
+        return;
+    }
+    m_dependencies.quarantine.recordCompletion(m_request.promptParts);
+}
+
 void ForwardedRequest::recordOutcome(Placement::AttemptOutcome outcome)
 {
     if (m_dependencies.fleet.health().recordOutcome(m_replica.id, m_replica.zone, outcome,
@@ -167,7 +219,7 @@
 {
     ++m_possibleRuns;
     const bool isFailure = m_head.status >= Core::HttpStatus::InternalServerError;
-    if (!isUsableHead() || (m_isStreaming && m_head.status != Core::HttpStatus::Ok)) {
+    if (!isUsableHead() || (m_isStreaming && !isEventStream())) {
         recordOutcome(Placement::AttemptOutcome::Failed);
         endAttempt();
         m_excluded.insert(m_replica.id);
@@ -179,6 +231,10 @@
         return;
     }
     recordOutcome(isFailure ? Placement::AttemptOutcome::Failed : Placement::AttemptOutcome::Served);
+    // A crash can't be told from the end of a response without framing.
+    if (m_head.status == Core::HttpStatus::Ok && m_head.isFramed) {
+        recordHarmlessPrompt();
+    }
     endAttempt();
     if (isFailure && !m_isStreaming && mayRunAgain() && remaining() > MinRemainingTime && m_sends < MaxSends) {
         m_excluded.insert(m_replica.id);
--- a/Libraries/LibNet/Tests/HttpClientTest.cpp
+++ b/Libraries/LibNet/Tests/HttpClientTest.cpp
@@ -72,6 +72,12 @@
     return true;
 }
 
+void resetWhenClosed(int connection)
+{
+    const linger abort {.l_onoff = 1, .l_linger = 0};
+    setsockopt(connection, SOL_SOCKET, SO_LINGER, &abort, sizeof abort);
+}
+
 bool writeText(int connection, std::string_view text)
 {
     return send(connection, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size());
@@ -89,6 +95,8 @@
     CPPUNIT_TEST(endlessHeadIsBrokenOff);
     CPPUNIT_TEST(endlessInterimHeadsAreBrokenOff);
     CPPUNIT_TEST(endlessBodyIsBrokenOff);
+    CPPUNIT_TEST(responseCutInItsHeadIsAnError);
+    CPPUNIT_TEST(unframedResponseIsWholeOnlyIfItsConnectionEndsInOrder);
     CPPUNIT_TEST_SUITE_END();
 
     // Sends two requests in sequence and returns how many the server received. A third one would be a retry by curl.
@@ -104,8 +112,7 @@
                 receivedRequests += readRequest(connection) ? 1 : 0;
             }
             if (closeMode == CloseMode::Reset) {
-                const linger abort {.l_onoff = 1, .l_linger = 0};
-                setsockopt(connection, SOL_SOCKET, SO_LINGER, &abort, sizeof abort);
+                resetWhenClosed(connection);
             }
         });
         Net::EventLoop loop;
@@ -220,6 +227,35 @@
         return sentBytes;
     }
 
+    // Sends a request to a server that writes the text and closes the connection.
+    static Net::HttpResult receive(const std::string &text, CloseMode closeMode = CloseMode::Graceful)
+    {
+        LoopbackServer server([&text, closeMode](int connection) {
+            if (readRequest(connection)) {
+                writeText(connection, text);
+            }
+            if (closeMode == CloseMode::Reset) {
+                resetWhenClosed(connection);
+            }
+        });
+        Net::EventLoop loop;
+        Net::HttpClient client(loop);
+        Net::HttpResult received;
+        std::string body;
+        client.start(
+            {.method = "POST", .url = server.url(), .body = "body", .totalTimeout = 2s},
+            [&](Net::HttpResult result) {
+                received = std::move(result);
+                loop.stop();
+            },
+            [&body](long /*status*/, std::string_view bytes) {
+                body += bytes;
+            });
+        loop.run();
+        received.body = body;
+        return received;
+    }
+
     // The socket buffers of both ends, beyond what the client has read.
     static constexpr std::size_t BufferedBytes = 16U << 20U;
 
@@ -243,6 +279,39 @@
                                             "the body of the response is too large");
         CPPUNIT_ASSERT(sent < BufferedBytes + Net::DefaultMaxBodyBytes);
     }
+
+    // Guards against a response that breaks off inside its head being taken for a whole response with an empty body.
+    void responseCutInItsHeadIsAnError()
+    {
+        for (const std::string text :
+             {"", "\r\n", "no head\r\n", "HTTP/1.1 20", "HTTP/1.1 200 OK", "HTTP/1.1 200 OK\r\n",
+              "HTTP/1.1 200 OK\r\nX-Fie", "HTTP/1.1 200 OK\r\nX-Field: 1", "HTTP/1.1 200 OK\r\nX-Field: 1\r\n",
+              "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r",
+              "HTTP/1.1 204 No Content\r\n", "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n",
+              "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n",
+              "HTTP/1.1 101 Upgrade\r\n\r\n"}) {
+            const auto result = receive(text);
+            CPPUNIT_ASSERT_MESSAGE(text, !result.isComplete());
+            CPPUNIT_ASSERT_EQUAL(0L, result.status);
+            CPPUNIT_ASSERT(result.mayHaveBeenSent);
+        }
+    }
+
+    // Guards against a response without a length being dropped, and against one that was reset being taken for whole.
+    void unframedResponseIsWholeOnlyIfItsConnectionEndsInOrder()
+    {
+        for (const std::string type : {"text/plain", "text/event-stream"}) {
+            const auto text = "HTTP/1.1 200 OK\r\nContent-Type: " + type + "\r\n\r\nid: 0\ndata: x\n\n";
+            const auto whole = receive(text, CloseMode::Graceful);
+            CPPUNIT_ASSERT_EQUAL(std::string(), whole.error);
+            CPPUNIT_ASSERT_EQUAL(std::string("id: 0\ndata: x\n\n"), whole.body);
+            CPPUNIT_ASSERT(!receive(text, CloseMode::Reset).isComplete());
+        }
+        for (const std::string framed :
+             {"Content-Length: 5\r\n\r\nid", "Transfer-Encoding: chunked\r\n\r\n2\r\nid\r\n"}) {
+            CPPUNIT_ASSERT_MESSAGE(framed, !receive("HTTP/1.1 200 OK\r\n" + framed).isComplete());
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpClientTest);
