platform: Translate Server-Leaving and Retry-After of replicas

A replica that leaves says so in the head of each of its responses, and one that turns a request away with 503 may say for how long it wants no others. Neither header was read.

ResponseHead carries both as fields. The headers that are forwarded to the caller stay as they were.

--- a/Libraries/LibGateway/CallerRequest.h
+++ b/Libraries/LibGateway/CallerRequest.h
@@ -44,6 +44,8 @@
     bool hasServerStamp = false;
     bool isEncoded = false; // The body has a content encoding, so its bytes aren't those of the replica.
     bool isEventStream = false;
+    bool isLeaving = false; // The replica is about to stop and wants no new requests.
+    std::optional<Core::Duration> pause; // The replica wants no requests from this host for this long.
     std::string attemptId;
     Net::HttpFields fields; // Headers that are forwarded to the caller.
 };
