LibGateway: Send nothing more to a replica that says it leaves

A replica that leaves was known only by its entry in the store. Until this host had read that entry it went on choosing the replica, also when the replica had said in a response that it leaves.

The head of any response (success, error, rejection, the start of a stream) now marks the incarnation that the request was sent to, by ID and start time, in Fleet::ReplicaSet. It counts as draining from then on, whatever the list says, so that every reader of that state follows: choices for models and plain services, requests that wait for a load, streams that are resumed or moved, and the controllers of replicas that this host holds. What runs there goes on. A rejection by such a replica isn't taken for a missing adapter any more, which made the request wait for a load at the same replica. The mark outlives the entry by ten minutes, as an entry may drop out of the list and come back.

Each host learns it for itself: a host that has passed no such response on has nothing to be bound by, and the list reaches the others.

--- a/Libraries/LibFleet/ReplicaSet.cpp
+++ b/Libraries/LibFleet/ReplicaSet.cpp
@@ -6,6 +6,8 @@
 
 // A live replica writes its entry again within about two seconds after the list recovers.
 constexpr auto MissingEntryGracePeriod = std::chrono::milliseconds(2000);
+// An entry that was removed around an outage may be listed again for some time.
+constexpr auto LeavingRecordLifetime = std::chrono::minutes(10);
 
 }
 
@@ -16,7 +18,9 @@
     for (const auto &replica : changes.present) {
         present.insert(replica.id);
         m_missing.erase(replica.id);
-        m_replicas[replica.id] = replica;
+        auto &listed = m_replicas[replica.id];
+        listed = replica;
+        listed.isDraining = replica.isDraining || hasSaidItLeaves(replica);
     }
     for (const auto &id : changes.removed) {
         remove(id, now, healthySince);
@@ -52,6 +56,7 @@
 
 void ReplicaSet::pruneMissing(Core::TimePoint now, std::optional<Core::TimePoint> healthySince)
 {
+    forgetLeft(now);
     if (!healthySince.has_value() || now - *healthySince < MissingEntryGracePeriod) {
         return;
     }
@@ -61,6 +66,34 @@
     m_missing.clear();
 }
 
+bool ReplicaSet::recordLeaving(const Replica &replica, Core::TimePoint now)
+{
+    if (!m_leaving.try_emplace({replica.id, replica.startedAt}, now).second) {
+        return false;
+    }
+    if (const auto listed = m_replicas.find(replica.id);
+        listed != m_replicas.end() && listed->second.startedAt == replica.startedAt) {
+        listed->second.isDraining = true;
+    }
+    return true;
+}
+
+bool ReplicaSet::hasSaidItLeaves(const Replica &replica) const
+{
+    return m_leaving.contains({replica.id, replica.startedAt});
+}
+
+void ReplicaSet::forgetLeft(Core::TimePoint now)
+{
+    for (auto &[incarnation, knownAt] : m_leaving) {
+        const auto *listed = find(incarnation.first);
+        knownAt = listed != nullptr && listed->startedAt == incarnation.second ? now : knownAt;
+    }
+    std::erase_if(m_leaving, [now](const auto &record) {
+        return now - record.second > LeavingRecordLifetime;
+    });
+}
+
 const Replica *ReplicaSet::find(const Core::TargetId &id) const
 {
     const auto found = m_replicas.find(id);
--- a/Libraries/LibFleet/Tests/FleetTest.cpp
+++ b/Libraries/LibFleet/Tests/FleetTest.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(deletedEntryIsRemoved);
     CPPUNIT_TEST(entryExpiredInOutageIsKeptForGracePeriod);
     CPPUNIT_TEST(unreadableEntryRemovesReplica);
+    CPPUNIT_TEST(leavingLastsAsLongAsTheIncarnation);
     CPPUNIT_TEST_SUITE_END();
 
     using RowsFeed = Fleet::Feed<Platform::FeedResult>;
@@ -56,6 +57,35 @@
                          }
                      }};
 
+    // A replica was used again when its entry was written, or was back after an outage. Orders went on as well.
+    void leavingLastsAsLongAsTheIncarnation()
+    {
+        Fleet::ReplicaSet replicas;
+        const auto now = m_scheduler.now();
+        const auto apply = [&replicas, now](const std::vector<Fleet::Replica> &present) {
+            replicas.apply({.outcome = Platform::FeedOutcome::Read, .present = present}, true, now, now - 1min);
+        };
+        const Fleet::Replica replica {.id = {"r"}, .service = "s", .startedAt = 1};
+        apply({replica});
+        CPPUNIT_ASSERT(replicas.recordLeaving(replica, now));
+        CPPUNIT_ASSERT(!replicas.recordLeaving(replica, now));
+        CPPUNIT_ASSERT(replicas.available("s").empty() && replicas.find({"r"})->isDraining);
+        apply({replica});
+        CPPUNIT_ASSERT(replicas.available("s").empty() && replicas.find({"r"})->isDraining);
+        apply({});
+        replicas.pruneMissing(now + 5min, now - 1min);
+        apply({replica});
+        CPPUNIT_ASSERT(replicas.available("s").empty());
+        auto restarted = replica;
+        restarted.startedAt = 2;
+        apply({restarted});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), replicas.available("s").size());
+        CPPUNIT_ASSERT(!replicas.find({"r"})->isDraining);
+        // It is forgotten some time after its entry is gone.
+        replicas.pruneMissing(now + 16min, now - 1min);
+        CPPUNIT_ASSERT(!replicas.hasSaidItLeaves(replica));
+    }
+
     // Hosts that start together need the initial interval to agree on the host that reads for the others.
     void firstFollowCallWaitsForInitialInterval()
     {
--- a/Libraries/LibGateway/FleetView.cpp
+++ b/Libraries/LibGateway/FleetView.cpp
@@ -25,7 +25,7 @@
 
 }
 
-FleetView::FleetView(const Fleet::ReplicaSet &replicas, const Fleet::ReleaseTable &releases,
+FleetView::FleetView(Fleet::ReplicaSet &replicas, const Fleet::ReleaseTable &releases,
                      Placement::ReplicaChooserOptions chooser, IsHeldFunction isHeld, HostCountFunction hostCount)
     : m_replicas(replicas)
     , m_releases(releases)
@@ -187,6 +187,22 @@
     m_views[replica].unloadableUntil = now + UnloadableDuration;
 }
 
+bool FleetView::recordLeaving(const Fleet::Replica &replica, Core::TimePoint now)
+{
+    if (!m_replicas.recordLeaving(replica, now)) {
+        return false;
+    }
+    if (m_leaving) {
+        m_leaving();
+    }
+    return true;
+}
+
+void FleetView::onLeaving(LeavingFunction leaving)
+{
+    m_leaving = std::move(leaving);
+}
+
 bool FleetView::isAvailable(const Fleet::Replica &replica) const
 {
     const auto *listed = m_replicas.find(replica.id);
--- a/Libraries/LibGateway/FleetView.h
+++ b/Libraries/LibGateway/FleetView.h
@@ -24,7 +24,10 @@
     // Returns the number of live hosts, including this one.
     using HostCountFunction = std::function<std::size_t()>;
 
-    FleetView(const Fleet::ReplicaSet &replicas, const Fleet::ReleaseTable &releases,
+    // Called after a replica was found to leave.
+    using LeavingFunction = std::function<void()>;
+
+    FleetView(Fleet::ReplicaSet &replicas, const Fleet::ReleaseTable &releases,
               Placement::ReplicaChooserOptions chooser, IsHeldFunction isHeld, HostCountFunction hostCount);
 
     // Applies the list's entries after a change.
@@ -40,6 +43,11 @@
     // Records that the replica's holder can't load an adapter there at present.
     void setUnloadable(const Core::TargetId &replica, Core::TimePoint now);
 
+    // Records that the replica said in a response that it leaves. No request is sent to this incarnation from now on.
+    // Returns false if that was known.
+    bool recordLeaving(const Fleet::Replica &replica, Core::TimePoint now);
+    void onLeaving(LeavingFunction leaving);
+
     // Counts a caller's request towards the demand for its adapter.
     void recordDemand(const CallerRequest &request, Core::TimePoint now);
 
@@ -105,11 +113,12 @@
     [[nodiscard]] static std::optional<std::uint64_t> residentVersion(const ReplicaView &view, const std::string &name,
                                                                       std::uint64_t newest);
 
-    const Fleet::ReplicaSet &m_replicas;
+    Fleet::ReplicaSet &m_replicas;
     const Fleet::ReleaseTable &m_releases; // Older versions than these aren't used.
     Placement::ReplicaChooser m_chooser;
     IsHeldFunction m_isHeld;
     HostCountFunction m_hostCount;
+    LeavingFunction m_leaving;
     Placement::ReplicaHealth m_health;
     Placement::AdapterDemand m_demand;
     std::map<Core::TargetId, ReplicaView> m_views;
--- a/Libraries/LibGateway/ForwardedRequest.h
+++ b/Libraries/LibGateway/ForwardedRequest.h
@@ -61,6 +61,8 @@
     void send();
     void startAttempt();
     void handleHead(long status, const Net::HttpFields &fields);
+    // Records what the replica says in the head of its response about further requests.
+    void recordAnnouncements();
     void handleBody(std::string_view bytes);
     void forwardEvents(std::string_view bytes);
     // Ends the attempt because the replica sends something that is no response.
--- a/Libraries/LibGateway/ForwardedRequestResponses.cpp
+++ b/Libraries/LibGateway/ForwardedRequestResponses.cpp
@@ -26,6 +26,16 @@
     m_head = m_dependencies.protocol.readHead(status, fields);
     m_hasHead = true;
     m_lastProgressAt = m_dependencies.scheduler.now();
+    recordAnnouncements();
+}
+
+void ForwardedRequest::recordAnnouncements()
+{
+    const auto now = m_dependencies.scheduler.now();
+    if (m_head.isLeaving && m_dependencies.fleet.recordLeaving(m_replica, now)) {
+        m_dependencies.metrics.count("currantbay_replicas_leaving_total");
+        Log::write(Log::Event::ReplicaLeaving, {{"request", m_request.attemptId}, {"replica", m_replica.id.value}});
+    }
 }
 
 void ForwardedRequest::handleBody(std::string_view bytes)
@@ -125,7 +135,11 @@
                 {"reason", "rejected with status " + std::to_string(result.status)}});
     const auto name = FleetView::adapterName(m_request);
     const bool isMisdirected = result.status == Core::HttpStatus::MisdirectedRequest;
-    if (!name.empty() && !m_isReportedMissing) {
+    if (!m_dependencies.fleet.isAvailable(m_replica)) {
+        // Its rejection says nothing about its adapters.
+        m_excluded.insert(m_replica.id);
+        m_isReportedMissing = false;
+    } else if (!name.empty() && !m_isReportedMissing) {
         m_dependencies.fleet.setAbsent(m_replica.id, name, m_dependencies.scheduler.now());
         m_isReportedMissing = true;
     } else if (isMisdirected || m_sends > 1) {
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -98,6 +98,9 @@
               m_holders.apply(changes, extent == decltype(m_holderFeed)::Extent::Full);
           })
 {
+    m_fleet.onLeaving([this] {
+        updateControllers();
+    });
     m_router.onCall<Holding::AdapterRequest, Holding::AdapterReply>(
         [this](const Core::HostId & /*from*/, const Holding::AdapterRequest &request,
                const std::function<void(const Holding::AdapterReply &)> &reply) {
@@ -204,13 +207,14 @@
     const auto now = m_dependencies.scheduler.now();
     for (const auto &replica : changes.present) {
         const auto *known = m_replicas.find(replica.id);
-        if (known == nullptr || known->isDraining != replica.isDraining || known->startedAt != replica.startedAt) {
+        const bool isDraining = replica.isDraining || m_replicas.hasSaidItLeaves(replica);
+        if (known == nullptr || known->isDraining != isDraining || known->startedAt != replica.startedAt) {
             Log::write(Log::Event::ReplicaSeen,
                        {{"replica", replica.id.value},
                         {"service", replica.service},
                         {"address", replica.address},
                         {"zone", replica.zone.value},
-                        {"state", replica.isDraining ? "draining" : "ready"}});
+                        {"state", isDraining ? "draining" : "ready"}});
         }
     }
     for (const auto &id : changes.removed) {
