LibGateway: Observe the pauses that replicas ask for

A replica that turns a request away with 503 may say for how long it wants no others from this host. This host sent it as many as before, and the next request for an adapter waited for a load there.

Placement::ReplicaPauses keeps the end of each incarnation's pause, on the scheduler's clock and ten minutes away at most. A paused replica is excluded from every choice, after a wait for a load, and as the place to which a stream is resumed or moved. A later response never shortens a pause; it isn't forgotten while the entry is missing from the list; a new incarnation has none. The request that was turned away goes to another replica within the retry budget. A pause begins with any 503 that carries Retry-After, as the rule counts all of them.

If all replicas that could serve a request are paused, it is refused at once as not run. Its Retry-After is no sooner than the end of the first pause, and spread over half a second within the caller's time. It isn't shortened for a caller who has less time than the pause takes, since such a caller can't be served here. A stream that has begun waits instead.

For a second after a pause, a replica gets no more requests than it has free slots.

Orders aren't held back. A holder gives them for the requests of other hosts too, which the replica hasn't turned away.

--- a/Libraries/LibGateway/FleetView.cpp
+++ b/Libraries/LibGateway/FleetView.cpp
@@ -88,6 +88,7 @@
 void FleetView::refresh(Core::TimePoint now)
 {
     m_demand.prune(now);
+    m_pauses.prune(now);
     std::erase_if(m_views, [this](const auto &view) {
         if (m_replicas.find(view.first) != nullptr || view.second.active > 0) {
             return false;
@@ -203,10 +204,52 @@
     m_leaving = std::move(leaving);
 }
 
-bool FleetView::isAvailable(const Fleet::Replica &replica) const
+Placement::ReplicaPauses::Change FleetView::recordPause(const Fleet::Replica &replica, Core::Duration pause,
+                                                        Core::TimePoint now)
+{
+    return m_pauses.record({replica.id, replica.startedAt}, pause, now);
+}
+
+bool FleetView::acceptsRequests(const Fleet::Replica &replica, Core::TimePoint now) const
+{
+    const Placement::ReplicaPauses::Incarnation incarnation {replica.id, replica.startedAt};
+    if (m_pauses.isReturning(incarnation, now)) {
+        const auto view = m_views.find(replica.id);
+        const auto active = view == m_views.end() ? 0 : view->second.active + view->second.otherHostsActive;
+        return active < std::max(replica.slots, 1U);
+    }
+    return !m_pauses.endOf(incarnation, now).has_value();
+}
+
+bool FleetView::isAvailable(const Fleet::Replica &replica, Core::TimePoint now) const
 {
     const auto *listed = m_replicas.find(replica.id);
-    return listed != nullptr && !listed->isDraining && listed->startedAt == replica.startedAt;
+    return listed != nullptr && !listed->isDraining && listed->startedAt == replica.startedAt
+        && acceptsRequests(replica, now);
+}
+
+std::vector<const Fleet::Replica *> FleetView::servingReplicas(const CallerRequest &request,
+                                                               const std::string &service) const
+{
+    auto replicas = m_replicas.available(service);
+    std::erase_if(replicas, [&request](const auto *replica) {
+        return !request.model.empty() && replica->find(request.model) == nullptr;
+    });
+    return replicas;
+}
+
+std::optional<Core::TimePoint> FleetView::firstPauseEnd(const CallerRequest &request, const std::string &service,
+                                                        Core::TimePoint now) const
+{
+    std::optional<Core::TimePoint> first;
+    for (const auto *replica : servingReplicas(request, service)) {
+        const auto end = m_pauses.endOf({replica->id, replica->startedAt}, now);
+        if (!end.has_value()) {
+            return std::nullopt;
+        }
+        first = std::min(first.value_or(*end), *end);
+    }
+    return first;
 }
 
 std::optional<std::uint64_t> FleetView::residentVersion(const ReplicaView &view, const std::string &name,
@@ -260,9 +303,8 @@
     const auto newest = m_releases.newestVersion(adapter);
     std::vector<const Fleet::Replica *> usable;
     std::vector<Placement::Candidate> candidates;
-    for (const auto *replica : m_replicas.available(service)) {
-        const bool hasModel = request.model.empty() || replica->find(request.model) != nullptr;
-        if (hasModel && !excluded.contains(replica->id)) {
+    for (const auto *replica : servingReplicas(request, service)) {
+        if (!excluded.contains(replica->id) && acceptsRequests(*replica, now)) {
             usable.push_back(replica);
             candidates.push_back(candidate(*replica, adapter, newest, now));
         }
--- a/Libraries/LibGateway/FleetView.h
+++ b/Libraries/LibGateway/FleetView.h
@@ -7,6 +7,7 @@
 #include <LibPlacement/AdapterDemand.h>
 #include <LibPlacement/ReplicaChooser.h>
 #include <LibPlacement/ReplicaHealth.h>
+#include <LibPlacement/ReplicaPauses.h>
 #include <functional>
 #include <map>
 #include <set>
@@ -47,6 +48,9 @@
     // Returns false if that was known.
     bool recordLeaving(const Fleet::Replica &replica, Core::TimePoint now);
     void onLeaving(LeavingFunction leaving);
+    // Records that the replica wants no requests from this host for some time.
+    Placement::ReplicaPauses::Change recordPause(const Fleet::Replica &replica, Core::Duration pause,
+                                                 Core::TimePoint now);
 
     // Counts a caller's request towards the demand for its adapter.
     void recordDemand(const CallerRequest &request, Core::TimePoint now);
@@ -54,8 +58,12 @@
     // The best replica of the service for the request that isn't excluded, or null.
     [[nodiscard]] const Fleet::Replica *choose(const CallerRequest &request, const std::string &service,
                                                const std::set<Core::TargetId> &excluded, Core::TimePoint now) const;
-    // Whether the same incarnation of the replica is still listed and isn't draining.
-    [[nodiscard]] bool isAvailable(const Fleet::Replica &replica) const;
+    // Whether the same incarnation of the replica is still listed, isn't draining and accepts requests from this host.
+    [[nodiscard]] bool isAvailable(const Fleet::Replica &replica, Core::TimePoint now) const;
+    // When the first replica of the service that could serve the request accepts requests again. Empty unless all of
+    // them are paused.
+    [[nodiscard]] std::optional<Core::TimePoint> firstPauseEnd(const CallerRequest &request, const std::string &service,
+                                                               Core::TimePoint now) const;
     // The version of the adapter in the replica's memory; empty if the adapter is absent or older than the newest
     // release.
     [[nodiscard]] std::optional<std::uint64_t> residentVersion(const Core::TargetId &replica,
@@ -107,6 +115,12 @@
     [[nodiscard]] double demandFor(const std::string &adapter, Core::TimePoint now) const;
     static void replaceResident(ReplicaView &view, const std::map<std::string, std::uint64_t> &resident,
                                 Core::TimePoint asOf);
+    // The listed replicas that could serve the request and aren't draining.
+    [[nodiscard]] std::vector<const Fleet::Replica *> servingReplicas(const CallerRequest &request,
+                                                                      const std::string &service) const;
+    // Whether the replica isn't paused. Requests that were held off by a pause fill its free slots only, as they would
+    // otherwise all arrive at once.
+    [[nodiscard]] bool acceptsRequests(const Fleet::Replica &replica, Core::TimePoint now) const;
     // The adapter name is empty for requests that need no adapter.
     [[nodiscard]] Placement::Candidate candidate(const Fleet::Replica &replica, const std::string &adapter,
                                                  std::uint64_t newest, Core::TimePoint now) const;
@@ -120,6 +134,7 @@
     HostCountFunction m_hostCount;
     LeavingFunction m_leaving;
     Placement::ReplicaHealth m_health;
+    Placement::ReplicaPauses m_pauses;
     Placement::AdapterDemand m_demand;
     std::map<Core::TargetId, ReplicaView> m_views;
 };
--- a/Libraries/LibGateway/ForwardedRequest.cpp
+++ b/Libraries/LibGateway/ForwardedRequest.cpp
@@ -1,6 +1,7 @@
 #include <LibGateway/ForwardedRequest.h>
 
 #include <LibCore/HttpStatus.h>
+#include <LibCore/Rendezvous.h>
 #include <LibGateway/ForwardingLimits.h>
 #include <LibGateway/Refusal.h>
 #include <LibLog/Log.h>
@@ -15,6 +16,9 @@
 constexpr auto ConnectTimeout = std::chrono::milliseconds(250);
 // Retry-After of a refused request: by then a load has probably ended or a replica is listed again.
 constexpr auto RetryAfterNoReplica = std::chrono::milliseconds(500);
+// Callers that were refused during a pause return over this time after its end.
+constexpr auto ReturnSpread = std::chrono::milliseconds(500);
+constexpr int ReturnSteps = 64;
 
 }
 
@@ -150,7 +154,7 @@
         }
         return;
     }
-    if (!m_dependencies.fleet.isAvailable(m_replica)) {
+    if (!m_dependencies.fleet.isAvailable(m_replica, m_dependencies.scheduler.now())) {
         // The replica began to drain or restarted while the adapter was being loaded.
         m_excluded.insert(m_replica.id);
         selectReplica();
@@ -241,10 +245,22 @@
         fail(Core::HttpStatus::BadGateway, reason);
         return;
     }
-    Gateway::refuse(*m_exchange, Core::HttpStatus::ServiceUnavailable, reason, retryAfter);
+    Gateway::refuse(*m_exchange, Core::HttpStatus::ServiceUnavailable, reason, std::max(retryAfter, pauseLeft()));
     end(Core::HttpStatus::ServiceUnavailable, reason);
 }
 
+Core::Duration ForwardedRequest::pauseLeft() const
+{
+    const auto now = m_dependencies.scheduler.now();
+    const auto end = m_dependencies.fleet.firstPauseEnd(m_request, m_service, now);
+    if (!end.has_value()) {
+        return {};
+    }
+    const auto left = *end - now;
+    const auto step = static_cast<int>(Core::stableHash(m_request.attemptId) % ReturnSteps);
+    return std::max(left, std::min<Core::Duration>(left + ReturnSpread * step / ReturnSteps, remaining()));
+}
+
 void ForwardedRequest::fail(unsigned status, std::string_view reason)
 {
     if (m_isStreaming) {
--- a/Libraries/LibGateway/ForwardedRequest.h
+++ b/Libraries/LibGateway/ForwardedRequest.h
@@ -88,6 +88,8 @@
     void endAttempt();
     void retryOrFail(std::string_view reason);
     void refuse(std::string_view reason, Core::Duration retryAfter);
+    // How long the caller should stay away because all replicas are paused; zero if they aren't.
+    [[nodiscard]] Core::Duration pauseLeft() const;
     void fail(unsigned status, std::string_view reason);
     void handleDeadline();
     void handleCallerDisconnect();
--- a/Libraries/LibGateway/ForwardedRequestContinuation.cpp
+++ b/Libraries/LibGateway/ForwardedRequestContinuation.cpp
@@ -30,7 +30,7 @@
 
 void ForwardedRequest::awaitLoad(Core::Duration expectedDelay)
 {
-    if (!m_dependencies.fleet.isAvailable(m_replica)) {
+    if (!m_dependencies.fleet.isAvailable(m_replica, m_dependencies.scheduler.now())) {
         m_excluded.insert(m_replica.id);
         selectReplica();
         return;
@@ -144,7 +144,7 @@
 void ForwardedRequest::moveStream(const Fleet::Replica &replica, std::uint64_t version)
 {
     const auto now = m_dependencies.scheduler.now();
-    const bool isPossible = isIdle() && m_dependencies.fleet.isAvailable(replica)
+    const bool isPossible = isIdle() && m_dependencies.fleet.isAvailable(replica, now)
         && m_dependencies.retryBudget.tryRetry(m_service, m_dependencies.hostCount(), now);
     if (!isPossible) {
         startIdleTimer();
--- a/Libraries/LibGateway/ForwardedRequestResponses.cpp
+++ b/Libraries/LibGateway/ForwardedRequestResponses.cpp
@@ -36,6 +36,19 @@
         m_dependencies.metrics.count("currantbay_replicas_leaving_total");
         Log::write(Log::Event::ReplicaLeaving, {{"request", m_request.attemptId}, {"replica", m_replica.id.value}});
     }
+    if (!m_head.pause.has_value()) {
+        return;
+    }
+    const auto [hasBegun, added] = m_dependencies.fleet.recordPause(m_replica, *m_head.pause, now);
+    m_dependencies.metrics.count("currantbay_replica_pause_milliseconds_total",
+                                 static_cast<std::uint64_t>(Core::toMilliseconds(added)));
+    if (hasBegun) {
+        m_dependencies.metrics.count("currantbay_replica_pauses_total");
+        Log::write(Log::Event::ReplicaPaused,
+                   {{"request", m_request.attemptId},
+                    {"replica", m_replica.id.value},
+                    {"milliseconds", std::to_string(Core::toMilliseconds(added))}});
+    }
 }
 
 void ForwardedRequest::handleBody(std::string_view bytes)
@@ -135,7 +148,7 @@
                 {"reason", "rejected with status " + std::to_string(result.status)}});
     const auto name = FleetView::adapterName(m_request);
     const bool isMisdirected = result.status == Core::HttpStatus::MisdirectedRequest;
-    if (!m_dependencies.fleet.isAvailable(m_replica)) {
+    if (!m_dependencies.fleet.isAvailable(m_replica, m_dependencies.scheduler.now())) {
         // Its rejection says nothing about its adapters.
         m_excluded.insert(m_replica.id);
         m_isReportedMissing = false;
