LibGateway: Learn of leaving from answers to orders and reports too

A replica that leaves says so in all its responses. Those to orders and reports were not looked at, so that a holder that forwarded no requests to the replica went on giving it orders until the list said that it drains.

The order link announces the replica before it returns the outcome. From there it is the same record as for a response to a request.

With the header left unread, leavingReplicaIsRecognisedInOrdersAndReports fails.

--- a/Libraries/LibFleet/OrderLink.h
+++ b/Libraries/LibFleet/OrderLink.h
@@ -43,11 +43,29 @@
 public:
     using OrderFunction = std::function<void(OrderOutcome outcome, const std::string &detail)>;
     using ReportFunction = std::function<void(std::optional<ReplicaReport>)>;
+    using LeavingFunction = std::function<void(const Replica &)>;
 
     virtual ~OrderLink() = default;
     // Each callback runs exactly once, never before the call returns.
     virtual void order(const Replica &replica, const ReplicaOrder &order, OrderFunction done) = 0;
     virtual void report(const Replica &replica, ReportFunction done) = 0;
+
+    // Called whenever a replica says in a response that it leaves, before the callback of the call.
+    void onLeaving(LeavingFunction leaving)
+    {
+        m_leaving = std::move(leaving);
+    }
+
+protected:
+    void announceLeaving(const Replica &replica) const
+    {
+        if (m_leaving) {
+            m_leaving(replica);
+        }
+    }
+
+private:
+    LeavingFunction m_leaving;
 };
 
 }
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -101,6 +101,12 @@
     m_fleet.onLeaving([this] {
         updateControllers();
     });
+    m_dependencies.orders.onLeaving([this](const Fleet::Replica &replica) {
+        if (m_fleet.recordLeaving(replica, m_dependencies.scheduler.now())) {
+            m_dependencies.metrics.count("currantbay_replicas_leaving_total");
+            Log::write(Log::Event::ReplicaLeaving, {{"replica", replica.id.value}});
+        }
+    });
     m_router.onCall<Holding::AdapterRequest, Holding::AdapterReply>(
         [this](const Core::HostId & /*from*/, const Holding::AdapterRequest &request,
                const std::function<void(const Holding::AdapterReply &)> &reply) {
