--- a/Libraries/LibGateway/ForwardedRequest.h
+++ b/Libraries/LibGateway/ForwardedRequest.h
@@ -64,6 +64,8 @@
     void send();
     void startAttempt();
     void handleHead(long status, const Net::HttpFields &fields);
+    // Records what the replica says in the head of its response about further requests.
+    void recordAnnouncements();
     void handleBody(std::string_view bytes);
     void forwardEvents(std::string_view bytes);
     // Ends the attempt because the replica sends something that is no response.
@@ -99,6 +101,8 @@
     void endAttempt();
     void retryOrFail(std::string_view reason);
     void refuse(std::string_view reason, Core::Duration retryAfter);
+    // How long the caller should stay away because all replicas are paused; zero if they aren't.
+    [[nodiscard]] Core::Duration pauseLeft() const;
     void fail(unsigned status, std::string_view reason);
     void handleDeadline();
     void handleCallerDisconnect();
--- a/Libraries/LibGateway/Tests/ReplicaCrashesTest.cpp
+++ b/Libraries/LibGateway/Tests/ReplicaCrashesTest.cpp
@@ -1,23 +1,9 @@
 #include <LibCore/VirtualScheduler.h>
-#include <LibGateway/ReplicaCrashes.h>
+#include <LibGateway/Tests/LoneQuarantine.h>
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace std::chrono_literals;
 
-namespace {
-
-class NoPeers final : public Peer::PeerTransport
-{
-    void send(const Core::HostId & /*to*/, std::string /*bytes*/) override
-    {
-    }
-    void reconnect(const Core::HostId & /*to*/) override
-    {
-    }
-};
-
-}
-
 class ReplicaCrashesTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(ReplicaCrashesTest);
@@ -29,17 +15,9 @@
     using Parts = std::vector<std::uint64_t>;
 
     Core::VirtualScheduler m_scheduler;
-    NoPeers m_transport;
-    Peer::PeerRouter m_router {m_scheduler, m_transport, {.self = {"host"}, .incarnation = 1, .key = "key"}};
-    Routing::Quarantine m_quarantine {m_scheduler,
-                                      m_router,
-                                      {.self = {.id = {"host"}, .zone = {"a"}},
-                                       .live =
-                                           [] {
-                                               return std::vector<Routing::QuarantineHost>();
-                                           }},
-                                      {.table = {.deathsUntilRefused = 2}}};
-    Gateway::ReplicaCrashes m_crashes {m_scheduler, m_quarantine};
+    Gateway::Testing::LoneQuarantine m_lone {m_scheduler};
+    Routing::Quarantine &m_quarantine = m_lone.quarantine;
+    Gateway::ReplicaCrashes &m_crashes = m_lone.crashes;
 
     static Fleet::Replica replica(int number, std::uint64_t startedAt = 1)
     {
