LibGateway: Continue a begun stream until its deadline, however often it is turned away

Callers saw a stream break off with most of its time left: after four sends, of which replicas may have rejected three within 20 ms, a response that had begun was given up. A stream whose replica had broken off was cut in the same way.

It is selected a replica again after a pause, within the retry budget, as when no replica is available. begunStreamOutlivesRejections failed before at !isEnded, on the first of its six cases.

--- a/Libraries/LibGateway/ForwardedRequest.cpp
+++ b/Libraries/LibGateway/ForwardedRequest.cpp
@@ -249,6 +249,10 @@
         selectReplica();
         return;
     }
+    if (hasTime && isContinued()) {
+        selectReplicaLater();
+        return;
+    }
     if (m_possibleRuns == 0) {
         refuse(reason, RetryAfterOverload);
     } else {
--- a/Libraries/LibGateway/ForwardedRequestResponses.cpp
+++ b/Libraries/LibGateway/ForwardedRequestResponses.cpp
@@ -214,6 +214,10 @@
     if (m_request.adapter.empty()) {
         m_excluded.insert(m_replica.id);
     }
+    if (m_sends >= MaxSends && isContinued()) {
+        selectReplicaLater();
+        return;
+    }
     if (m_sends >= MaxSends) {
         refuse("all replicas that were tried rejected the request", RetryAfterOverload);
         return;
--- a/Libraries/LibGateway/ForwardingLimits.h
+++ b/Libraries/LibGateway/ForwardingLimits.h
@@ -4,7 +4,8 @@
 
 namespace Gateway {
 
-// Number of times that one request is sent to replicas, including attempts that a replica rejects.
+// Number of times that one request is sent to replicas, including attempts that a replica rejects. A response that has
+// begun is continued until its deadline.
 inline constexpr unsigned MaxSends = 4;
 // Number of requests to holders to load the adapter of one request.
 inline constexpr unsigned MaxLoadRequests = 3;
--- a/Libraries/LibGateway/Tests/BrokenResponseTest.cpp
+++ b/Libraries/LibGateway/Tests/BrokenResponseTest.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(streamThatEndsBeforeItsFirstEventIsNotComplete);
     CPPUNIT_TEST(unframedContinuationWithoutEventsIsNotComplete);
     CPPUNIT_TEST(errorAfterTheBeginOfAStreamStaysOutOfIt);
+    CPPUNIT_TEST(begunStreamOutlivesRejections);
     CPPUNIT_TEST(refusalOfAnotherRequestPromisesNothing);
     CPPUNIT_TEST_SUITE_END();
 
@@ -134,6 +135,34 @@
         }
     }
 
+    // Guards against a begun stream being cut, with most of its time left, because four attempts were turned away.
+    void begunStreamOutlivesRejections()
+    {
+        for (const bool isMoved : {false, true}) {
+            for (const long status : {0L, 429L, 503L}) {
+                startAnswered(true, event(0));
+                m_scheduler.advance(isMoved ? 1300ms : 0ms);
+                if (!isMoved) {
+                    end(0, {.error = "reset"});
+                }
+                CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_transport.transfers.size());
+                std::size_t answered = 1;
+                for (auto passed = 0ms; passed < 5s; passed += 50ms) {
+                    while (answered < m_transport.transfers.size()) {
+                        if (status != 0) {
+                            answerHead(answered, status, {{"Attempt", "caller-1"}, {"Not-Run", "1"}});
+                        }
+                        end(answered++, status == 0 ? Net::HttpResult {.error = "no route", .mayHaveBeenSent = false}
+                                                    : Net::HttpResult {.status = status});
+                    }
+                    m_scheduler.advance(50ms);
+                    CPPUNIT_ASSERT(!m_exchange->isEnded);
+                }
+                CPPUNIT_ASSERT(answered > 4);
+            }
+        }
+    }
+
     // Guards against the refusal of another request being taken for a promise that this one has not run.
     void refusalOfAnotherRequestPromisesNothing()
     {
