LibGateway, platform: Pass no unmarked refusal on to a request that may run once

A replica's own 503, 429, 421 or 408 without the mark that it hasn't run says nothing, but callers take the status for a promise and send the request again, also one that may run once only. Such a caller gets 502 now. For idempotent requests the replica's answer is passed on as before.

refusalThatDoesNotSayNotRunPromisesNothing failed before: expected 502, got 503.

--- a/Libraries/LibGateway/CallerRequest.h
+++ b/Libraries/LibGateway/CallerRequest.h
@@ -42,6 +42,7 @@
 struct ResponseHead {
     long status = 0;
     bool hasNotRun = false; // The replica did not run the request and never will.
+    bool readsAsNotRun = false; // Callers take the status for a promise that the request has not run.
     // The response carries the header that replicas add. A response without it isn't accepted as the replica's.
     bool hasServerStamp = false;
     bool isEncoded = false; // The body has a content encoding, so its bytes aren't those of the replica.
--- a/Libraries/LibGateway/ForwardedRequest.cpp
+++ b/Libraries/LibGateway/ForwardedRequest.cpp
@@ -65,12 +65,15 @@
     return m_deadline - m_dependencies.scheduler.now();
 }
 
-bool ForwardedRequest::mayRunAgain() const
+bool ForwardedRequest::isIdempotent() const
 {
     const auto &route = *m_route.route;
-    const bool isIdempotent
-        = route.kind == Routes::RequestKind::Safe || (route.kind == Routes::RequestKind::Stream && route.isResumable);
-    return isIdempotent && m_possibleRuns < std::max(route.maxAttempts, 1U);
+    return route.kind == Routes::RequestKind::Safe || (route.kind == Routes::RequestKind::Stream && route.isResumable);
+}
+
+bool ForwardedRequest::mayRunAgain() const
+{
+    return isIdempotent() && m_possibleRuns < std::max(m_route.route->maxAttempts, 1U);
 }
 
 void ForwardedRequest::selectReplica()
--- a/Libraries/LibGateway/ForwardedRequest.h
+++ b/Libraries/LibGateway/ForwardedRequest.h
@@ -107,6 +107,7 @@
     void handleDeadline();
     void handleCallerDisconnect();
     void end(unsigned status, std::string_view reason);
+    [[nodiscard]] bool isIdempotent() const;
     [[nodiscard]] bool mayRunAgain() const;
     // Whether the head names this request. A replica may send the response to another one.
     [[nodiscard]] bool isHeadForRequest() const;
--- a/Libraries/LibGateway/ForwardedRequestResponses.cpp
+++ b/Libraries/LibGateway/ForwardedRequestResponses.cpp
@@ -250,7 +250,8 @@
 {
     ++m_possibleRuns;
     const bool isFailure = m_head.status >= Core::HttpStatus::InternalServerError;
-    if (!isUsableHead() || (m_isStreaming && !isEventStream())) {
+    const bool isFalsePromise = m_head.readsAsNotRun && !isIdempotent();
+    if (!isUsableHead() || isFalsePromise || (m_isStreaming && !isEventStream())) {
         recordOutcome(Placement::AttemptOutcome::Failed);
         endAttempt();
         m_excluded.insert(m_replica.id);
--- a/Libraries/LibGateway/Tests/BrokenResponseTest.cpp
+++ b/Libraries/LibGateway/Tests/BrokenResponseTest.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(errorAfterTheBeginOfAStreamStaysOutOfIt);
     CPPUNIT_TEST(begunStreamOutlivesRejections);
     CPPUNIT_TEST(refusalOfAnotherRequestPromisesNothing);
+    CPPUNIT_TEST(refusalThatDoesNotSayNotRunPromisesNothing);
     CPPUNIT_TEST_SUITE_END();
 
     const Net::HttpFields m_streamFields {{"Attempt", "caller-1"}, {"Stream", "yes"}};
@@ -152,8 +153,9 @@
                         if (status != 0) {
                             answerHead(answered, status, {{"Attempt", "caller-1"}, {"Not-Run", "1"}});
                         }
-                        end(answered++, status == 0 ? Net::HttpResult {.error = "no route", .mayHaveBeenSent = false}
-                                                    : Net::HttpResult {.status = status});
+                        end(answered++,
+                            status == 0 ? Net::HttpResult {.error = "no route", .mayHaveBeenSent = false}
+                                        : Net::HttpResult {.status = status});
                     }
                     m_scheduler.advance(50ms);
                     CPPUNIT_ASSERT(!m_exchange->isEnded);
@@ -177,6 +179,23 @@
             CPPUNIT_ASSERT_EQUAL(502U, m_exchange->status);
         }
     }
+
+    // Guards against a replica's 503 for a request that it ran reaching the caller, who takes it for "not run".
+    void refusalThatDoesNotSayNotRunPromisesNothing()
+    {
+        for (const bool isIdempotent : {false, true}) {
+            m_exchange = std::make_shared<FakeExchange>();
+            start({.kind = isIdempotent ? Routes::RequestKind::Safe : Routes::RequestKind::Unsafe,
+                   .timeout = 5s,
+                   .objective = 300ms,
+                   .maxAttempts = 1},
+                  {});
+            const auto transfer = m_transport.transfers.size() - 1;
+            answerHead(transfer, 503, {{"Attempt", "caller-1"}});
+            end(transfer, {.status = 503});
+            CPPUNIT_ASSERT_EQUAL(isIdempotent ? 503U : 502U, m_exchange->status);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BrokenResponseTest);
--- a/Libraries/LibGateway/Tests/ForwardingFixture.h
+++ b/Libraries/LibGateway/Tests/ForwardingFixture.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibCore/HttpStatus.h>
 #include <LibCore/VirtualScheduler.h>
 #include <LibGateway/ForwardedRequest.h>
 #include <LibGateway/Tests/LoneQuarantine.h>
@@ -100,6 +101,7 @@
     {
         return {.status = status,
                 .hasNotRun = !Net::valueOf(fields, "Not-Run").empty(),
+                .readsAsNotRun = status == Core::HttpStatus::ServiceUnavailable,
                 .hasServerStamp = true,
                 .isEventStream = !Net::valueOf(fields, "Stream").empty(),
                 .isFramed = !Net::valueOf(fields, "Framed").empty(),
