LibNet: Send requests that are started while another is received

A request that was started from a head or data function was never sent and never ended: curl adds no transfer while it calls back (CURLM_RECURSIVE_API_CALL), and the result wasn't checked. Callers waited until their deadline and got 504 for a request that had not left the host; an order that was started there blocked its controller for good. Both happen in the product: a stream with a gap is continued elsewhere from the data function, and the head of a replica that leaves sends the requests that wait for a load there to others.

Such transfers are added once curl has returned; one that can't be added ends with an error. requestStartedWhileAnotherIsReceivedIsSent failed before: expected 200, got 0 after 5 s.

--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -10,6 +10,7 @@
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
 #include <unistd.h>
+#include <utility>
 
 namespace Net {
 
@@ -227,10 +228,39 @@
     const auto id = transfer->id;
     auto &added = *m_transfers.emplace(id, std::move(transfer)).first->second;
     startIdleTimer(added);
-    curl_multi_add_handle(m_multi, added.easy);
+    if (m_isActing) {
+        m_startedWhileActing.push_back(id);
+    } else {
+        add(added);
+    }
     return HttpRequestId(id);
 }
 
+void HttpClient::add(Transfer &transfer)
+{
+    if (curl_multi_add_handle(m_multi, transfer.easy) == CURLM_OK) {
+        return;
+    }
+    m_loop.post([this, isAlive = m_isAlive, id = transfer.id] {
+        if (*isAlive && m_transfers.contains(id)) {
+            finish(*m_transfers.at(id), CURLE_FAILED_INIT);
+        }
+    });
+}
+
+void HttpClient::act(int socket, int events)
+{
+    int running = 0;
+    m_isActing = true;
+    curl_multi_socket_action(m_multi, socket, events, &running);
+    m_isActing = false;
+    for (const auto id : std::exchange(m_startedWhileActing, {})) {
+        if (const auto found = m_transfers.find(id); found != m_transfers.end()) {
+            add(*found->second);
+        }
+    }
+}
+
 void HttpClient::configure(Transfer &transfer)
 {
     const auto &request = transfer.request;
@@ -331,8 +361,7 @@
         const int mask = ((readyEvents & EPOLLIN) != 0 ? CURL_CSELECT_IN : 0)
             | ((readyEvents & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0)
             | ((readyEvents & (EPOLLERR | EPOLLHUP)) != 0 ? CURL_CSELECT_ERR : 0);
-        int running = 0;
-        curl_multi_socket_action(m_multi, events.at(static_cast<std::size_t>(i)).data.fd, mask, &running);
+        act(events.at(static_cast<std::size_t>(i)).data.fd, mask);
     }
     finishCompletedTransfers();
 }
@@ -340,8 +369,7 @@
 void HttpClient::handleTimeout()
 {
     m_timer = Core::TimerId::None;
-    int running = 0;
-    curl_multi_socket_action(m_multi, CURL_SOCKET_TIMEOUT, 0, &running);
+    act(CURL_SOCKET_TIMEOUT, 0);
     finishCompletedTransfers();
 }
 
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -28,6 +28,11 @@
     struct CurlCallbacks;
 
     static void configure(Transfer &transfer);
+    // Hands the transfer to curl.
+    void add(Transfer &transfer);
+    // Lets curl act on a socket or its timeout. Transfers that its callbacks start are added afterwards, as curl adds none
+    // while it calls back.
+    void act(int socket, int events);
     void handleSocketEvents();
     void handleTimeout();
     void finishCompletedTransfers();
@@ -41,6 +46,8 @@
     Core::TimerId m_timer = Core::TimerId::None;
     std::uint64_t m_lastId = 0;
     std::unordered_map<std::uint64_t, std::unique_ptr<Transfer>> m_transfers;
+    bool m_isActing = false; // curl may be calling back.
+    std::vector<std::uint64_t> m_startedWhileActing;
     std::unordered_set<std::shared_ptr<Transfer>> m_cancelled; // Kept until their curl handles are released.
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
 };
--- a/Libraries/LibNet/Tests/HttpClientTest.cpp
+++ b/Libraries/LibNet/Tests/HttpClientTest.cpp
@@ -95,6 +95,7 @@
     CPPUNIT_TEST(endlessHeadIsBrokenOff);
     CPPUNIT_TEST(endlessInterimHeadsAreBrokenOff);
     CPPUNIT_TEST(endlessBodyIsBrokenOff);
+    CPPUNIT_TEST(requestStartedWhileAnotherIsReceivedIsSent);
     CPPUNIT_TEST(responseCutInItsHeadIsAnError);
     CPPUNIT_TEST(unframedResponseIsWholeOnlyIfItsConnectionEndsInOrder);
     CPPUNIT_TEST_SUITE_END();
@@ -280,6 +281,45 @@
         CPPUNIT_ASSERT(sent < BufferedBytes + Net::DefaultMaxBodyBytes);
     }
 
+    // Guards against a request that is started from a head or data function never being sent nor ending.
+    void requestStartedWhileAnotherIsReceivedIsSent()
+    {
+        for (const bool isStartedByHead : {false, true}) {
+            LoopbackServer server([](int connection) {
+                if (readRequest(connection)) {
+                    writeText(connection, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+                }
+            });
+            Net::EventLoop loop;
+            Net::HttpClient client(loop);
+            long status = 0;
+            const auto startSecond = [&] {
+                client.start({.method = "POST", .url = server.url(), .body = "body"},
+                             [&](const Net::HttpResult &result) {
+                                 status = result.status;
+                                 loop.stop();
+                             });
+            };
+            client.start(
+                {.method = "POST", .url = server.url(), .body = "body"}, [](const auto & /*result*/) {},
+                [&](long /*status*/, std::string_view /*bytes*/) {
+                    if (!isStartedByHead) {
+                        startSecond();
+                    }
+                },
+                [&](long /*status*/, const auto & /*fields*/) {
+                    if (isStartedByHead) {
+                        startSecond();
+                    }
+                });
+            loop.runAfter(5s, [&loop] {
+                loop.stop();
+            });
+            loop.run();
+            CPPUNIT_ASSERT_EQUAL(200L, status);
+        }
+    }
+
     // Guards against a response that breaks off inside its head being taken for a whole response with an empty body.
     void responseCutInItsHeadIsAnError()
     {
