LibGateway, platform: Take announcements only from whole heads that name the request

By reading of a reviewer: a replica that wrote an earlier 503 once more was paused for the time that it named, and a head that was cut inside Server-Leaving excluded its replica for the rest of its life. No test covers these two conditions.

--- a/Libraries/LibGateway/ForwardedRequestResponses.cpp
+++ b/Libraries/LibGateway/ForwardedRequestResponses.cpp
@@ -50,7 +50,9 @@
     m_head = m_dependencies.protocol.readHead(status, fields);
     m_hasHead = true;
     m_lastProgressAt = m_dependencies.scheduler.now();
-    recordAnnouncements();
+    if (isHeadForRequest()) {
+        recordAnnouncements();
+    }
 }
 
 void ForwardedRequest::recordAnnouncements()
