LibGateway: Forget a missing adapter when the replica is selected later

By reading of a reviewer: since a begun stream is selected a replica again after its fourth rejection, the note that the adapter is missing at the last replica went to the holder of the next one, which loaded it once more. The idle timer is cancelled before it is armed again, as the preparation of a move may arm it while it runs.

--- a/Libraries/LibGateway/ForwardedRequestContinuation.cpp
+++ b/Libraries/LibGateway/ForwardedRequestContinuation.cpp
@@ -55,6 +55,7 @@
 {
     m_stage = Stage::Selecting;
     m_excluded.clear();
+    m_isReportedMissing = false; // That was said of the last replica.
     m_dependencies.scheduler.runAfter(ContinuationPause, [self = shared_from_this()] {
         if (self->m_stage == Stage::Selecting) {
             self->selectReplica();
@@ -83,6 +84,7 @@
     const auto pause
         = due > Core::Duration::zero() || m_isStreaming ? Core::Duration(ContinuationPause) : idleTimeout();
     const auto delay = std::max<Core::Duration>(due, pause);
+    m_dependencies.scheduler.cancel(m_idleTimer);
     m_idleTimer = m_dependencies.scheduler.runAfter(delay, [self = shared_from_this()] {
         self->m_idleTimer = Core::TimerId::None;
         self->handleIdleTimer();
