LibGateway: Pass whole responses without events on

By reading of a reviewer: an event stream that its framing shows to be whole, and the answer to a HEAD request, have no events and were taken for broken, retried and answered 502. They are passed on as the replica sent them; an unframed stream without events is still broken.

--- a/Libraries/LibGateway/ForwardedRequest.h
+++ b/Libraries/LibGateway/ForwardedRequest.h
@@ -115,7 +115,7 @@
     // Whether the response is an event stream whose events are forwarded as they arrive.
     [[nodiscard]] bool isEventStream() const;
     // Why the response isn't the whole event stream that it seems to be; empty if it is or if it is something else. A
-    // stream that is resumed may have no events left, if its framing says so.
+    // stream may have no events if its framing says so.
     [[nodiscard]] std::string_view streamDefect() const;
     [[nodiscard]] Core::Duration remaining() const;
 
--- a/Libraries/LibGateway/ForwardedRequestResponses.cpp
+++ b/Libraries/LibGateway/ForwardedRequestResponses.cpp
@@ -34,15 +34,14 @@
 
 std::string_view ForwardedRequest::streamDefect() const
 {
-    if (!isEventStream()) {
+    if (!isEventStream() || m_request.method == "HEAD") {
         return {};
     }
     if (m_events.isInsideEvent()) {
         return "the event stream ended inside an event";
     }
-    const bool isResumed = m_isStreaming || m_request.lastEventId.has_value();
-    const bool hasEvents = m_answeringSince.has_value() || (isResumed && m_head.isFramed);
-    return hasEvents ? "" : "the event stream ended before its first event";
+    const bool isWhole = m_answeringSince.has_value() || m_head.isFramed;
+    return isWhole ? "" : "the event stream ended before its first event";
 }
 
 void ForwardedRequest::handleHead(long status, const Net::HttpFields &fields)
