--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -1,13 +1,10 @@
-#include <LibNet/HttpClient.h>
+#include <LibNet/HttpTransfer.h>
 
 #include <LibCore/StepError.h>
 #include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstring>
-#include <curl/curl.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/epoll.h>
 #include <unistd.h>
 #include <utility>
@@ -19,166 +16,12 @@
 // A connection that was idle for longer isn't reused, because a NAT or firewall on the path may have dropped its state.
 constexpr long MaxConnectionIdleSeconds = 15;
 
-// TCP_USER_TIMEOUT: closes a connection whose peer acknowledges neither data nor keep-alive probes for this long.
-constexpr int TcpUserTimeoutMilliseconds = 2500;
-// A response with a lower status is interim (1xx) and is followed by another response head.
-constexpr long FirstFinalStatus = 200;
-// TCP keep-alive: idle seconds before the first probe, seconds between probes, and unacknowledged probes before the
-// connection is closed.
-constexpr int KeepAliveIdleSeconds = 1;
-constexpr int KeepAliveIntervalSeconds = 1;
-constexpr int KeepAliveProbes = 2;
 // 16 KiB is curl's smallest upload buffer. A receive buffer of 16 KiB holds any response head that occurs in practice.
 constexpr long UploadBufferBytes = 16 * 1024;
 constexpr long ReceiveBufferBytes = 16 * 1024;
 
 }
 
-struct HttpClient::Transfer {
-    HttpClient *client = nullptr;
-    std::uint64_t id = 0;
-    CURL *easy = nullptr;
-    curl_slist *headers = nullptr;
-    HttpRequest request;
-    DoneFunction done;
-    DataFunction data;
-    HeadFunction head;
-    std::size_t sentBodyBytes = 0;
-    std::size_t headBytes = 0; // Received, of interim and final heads together.
-    bool hasHead = false; // The final head is complete.
-    std::string_view violation; // Why the client has ended the transfer; empty if it hasn't.
-    HttpFields fields;
-    std::string body;
-    Core::TimePoint lastActivity {};
-    Core::TimerId idleTimer = Core::TimerId::None;
-    bool isCancelled = false;
-};
-
-// curl's C callbacks. The client adds curl's sockets to its own epoll descriptor and the event loop watches only that
-// one, so that no handler is registered or deleted while the reactor is calling it.
-struct HttpClient::CurlCallbacks {
-    static int onSocket(CURL * /*easy*/, curl_socket_t socket, int what, void *context, void * /*socketContext*/)
-    {
-        auto *client = static_cast<HttpClient *>(context);
-        if (what == CURL_POLL_REMOVE) {
-            epoll_ctl(client->m_epollFd, EPOLL_CTL_DEL, socket, nullptr);
-            return 0;
-        }
-        epoll_event event {};
-        event.data.fd = socket;
-        event.events = ((what & CURL_POLL_IN) != 0 ? EPOLLIN : 0U) | ((what & CURL_POLL_OUT) != 0 ? EPOLLOUT : 0U);
-        if (epoll_ctl(client->m_epollFd, EPOLL_CTL_MOD, socket, &event) != 0) {
-            epoll_ctl(client->m_epollFd, EPOLL_CTL_ADD, socket, &event);
-        }
-        return 0;
-    }
-
-    static int onTimer(CURLM * /*multi*/, long timeoutMilliseconds, void *context)
-    {
-        auto *client = static_cast<HttpClient *>(context);
-        client->m_loop.cancel(client->m_timer);
-        client->m_timer = Core::TimerId::None;
-        if (timeoutMilliseconds >= 0) {
-            client->m_timer = client->m_loop.runAfter(std::chrono::milliseconds(timeoutMilliseconds), [client] {
-                client->handleTimeout();
-            });
-        }
-        return 0;
-    }
-
-    // Enables TCP keep-alive, which detects a peer that disappeared without closing the connection, and keeps the state
-    // that a NAT or firewall on the path holds for an idle connection.
-    static int onSocketOpened(void * /*context*/, curl_socket_t socket, curlsocktype /*purpose*/)
-    {
-        const int isOn = 1;
-        setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &isOn, sizeof isOn);
-        setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &KeepAliveIdleSeconds, sizeof KeepAliveIdleSeconds);
-        setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &KeepAliveIntervalSeconds, sizeof KeepAliveIntervalSeconds);
-        setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &KeepAliveProbes, sizeof KeepAliveProbes);
-        setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &TcpUserTimeoutMilliseconds,
-                   sizeof TcpUserTimeoutMilliseconds);
-        return CURL_SOCKOPT_OK;
-    }
-
-    // Runs between the establishment of the connection and the first byte of the request.
-    static int onConnected(void *context, char * /*peerAddress*/, char * /*localAddress*/, int /*peerPort*/,
-                           int /*localPort*/)
-    {
-        auto *transfer = static_cast<Transfer *>(context);
-        if (transfer->request.isStillPermitted()) {
-            return CURL_PREREQFUNC_OK;
-        }
-        transfer->violation = "the request is no longer permitted";
-        return CURL_PREREQFUNC_ABORT;
-    }
-
-    // Supplies the request body to curl. No seek function is set, so curl can't rewind the body to send it again.
-    static std::size_t onReadBody(char *bytes, std::size_t size, std::size_t count, void *context)
-    {
-        auto *transfer = static_cast<Transfer *>(context);
-        const auto &body = transfer->request.body;
-        const auto piece = std::min(size * count, body.size() - transfer->sentBodyBytes);
-        std::memcpy(bytes, body.data() + transfer->sentBodyBytes, piece);
-        transfer->sentBodyBytes += piece;
-        return piece;
-    }
-
-    static std::size_t onHeader(char *bytes, std::size_t size, std::size_t count, void *context)
-    {
-        auto *transfer = static_cast<Transfer *>(context);
-        const auto length = size * count;
-        std::string_view line(bytes, length);
-        transfer->headBytes += length;
-        if (transfer->headBytes > transfer->request.maxHeadBytes) {
-            transfer->violation = "the head of the response is too large";
-            return 0;
-        }
-        transfer->lastActivity = transfer->client->m_loop.now();
-        while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) {
-            line.remove_suffix(1);
-        }
-        if (line.starts_with("HTTP/")) {
-            transfer->fields.clear();
-            transfer->hasHead = false;
-        } else if (const auto colon = line.find(':'); colon != std::string_view::npos) {
-            auto value = line.substr(colon + 1);
-            value.remove_prefix(std::min(value.find_first_not_of(" \t"), value.size()));
-            transfer->fields.emplace_back(line.substr(0, colon), value);
-        } else if (line.empty()) {
-            long status = 0;
-            curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
-            transfer->hasHead = status >= FirstFinalStatus;
-            if (transfer->hasHead && transfer->head && !transfer->isCancelled) {
-                transfer->head(status, transfer->fields);
-            }
-        }
-        return length;
-    }
-
-    static std::size_t onData(char *bytes, std::size_t size, std::size_t count, void *context)
-    {
-        auto *transfer = static_cast<Transfer *>(context);
-        const std::string_view piece(bytes, size * count);
-        if (transfer->isCancelled) {
-            return piece.size();
-        }
-        if (transfer->request.idleProgress == IdleProgress::AnyData) {
-            transfer->lastActivity = transfer->client->m_loop.now();
-        }
-        if (transfer->data) {
-            long status = 0;
-            curl_easy_getinfo(transfer->easy, CURLINFO_RESPONSE_CODE, &status);
-            transfer->data(status, piece);
-        } else if (transfer->body.size() + piece.size() > transfer->request.maxBodyBytes) {
-            transfer->violation = "the body of the response is too large";
-            return 0;
-        } else {
-            transfer->body += piece;
-        }
-        return piece.size();
-    }
-};
-
 HttpClient::HttpClient(EventLoop &loop)
     : m_loop(loop)
 {
