--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -30,8 +30,8 @@
     static void configure(Transfer &transfer);
     // Hands the transfer to curl.
     void add(Transfer &transfer);
-    // Lets curl act on a socket or its timeout. Transfers that its callbacks start are added afterwards, as curl adds none
-    // while it calls back.
+    // Lets curl act on a socket or its timeout. Transfers that its callbacks start are added afterwards, as curl adds
+    // none while it calls back.
     void act(int socket, int events);
     void handleSocketEvents();
     void handleTimeout();
