--- a/Libraries/LibGateway/Tests/BrokenResponseTest.cpp
+++ b/Libraries/LibGateway/Tests/BrokenResponseTest.cpp
@@ -11,6 +11,7 @@
     CPPUNIT_TEST(headOfEarlierAttemptIsNotTrusted);
     CPPUNIT_TEST(streamThatEndsInsideAnEventIsNotComplete);
     CPPUNIT_TEST(streamThatEndsBeforeItsFirstEventIsNotComplete);
+    CPPUNIT_TEST(wholeStreamWithoutEventsIsPassedOn);
     CPPUNIT_TEST(unframedContinuationWithoutEventsIsNotComplete);
     CPPUNIT_TEST(errorAfterTheBeginOfAStreamStaysOutOfIt);
     CPPUNIT_TEST(begunStreamOutlivesRejections);
@@ -88,6 +89,21 @@
         }
     }
 
+    // Guards against a whole response without events, as to a HEAD request, being retried and answered 502.
+    void wholeStreamWithoutEventsIsPassedOn()
+    {
+        for (const std::string method : {"GET", "HEAD"}) {
+            m_exchange = std::make_shared<FakeExchange>();
+            start({.kind = Routes::RequestKind::Stream, .timeout = 15s, .maxAttempts = 2}, {.method = method});
+            const auto transfer = m_transport.transfers.size() - 1;
+            auto fields = m_streamFields;
+            fields.emplace_back("Framed", method == "GET" ? "yes" : "");
+            answerHead(transfer, 200, fields);
+            end(transfer, {.status = 200});
+            CPPUNIT_ASSERT_EQUAL(200U, m_exchange->status);
+        }
+    }
+
     // Guards against a stream ending as complete when the replica that continues it closes before its first event.
     void unframedContinuationWithoutEventsIsNotComplete()
     {
--- a/Libraries/LibGateway/Tests/LeavingReplicaTest.cpp
+++ b/Libraries/LibGateway/Tests/LeavingReplicaTest.cpp
@@ -9,6 +9,7 @@
     CPPUNIT_TEST_SUITE(LeavingReplicaTest);
     CPPUNIT_TEST(requestsThatWaitForLoadGoElsewhere);
     CPPUNIT_TEST(everyKindOfResponseTells);
+    CPPUNIT_TEST(headOfAnotherRequestIsNoNews);
     CPPUNIT_TEST(listDoesNotRevokeIt);
     CPPUNIT_TEST(newIncarnationAtTheSameAddressIsUsed);
     CPPUNIT_TEST(lateResponseOfPreviousIncarnationIsNoNews);
@@ -63,6 +64,18 @@
         CPPUNIT_ASSERT_EQUAL(before, m_host.sendsTo(replica));
     }
 
+    // A replica that wrote an earlier response once more was excluded or paused by it.
+    void headOfAnotherRequestIsNoNews()
+    {
+        m_host.list({Harness::replica("r1")});
+        m_host.start(unsafe(), {.attemptId = "first"});
+        const auto head = m_host.transport.transfers.at(0).head;
+        head(503, {{"Attempt", "earlier"}, {"Not-Run", "1"}, {"Leaving", "1"}, {"Pause", "60000"}});
+        m_host.end(0, {.status = 503});
+        m_host.start(unsafe(), {.attemptId = "second"});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_host.sendsTo("r1"));
+    }
+
     // Requests whose load completed after the news were sent to the replica that leaves.
     void requestsThatWaitForLoadGoElsewhere()
     {
