LibGateway: Log crashes of replicas and how many suspects can't be recognised

Whether a crash goes unrecognised, its suspects have no identity, or a refusal is forgotten couldn't be told from the logs: nothing was written between attempts that break off and a suspicion. What is suspected stays as it was.

--- a/Libraries/LibGateway/ForwardedRequestResponses.cpp
+++ b/Libraries/LibGateway/ForwardedRequestResponses.cpp
@@ -158,7 +158,8 @@
 {
     if (result.mayHaveBeenSent && !result.isTimedOut) {
         m_dependencies.crashes.recordBreak(
-            m_replica, isPromptUnproven() ? m_request.promptParts : std::span<const std::uint64_t>());
+            m_replica, isPromptUnproven() ? ReplicaCrashes::Role::Suspect : ReplicaCrashes::Role::Bystander,
+            m_request.promptParts);
     }
     handleInterruption(result);
 }
--- a/Libraries/LibGateway/ReplicaCrashes.cpp
+++ b/Libraries/LibGateway/ReplicaCrashes.cpp
@@ -1,5 +1,7 @@
 #include <LibGateway/ReplicaCrashes.h>
 
+#include <LibLog/Log.h>
+
 namespace Gateway {
 
 namespace {
@@ -23,7 +25,7 @@
 {
 }
 
-void ReplicaCrashes::recordBreak(const Fleet::Replica &replica, std::span<const std::uint64_t> promptParts)
+void ReplicaCrashes::recordBreak(const Fleet::Replica &replica, Role role, std::span<const std::uint64_t> fingerprints)
 {
     const auto death = deathOf(replica);
     const auto [found, isNew] = m_breaks.try_emplace(death);
@@ -33,8 +35,15 @@
             decide(death);
         });
     }
-    if (!promptParts.empty()) {
-        found->second.prompts.emplace_back(promptParts.begin(), promptParts.end());
+    auto &observed = found->second;
+    ++observed.attempts;
+    if (role == Role::Bystander) {
+        return;
+    }
+    if (fingerprints.empty()) {
+        ++observed.unidentified;
+    } else {
+        observed.suspects.emplace_back(fingerprints.begin(), fingerprints.end());
     }
 }
 
@@ -45,15 +54,24 @@
     }
     if (const auto found = m_breaks.find(deathOf(replica));
         found != m_breaks.end() && m_scheduler.now() - found->second.at > ReceiveDelay) {
-        found->second.prompts.clear();
+        found->second = {.at = found->second.at};
     }
 }
 
 void ReplicaCrashes::decide(const Routing::TargetDeath &death)
 {
     const auto decided = std::move(m_breaks.extract(death).mapped());
-    for (const auto &prompt : decided.prompts) {
-        m_quarantine.recordDeath(prompt, death);
+    if (decided.attempts == 0) {
+        return;
+    }
+    Log::write(Log::Event::ReplicaCrashed,
+               {{"replica", death.target.value},
+                {"incarnation", death.incarnation},
+                {"attempts", std::to_string(decided.attempts)},
+                {"suspects", std::to_string(decided.suspects.size())},
+                {"unidentified", std::to_string(decided.unidentified)}});
+    for (const auto &fingerprints : decided.suspects) {
+        m_quarantine.recordDeath(fingerprints, death);
     }
 }
 
--- a/Libraries/LibGateway/ReplicaCrashes.h
+++ b/Libraries/LibGateway/ReplicaCrashes.h
@@ -17,9 +17,16 @@
 public:
     ReplicaCrashes(Core::Scheduler &scheduler, Routing::Quarantine &quarantine);
 
-    // Records that an attempt at the replica has broken off. The parts are those of its prompt if the answer may have
-    // been about to begin; there are none if it can't have caused a crash.
-    void recordBreak(const Fleet::Replica &replica, std::span<const std::uint64_t> promptParts);
+    // Whether the request of an attempt that broke off may have made the replica crash.
+    enum class Role : std::uint8_t {
+        // Its answer was about to begin.
+        Suspect,
+        // Its answer had been under way for longer than a crash takes.
+        Bystander,
+    };
+
+    // Records that an attempt at the replica has broken off. A suspect without fingerprints can't be recognised again.
+    void recordBreak(const Fleet::Replica &replica, Role role, std::span<const std::uint64_t> fingerprints);
     // Records that the replica has sent something.
     void recordActivity(const Fleet::Replica &replica);
 
@@ -27,7 +34,9 @@
     // A replica at which attempts have broken off.
     struct Break {
         Core::TimePoint at {}; // Of the first attempt.
-        std::vector<std::vector<std::uint64_t>> prompts;
+        unsigned attempts = 0; // Since the replica last sent something.
+        unsigned unidentified = 0; // Suspects without fingerprints.
+        std::vector<std::vector<std::uint64_t>> suspects;
     };
 
     void decide(const Routing::TargetDeath &death);
--- a/Libraries/LibGateway/Tests/ReplicaCrashesTest.cpp
+++ b/Libraries/LibGateway/Tests/ReplicaCrashesTest.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST_SUITE_END();
 
     using Parts = std::vector<std::uint64_t>;
+    using Role = Gateway::ReplicaCrashes::Role;
 
     Core::VirtualScheduler m_scheduler;
     Gateway::Testing::LoneQuarantine m_lone {m_scheduler};
@@ -28,8 +29,8 @@
     void promptsOfCrashedReplicaAreSuspected()
     {
         for (int number = 0; number < 2; ++number) {
-            m_crashes.recordBreak(replica(number), Parts {1, 2});
-            m_crashes.recordBreak(replica(number), {});
+            m_crashes.recordBreak(replica(number), Role::Suspect, Parts {1, 2});
+            m_crashes.recordBreak(replica(number), Role::Bystander, Parts {1});
             m_crashes.recordActivity(replica(number)); // It was received before the crash.
             m_scheduler.advance(1s);
         }
@@ -39,7 +40,7 @@
     // Requests whose responses a faulty replica truncated were taken for the cause of crashes.
     void truncatedResponseIsNoCrash()
     {
-        m_crashes.recordBreak(replica(1), Parts {1});
+        m_crashes.recordBreak(replica(1), Role::Suspect, Parts {1});
         m_scheduler.advance(50ms);
         m_crashes.recordActivity(replica(1));
         m_scheduler.advance(1s);
@@ -50,11 +51,11 @@
     void incarnationCountsOnce()
     {
         for (int i = 0; i < 5; ++i) {
-            m_crashes.recordBreak(replica(1), Parts {1});
+            m_crashes.recordBreak(replica(1), Role::Suspect, Parts {1});
             m_scheduler.advance(1s);
         }
         CPPUNIT_ASSERT(m_quarantine.suspicionOf(Parts {1}) == Routing::Suspicion::Suspect);
-        m_crashes.recordBreak(replica(1, 2), Parts {1});
+        m_crashes.recordBreak(replica(1, 2), Role::Suspect, Parts {1});
         m_scheduler.advance(1s);
         CPPUNIT_ASSERT(m_quarantine.suspicionOf(Parts {1}) == Routing::Suspicion::Refused);
     }
