LibHolding: Let the report show which of several unanswered orders was executed

Callers saw a replica of Grant Desk crash: it was ordered to load more adapters than it has slots for.

The load was executed seconds later, just before a report. The report's higher count ended the uncertainty of all three, but the last unload was younger than the report covers and stayed 'unloading', which then read as accepted. When a replacement had ended the wait for running requests, that slot was freed though its adapter was still in memory, and two loads later the replica had 17 adapters in 16 slots.

A count that has risen by one order says only that one of the orders that expected the former count was executed. With several of them the adapters in the same report decide, as they already did for orders of an earlier holder. oneOfSeveralUnansweredOrdersFreesNoOtherSlot failed before with four adapters in three slots.

--- a/Libraries/LibHolding/ReplicaControllerReports.cpp
+++ b/Libraries/LibHolding/ReplicaControllerReports.cpp
@@ -66,6 +66,9 @@
     if (m_waitingForRequestsSince.has_value() && *m_waitingForRequestsSince < reportedUntil && !isStillThere) {
         endWaitForRequests();
     }
+    const auto uncertain = std::ranges::count_if(m_slots, [](const auto &slot) {
+        return slot.second.uncertainOrderCount.has_value();
+    });
     for (auto slot = m_slots.begin(); slot != m_slots.end();) {
         auto &state = slot->second;
         const auto found = reported.find(slot->first);
@@ -73,8 +76,9 @@
         if (isResolved) {
             state.uncertainOrderCount.reset();
         }
-        // Either this order or one of an earlier holder was executed; the adapters in the report show which.
-        const bool isResolvedByAdapters = isResolved && !isOnlySender();
+        // This order was executed, or one of an earlier holder, or another one of this holder that expected the same
+        // count; the adapters in the report show which.
+        const bool isResolvedByAdapters = isResolved && (!isOnlySender() || uncertain > 1);
         const bool isUnloadWaiting = state.state == SlotState::Unloading && isWaitingForRequests();
         const bool isCoveredByReport = (state.changedAt < reportedUntil || isResolvedByAdapters)
             && !state.uncertainOrderCount.has_value() && !isUnloadWaiting;
--- a/Libraries/LibHolding/Tests/ReplicaControllerTest.cpp
+++ b/Libraries/LibHolding/Tests/ReplicaControllerTest.cpp
@@ -35,6 +35,7 @@
     CPPUNIT_TEST(drainingReplicaFailsWaitingRequests);
     CPPUNIT_TEST(loadsContinueWhenResponsesAreLost);
     CPPUNIT_TEST(lateOrderOfPreviousHolderTakesNoSlotTwice);
+    CPPUNIT_TEST(oneOfSeveralUnansweredOrdersFreesNoOtherSlot);
     CPPUNIT_TEST(missingAdapterIsNotLoadedBeyondCapacity);
     CPPUNIT_TEST(restartedReplicaIsUsableOnceItsEntryShowsModel);
     CPPUNIT_TEST(requestsFailEarlyWhenReplicaIsUnreachable);
@@ -483,6 +484,37 @@
         CPPUNIT_ASSERT_EQUAL(Slots, m_fake.maxAdapters);
     }
 
+    // A load and two unloads had no answer, and the load was carried out late. The count had risen, so the later unload
+    // was taken for carried out too once a replacement had ended, and the replica was ordered to load beyond its slots.
+    void oneOfSeveralUnansweredOrdersFreesNoOtherSlot()
+    {
+        const auto replicaController = controller();
+        fillSlots(*replicaController, 1s, 2);
+        m_fake.isDroppingResponses = true;
+        m_fake.executionDelay = 5s;
+        std::vector<Result> results(5);
+        ask(*replicaController, request("b0"), results[0]);
+        run(*replicaController, 3900ms);
+        m_fake.executionDelay = 10min;
+        ask(*replicaController, request("b1"), results[1]);
+        run(*replicaController, 850ms);
+        ask(*replicaController, request("b2"), results[2]);
+        run(*replicaController, 100ms);
+        m_fake.isDroppingResponses = false;
+        m_fake.adapters["a0"].activeRequests = 1;
+        m_releases.apply({.model = "m", .adapter = "a0", .version = 2});
+        run(*replicaController, 300ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_fake.delayedOrders);
+        m_fake.adapters["a0"].activeRequests = 0;
+        run(*replicaController, 300ms);
+        ask(*replicaController, request("b3"), results[3]);
+        run(*replicaController, 1150ms);
+        ask(*replicaController, request("b4"), results[4]);
+        run(*replicaController, 2s);
+        CPPUNIT_ASSERT(m_fake.isLoaded("b3") && m_fake.isLoaded("b4"));
+        CPPUNIT_ASSERT_EQUAL(Slots, m_fake.maxAdapters);
+    }
+
     // The holder's list of adapters is older than the last orders of the previous holder. A request reports an adapter
     // as missing, whose place another adapter has taken.
     void missingAdapterIsNotLoadedBeyondCapacity()
