LibGateway: Recognise a request that crashes replicas when it comes again

Callers saw replicas of Grant Desk end one after the other: a request under which three had ended was sent on whenever it came again.

Cause: a gateway's quarantine identified requests by the parts of their prompts without the last one. A call of an application service has none, nor has a prompt of a single part; and where only the whole is deadly, sound requests that share parts cleared them after each crash.

The fixtures give each request a path of its own, as those without one would be the same request; no assertion changed.

--- a/Libraries/LibGateway/ForwardedRequest.cpp
+++ b/Libraries/LibGateway/ForwardedRequest.cpp
@@ -16,7 +16,7 @@
 constexpr auto ConnectTimeout = std::chrono::milliseconds(250);
 // Retry-After of a refused request: by then a load has probably ended or a replica is listed again.
 constexpr auto RetryAfterNoReplica = std::chrono::milliseconds(500);
-// Retry-After of a request that is refused because its prompt crashes replicas, which lasts for minutes.
+// Retry-After of a request that is refused because it crashes replicas, which lasts for minutes.
 constexpr auto RetryAfterQuarantine = std::chrono::seconds(60);
 // Callers that were refused during a pause return over this time after its end.
 constexpr auto ReturnSpread = std::chrono::milliseconds(500);
@@ -29,8 +29,10 @@
     : m_dependencies(std::move(dependencies))
     , m_exchange(std::move(exchange))
     , m_request(std::move(request))
+    , m_fingerprints(m_request.promptParts)
     , m_route(std::move(route))
 {
+    m_fingerprints.push_back(Routing::fingerprintOfRequest(m_request.target, m_request.body));
 }
 
 void ForwardedRequest::start()
@@ -176,7 +178,7 @@
 
 bool ForwardedRequest::isQuarantined() const
 {
-    return m_dependencies.quarantine.suspicionOf(m_request.promptParts) == Routing::Suspicion::Refused;
+    return m_dependencies.quarantine.suspicionOf(m_fingerprints) == Routing::Suspicion::Refused;
 }
 
 bool ForwardedRequest::refuseIfQuarantined()
@@ -185,7 +187,7 @@
         return false;
     }
     m_dependencies.metrics.count("currantbay_quarantined_requests_total");
-    refuse("a part of the prompt crashes replicas", RetryAfterQuarantine);
+    refuse("the request or a part of its prompt crashes replicas", RetryAfterQuarantine);
     return true;
 }
 
@@ -215,7 +217,7 @@
     m_hasHead = false;
     m_hasResponseBody = false;
     m_answeringSince.reset();
-    m_isPromptHarmless = false;
+    m_isHarmless = false;
     m_body.clear();
     m_events.dropPartial();
     m_dependencies.fleet.recordAttemptStarted(m_replica.id, m_request);
--- a/Libraries/LibGateway/ForwardedRequest.h
+++ b/Libraries/LibGateway/ForwardedRequest.h
@@ -90,14 +90,14 @@
     void prepareMove();
     void moveAttempt(const Fleet::Replica &replica, std::uint64_t version);
     void recordOutcome(Placement::AttemptOutcome outcome);
-    // Whether the prompt has a part that crashes replicas.
+    // Whether the request, or a part of its prompt, crashes replicas.
     [[nodiscard]] bool isQuarantined() const;
-    // Refuses the request and returns true if its prompt has a part that crashes replicas.
+    // Refuses the request and returns true if it or a part of its prompt crashes replicas.
     bool refuseIfQuarantined();
-    // Records that the replica has answered long enough to show that it doesn't crash by the prompt.
-    void recordHarmlessPrompt();
-    // Whether the replica has been answering too briefly to show that it doesn't crash by the prompt.
-    [[nodiscard]] bool isPromptUnproven() const;
+    // Records that the replica has answered long enough to show that it doesn't crash by the request.
+    void recordHarmless();
+    // Whether the replica has been answering too briefly to show that it doesn't crash by the request.
+    [[nodiscard]] bool isUnproven() const;
     void endAttempt();
     void retryOrFail(std::string_view reason);
     void refuse(std::string_view reason, Core::Duration retryAfter);
@@ -122,6 +122,8 @@
     ForwardingDependencies m_dependencies;
     std::shared_ptr<Net::Exchange> m_exchange;
     CallerRequest m_request;
+    // Of the request as a whole, by which it is recognised when it comes again, and of the shared parts of its prompt.
+    std::vector<std::uint64_t> m_fingerprints;
     Routes::MatchedRoute m_route;
     std::string m_service;
     Stage m_stage = Stage::Selecting;
@@ -148,7 +150,7 @@
     bool m_hasHead = false;
     bool m_hasResponseBody = false; // The first byte of the response body has arrived.
     std::optional<Core::TimePoint> m_answeringSince; // When the first event of the attempt arrived.
-    bool m_isPromptHarmless = false; // The replica has answered without crashing.
+    bool m_isHarmless = false; // The replica has answered without crashing.
     std::string m_body;
 
     // The response to the caller.
--- a/Libraries/LibGateway/ForwardedRequestResponses.cpp
+++ b/Libraries/LibGateway/ForwardedRequestResponses.cpp
@@ -12,7 +12,7 @@
 
 // Far above the responses of replicas. A faulty replica may send bytes without end.
 constexpr std::size_t MaxBodyBytes = 16U << 20U;
-// A replica that crashes by a prompt does so as it begins its answer.
+// A replica that crashes by a request does so as it begins its answer.
 constexpr auto HarmlessAnswerTime = std::chrono::milliseconds(250);
 
 }
@@ -104,8 +104,8 @@
     if (!events.empty()) {
         m_lastProgressAt = m_dependencies.scheduler.now();
         m_answeringSince = m_answeringSince.value_or(m_lastProgressAt);
-        if (!isPromptUnproven()) {
-            recordHarmlessPrompt();
+        if (!isUnproven()) {
+            recordHarmless();
         }
         if (m_isStreaming) {
             m_longestPause = std::max(m_longestPause, m_lastProgressAt - m_lastEventAt);
@@ -158,23 +158,23 @@
 {
     if (result.mayHaveBeenSent && !result.isTimedOut) {
         m_dependencies.crashes.recordBreak(
-            m_replica, isPromptUnproven() ? ReplicaCrashes::Role::Suspect : ReplicaCrashes::Role::Bystander,
-            m_request.promptParts);
+            m_replica, isUnproven() ? ReplicaCrashes::Role::Suspect : ReplicaCrashes::Role::Bystander,
+            m_fingerprints);
     }
     handleInterruption(result);
 }
 
-bool ForwardedRequest::isPromptUnproven() const
+bool ForwardedRequest::isUnproven() const
 {
     return !m_answeringSince.has_value() || m_dependencies.scheduler.now() - *m_answeringSince < HarmlessAnswerTime;
 }
 
-void ForwardedRequest::recordHarmlessPrompt()
+void ForwardedRequest::recordHarmless()
 {
-    if (std::exchange(m_isPromptHarmless, true)) {
+    if (std::exchange(m_isHarmless, true)) {
         return;
     }
-    m_dependencies.quarantine.recordCompletion(m_request.promptParts);
+    m_dependencies.quarantine.recordCompletion(m_fingerprints);
 }
 
 void ForwardedRequest::recordOutcome(Placement::AttemptOutcome outcome)
@@ -267,7 +267,7 @@
     recordOutcome(isFailure ? Placement::AttemptOutcome::Failed : Placement::AttemptOutcome::Served);
     // A crash can't be told from the end of a response without framing.
     if (m_head.status == Core::HttpStatus::Ok && m_head.isFramed) {
-        recordHarmlessPrompt();
+        recordHarmless();
     }
     endAttempt();
     if (isFailure && !m_isStreaming && mayRunAgain() && remaining() > MinRemainingTime && m_sends < MaxSends) {
--- a/Libraries/LibGateway/Tests/ForwardingFixture.h
+++ b/Libraries/LibGateway/Tests/ForwardingFixture.h
@@ -133,6 +133,7 @@
 protected:
     void start(Routes::Route route, Gateway::CallerRequest request)
     {
+        request.target = "/" + std::to_string(++m_requests);
         route.services = {{.service = "s"}};
         auto configuration = std::make_shared<Routes::RouteConfiguration>();
         configuration->routes.push_back(std::move(route));
@@ -200,6 +201,7 @@
         done({.outcome = static_cast<std::uint8_t>(outcome), .version = 1});
     }
 
+    unsigned m_requests = 0;
     Core::VirtualScheduler m_scheduler;
     FakeTransport m_transport;
     FakeProtocol m_protocol;
--- a/Libraries/LibGateway/Tests/ForwardingHarness.h
+++ b/Libraries/LibGateway/Tests/ForwardingHarness.h
@@ -92,7 +92,7 @@
     bool isAborted = false;
 };
 
-// Reads the headers "Not-Run", "Stream", "Leaving" and "Pause", which is in milliseconds.
+// Reads the headers "Not-Run", "Stream", "Framed", "Leaving" and "Pause", which is in milliseconds.
 class PlainProtocol final : public Gateway::Protocol
 {
 public:
@@ -113,6 +113,7 @@
                                     .hasNotRun = !Net::valueOf(fields, "Not-Run").empty(),
                                     .hasServerStamp = true,
                                     .isEventStream = !Net::valueOf(fields, "Stream").empty(),
+                                    .isFramed = !Net::valueOf(fields, "Framed").empty(),
                                     .isLeaving = !Net::valueOf(fields, "Leaving").empty(),
                                     .attemptId = std::string(Net::valueOf(fields, "Attempt")),
                                     .fields = fields};
@@ -129,7 +130,8 @@
 public:
     using Loaded = std::function<void(const Holding::AdapterReply &)>;
 
-    ForwardingHarness()
+    explicit ForwardingHarness(Routing::QuarantineOptions quarantine = {})
+        : m_lone(scheduler, quarantine)
     {
         scheduler.advance(std::chrono::hours(1)); // No time of an event may look like one before the start.
     }
@@ -152,9 +154,12 @@
                 .models = {{.model = "m"}}};
     }
 
-    // Sends a request and returns what its caller receives.
+    // Sends a request and returns what its caller receives. Without a path it is none that was sent before.
     std::shared_ptr<CallerEnd> start(Routes::Route route, Gateway::CallerRequest request)
     {
+        if (request.target.empty()) {
+            request.target = "/" + std::to_string(++m_requests);
+        }
         route.services = {{.service = "s"}};
         auto configuration = std::make_shared<Routes::RouteConfiguration>();
         configuration->routes.push_back(std::move(route));
@@ -228,10 +233,11 @@
     std::vector<std::pair<Holding::AdapterRequest, Loaded>> loads;
 
 private:
+    unsigned m_requests = 0;
     PlainProtocol m_protocol;
     Fleet::ReplicaSet m_replicas;
     Fleet::ReleaseTable m_releases;
-    Gateway::Testing::LoneQuarantine m_lone {scheduler};
+    Gateway::Testing::LoneQuarantine m_lone;
 
 public:
     Gateway::FleetView fleet {m_replicas,
--- a/Libraries/LibGateway/Tests/LoneQuarantine.h
+++ b/Libraries/LibGateway/Tests/LoneQuarantine.h
@@ -16,7 +16,7 @@
 
 // The quarantine of a host that knows no others.
 struct LoneQuarantine {
-    explicit LoneQuarantine(Core::Scheduler &scheduler)
+    explicit LoneQuarantine(Core::Scheduler &scheduler, Routing::QuarantineOptions options = {})
         : router(scheduler, peers, {.self = {"host"}, .incarnation = 1, .key = "key"})
         , quarantine(scheduler, router,
                      {.self = {.id = {"host"}, .zone = {"a"}},
@@ -24,7 +24,7 @@
                           [] {
                               return std::vector<Routing::QuarantineHost>();
                           }},
-                     {})
+                     options)
         , crashes(scheduler, quarantine)
     {
     }
--- a/Libraries/LibRouting/Quarantine.h
+++ b/Libraries/LibRouting/Quarantine.h
@@ -18,8 +18,8 @@
     // since learns them; zero for never.
     Core::Duration exchangePeriod {};
 
-    // For parts of prompts. A crash ends sound requests too, and some of them are caught in a second one, so two don't
-    // convict a part.
+    // For requests that are identified as a whole and by the parts of their prompts. A crash ends sound requests too,
+    // and some of them are caught in a second one, so two don't convict a part.
     [[nodiscard]] static QuarantineOptions forPromptParts();
 };
 
--- a/Libraries/LibRouting/QuarantineTable.cpp
+++ b/Libraries/LibRouting/QuarantineTable.cpp
@@ -12,6 +12,11 @@
     return Core::stableHash(prompt, Core::stableHash(adapter.toString(), Core::stableHash(customer.value)));
 }
 
+std::uint64_t fingerprintOfRequest(std::string_view path, std::string_view body)
+{
+    return Core::stableHash(body, Core::stableHash(path));
+}
+
 std::uint64_t fingerprintOfPart(std::string_view part)
 {
     return Core::stableHash(part);
--- a/Libraries/LibRouting/QuarantineTable.h
+++ b/Libraries/LibRouting/QuarantineTable.h
@@ -37,6 +37,9 @@
 [[nodiscard]] std::uint64_t fingerprintOf(const Core::CustomerId &customer, const Core::AdapterVersion &adapter,
                                           std::string_view prompt);
 
+// Identifies a request without a customer and an adapter by its path and body.
+[[nodiscard]] std::uint64_t fingerprintOfRequest(std::string_view path, std::string_view body);
+
 // Identifies a part of a prompt that different requests share.
 [[nodiscard]] std::uint64_t fingerprintOfPart(std::string_view part);
 
