LibGateway: Count only attempts that may have reached a replica as retries

Callers of an application service whose replicas crash one after the other were refused with 'the retry budget of the service is exhausted' while another replica was free.

An attempt that was refused a connection hasn't reached a replica, so sending the request elsewhere is no retry there, but it drew on the budget. Now only attempts that may have arrived do. The number of sends of a request stays bounded. refusedConnectionCostsNoRetry failed before (one send instead of two).

--- a/Libraries/LibGateway/ForwardedRequest.cpp
+++ b/Libraries/LibGateway/ForwardedRequest.cpp
@@ -197,7 +197,7 @@
         return;
     }
     const auto now = m_dependencies.scheduler.now();
-    if (m_sends > 0 && !m_dependencies.retryBudget.tryRetry(m_service, m_dependencies.hostCount(), now)) {
+    if (m_arrivals > 0 && !m_dependencies.retryBudget.tryRetry(m_service, m_dependencies.hostCount(), now)) {
         if (isContinued()) {
             selectReplicaLater();
         } else {
@@ -212,6 +212,7 @@
 {
     m_stage = Stage::Sending;
     ++m_sends;
+    ++m_arrivals;
     m_lastProgressAt = m_dependencies.scheduler.now();
     m_head = {};
     m_hasHead = false;
--- a/Libraries/LibGateway/ForwardedRequest.h
+++ b/Libraries/LibGateway/ForwardedRequest.h
@@ -134,6 +134,7 @@
     std::set<Core::TargetId> m_excluded; // Replicas to which this request isn't sent again.
     unsigned m_possibleRuns = 0; // Attempts in which the request may have run.
     unsigned m_sends = 0;
+    unsigned m_arrivals = 0; // Sends that may have reached a replica.
     unsigned m_loadRequests = 0; // Requests to holders to load the adapter, not counting those that only wait on.
     unsigned m_loadCalls = 0; // All messages to holders, to recognise the reply to the latest.
     bool m_isReportedMissing = false; // The selected replica has reported that it doesn't have the adapter.
--- a/Libraries/LibGateway/ForwardedRequestResponses.cpp
+++ b/Libraries/LibGateway/ForwardedRequestResponses.cpp
@@ -244,6 +244,8 @@
     m_excluded.insert(m_replica.id);
     if (mayHaveRun) {
         ++m_possibleRuns;
+    } else {
+        --m_arrivals;
     }
     retryOrFail(result.error);
 }
--- a/Libraries/LibGateway/Tests/ForwardedRequestTest.cpp
+++ b/Libraries/LibGateway/Tests/ForwardedRequestTest.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(lostAnswerIsNeitherRepeatedNorCalledNotRun);
     CPPUNIT_TEST(answerOfAnotherRequestIsNotForwarded);
     CPPUNIT_TEST(requestThatDidNotRunIsSentAgain);
+    CPPUNIT_TEST(refusedConnectionCostsNoRetry);
     CPPUNIT_TEST(workEndsWhenCallerLeaves);
     CPPUNIT_TEST_SUITE_END();
 
@@ -190,6 +191,19 @@
         CPPUNIT_ASSERT_EQUAL(503U, m_exchange->status);
     }
 
+    // Requests were refused beside free replicas, because attempts at a crashed one had used up the retry budget.
+    void refusedConnectionCostsNoRetry()
+    {
+        m_budget.setOptions({.ratio = 0, .extra = 0});
+        startUnsafe();
+        end(0, {.error = "Couldn't connect to server", .mayHaveBeenSent = false});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_transport.transfers.size());
+        answerHead(1, 503, {{"Attempt", "caller-1"}, {"Not-Run", "1"}});
+        end(1, {.status = 503});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), m_transport.transfers.size());
+        CPPUNIT_ASSERT_EQUAL(503U, m_exchange->status);
+    }
+
     void workEndsWhenCallerLeaves()
     {
         startStream();
