--- a/Libraries/LibGateway/CallerRequest.h
+++ b/Libraries/LibGateway/CallerRequest.h
@@ -50,6 +50,9 @@
     bool isFramed = false; // By a length or chunks, so that a body that is cut short shows.
     bool isLeaving = false; // The replica is about to stop and wants no new requests.
     std::optional<Core::Duration> pause; // The replica wants no requests from this host for this long.
+    // The requests per second that the replica accepts from all hosts together, until a response names no limit.
+    std::optional<double> requestLimit;
+    bool namesNoLimit = false; // False too if the response names a limit that can't be read.
     std::string attemptId;
     Net::HttpFields fields; // Headers that are forwarded to the caller.
 };
--- a/Libraries/LibGateway/FleetView.cpp
+++ b/Libraries/LibGateway/FleetView.cpp
@@ -26,12 +26,14 @@
 }
 
 FleetView::FleetView(Fleet::ReplicaSet &replicas, const Fleet::ReleaseTable &releases,
-                     Placement::ReplicaChooserOptions chooser, IsHeldFunction isHeld, HostCountFunction hostCount)
+                     Placement::ReplicaChooserOptions chooser, IsHeldFunction isHeld, HostCountFunction hostCount,
+                     double phase)
     : m_replicas(replicas)
     , m_releases(releases)
     , m_chooser(std::move(chooser))
     , m_isHeld(std::move(isHeld))
     , m_hostCount(std::move(hostCount))
+    , m_phase(phase)
 {
 }
 
@@ -106,6 +108,7 @@
             view.holderNoticeAt = {};
             view.loadUpdatedAt = {};
             view.noticeNumber = 0;
+            view.limit = Placement::RequestLimit();
         }
         if (now - view.loadUpdatedAt >= HolderNoticeLifetime) {
             view.otherHostsActive = 0;
@@ -210,15 +213,31 @@
     return m_pauses.record({replica.id, replica.startedAt}, pause, now);
 }
 
+Placement::RequestLimit::Change FleetView::recordLimit(const Fleet::Replica &replica, std::optional<double> perSecond,
+                                                       Core::TimePoint sentAt, Core::TimePoint now)
+{
+    const auto view = m_views.find(replica.id);
+    if (view == m_views.end() || view->second.startedAt != replica.startedAt) {
+        return Placement::RequestLimit::Change::None;
+    }
+    return view->second.limit.record(perSecond, sentAt, now);
+}
+
 bool FleetView::acceptsRequests(const Fleet::Replica &replica, Core::TimePoint now) const
 {
     const Placement::ReplicaPauses::Incarnation incarnation {replica.id, replica.startedAt};
-    if (m_pauses.isReturning(incarnation, now)) {
-        const auto view = m_views.find(replica.id);
-        const auto active = view == m_views.end() ? 0 : view->second.active + view->second.otherHostsActive;
-        return active < std::max(replica.slots, 1U);
+    if (m_pauses.endOf(incarnation, now).has_value()) {
+        return false;
     }
-    return !m_pauses.endOf(incarnation, now).has_value();
+    const auto view = m_views.find(replica.id);
+    if (view == m_views.end()) {
+        return true;
+    }
+    const auto active = view->second.active + view->second.otherHostsActive;
+    if (m_pauses.isReturning(incarnation, now) && active >= std::max(replica.slots, 1U)) {
+        return false;
+    }
+    return true;
 }
 
 bool FleetView::isAvailable(const Fleet::Replica &replica, Core::TimePoint now) const
@@ -238,16 +257,16 @@
     return replicas;
 }
 
-std::optional<Core::TimePoint> FleetView::firstPauseEnd(const CallerRequest &request, const std::string &service,
-                                                        Core::TimePoint now) const
+std::optional<Core::TimePoint> FleetView::firstAcceptance(const CallerRequest &request, const std::string &service,
+                                                          Core::TimePoint now) const
 {
     std::optional<Core::TimePoint> first;
     for (const auto *replica : servingReplicas(request, service)) {
-        const auto end = m_pauses.endOf({replica->id, replica->startedAt}, now);
-        if (!end.has_value()) {
+        const auto at = m_pauses.endOf({replica->id, replica->startedAt}, now).value_or(now);
+        if (at <= now) {
             return std::nullopt;
         }
-        first = std::min(first.value_or(*end), *end);
+        first = std::min(first.value_or(at), at);
     }
     return first;
 }
@@ -317,10 +336,11 @@
     return best.has_value() ? usable[*best] : nullptr;
 }
 
-void FleetView::recordAttemptStarted(const Core::TargetId &replica, const CallerRequest &request)
+void FleetView::recordAttemptStarted(const Core::TargetId &replica, const CallerRequest &request, Core::TimePoint now)
 {
     auto &view = m_views[replica];
     ++view.active;
+    view.limit.recordSend(now);
     view.waitingTokens += request.promptTokens;
     if (!request.adapter.empty()) {
         ++view.running[adapterName(request)];
@@ -351,7 +371,10 @@
 {
     std::vector<Holding::ReplicaUse> uses;
     for (auto &[id, view] : m_views) {
-        Holding::ReplicaUse use {.replica = id, .active = view.active, .waitingTokens = view.waitingTokens};
+        Holding::ReplicaUse use {.replica = id,
+                                 .active = view.active,
+                                 .waitingTokens = view.waitingTokens,
+                                 .adapters = {}};
         for (const auto &[name, count] : view.running) {
             use.adapters.push_back(name);
         }
--- a/Libraries/LibGateway/FleetView.h
+++ b/Libraries/LibGateway/FleetView.h
@@ -8,6 +8,7 @@
 #include <LibPlacement/ReplicaChooser.h>
 #include <LibPlacement/ReplicaHealth.h>
 #include <LibPlacement/ReplicaPauses.h>
+#include <LibPlacement/RequestLimit.h>
 #include <functional>
 #include <map>
 #include <set>
@@ -28,8 +29,10 @@
     // Called after a replica was found to leave.
     using LeavingFunction = std::function<void()>;
 
+    // The phase differs between hosts, from 0 to 1; see Placement::LimitSharing.
     FleetView(Fleet::ReplicaSet &replicas, const Fleet::ReleaseTable &releases,
-              Placement::ReplicaChooserOptions chooser, IsHeldFunction isHeld, HostCountFunction hostCount);
+              Placement::ReplicaChooserOptions chooser, IsHeldFunction isHeld, HostCountFunction hostCount,
+              double phase = 1);
 
     // Applies the list's entries after a change.
     void refresh(Core::TimePoint now);
@@ -51,6 +54,10 @@
     // Records that the replica wants no requests from this host for some time.
     Placement::ReplicaPauses::Change recordPause(const Fleet::Replica &replica, Core::Duration pause,
                                                  Core::TimePoint now);
+    // Records the request limit that the replica names, or none, in the response to a request that was sent at this
+    // time.
+    Placement::RequestLimit::Change recordLimit(const Fleet::Replica &replica, std::optional<double> perSecond,
+                                                Core::TimePoint sentAt, Core::TimePoint now);
 
     // Counts a caller's request towards the demand for its adapter.
     void recordDemand(const CallerRequest &request, Core::TimePoint now);
@@ -61,16 +68,16 @@
     // Whether the same incarnation of the replica is still listed, isn't draining and accepts requests from this host.
     [[nodiscard]] bool isAvailable(const Fleet::Replica &replica, Core::TimePoint now) const;
     // When the first replica of the service that could serve the request accepts requests again. Empty unless all of
-    // them are paused.
-    [[nodiscard]] std::optional<Core::TimePoint> firstPauseEnd(const CallerRequest &request, const std::string &service,
-                                                               Core::TimePoint now) const;
+    // them are paused or at their limits.
+    [[nodiscard]] std::optional<Core::TimePoint> firstAcceptance(const CallerRequest &request,
+                                                                 const std::string &service, Core::TimePoint now) const;
     // The version of the adapter in the replica's memory; empty if the adapter is absent or older than the newest
     // release.
     [[nodiscard]] std::optional<std::uint64_t> residentVersion(const Core::TargetId &replica,
                                                                const std::string &name) const;
 
     // Records that a request was sent to the replica. Its prompt counts as unprocessed until the response starts.
-    void recordAttemptStarted(const Core::TargetId &replica, const CallerRequest &request);
+    void recordAttemptStarted(const Core::TargetId &replica, const CallerRequest &request, Core::TimePoint now);
     // Records that the response has started.
     void recordResponseStarted(const Core::TargetId &replica, const CallerRequest &request);
     void recordAttemptEnded(const Core::TargetId &replica, const CallerRequest &request, bool hasResponded);
@@ -99,6 +106,7 @@
         std::uint64_t startedAt = 0;
         unsigned otherHostsActive = 0; // Running requests of other hosts.
         std::uint64_t otherHostsWaitingTokens = 0;
+        Placement::RequestLimit limit;
         unsigned active = 0; // Running requests of this host.
         std::uint64_t waitingTokens = 0;
         std::map<std::string, unsigned> running; // Running requests of this host, by "model/adapter".
@@ -118,8 +126,8 @@
     // The listed replicas that could serve the request and aren't draining.
     [[nodiscard]] std::vector<const Fleet::Replica *> servingReplicas(const CallerRequest &request,
                                                                       const std::string &service) const;
-    // Whether the replica isn't paused. Requests that were held off by a pause fill its free slots only, as they would
-    // otherwise all arrive at once.
+    // Whether the replica is neither paused nor at its limit. Requests that were held off by a pause fill its free
+    // slots only, as they would otherwise all arrive at once.
     [[nodiscard]] bool acceptsRequests(const Fleet::Replica &replica, Core::TimePoint now) const;
     // The adapter name is empty for requests that need no adapter.
     [[nodiscard]] Placement::Candidate candidate(const Fleet::Replica &replica, const std::string &adapter,
@@ -132,6 +140,7 @@
     Placement::ReplicaChooser m_chooser;
     IsHeldFunction m_isHeld;
     HostCountFunction m_hostCount;
+    double m_phase;
     LeavingFunction m_leaving;
     Placement::ReplicaHealth m_health;
     Placement::ReplicaPauses m_pauses;
--- a/Libraries/LibGateway/ForwardedRequest.cpp
+++ b/Libraries/LibGateway/ForwardedRequest.cpp
@@ -213,7 +213,8 @@
     m_stage = Stage::Sending;
     ++m_sends;
     ++m_arrivals;
-    m_lastProgressAt = m_dependencies.scheduler.now();
+    m_sentAt = m_dependencies.scheduler.now();
+    m_lastProgressAt = m_sentAt;
     m_head = {};
     m_hasHead = false;
     m_hasResponseBody = false;
@@ -221,7 +222,7 @@
     m_isHarmless = false;
     m_body.clear();
     m_events.dropPartial();
-    m_dependencies.fleet.recordAttemptStarted(m_replica.id, m_request);
+    m_dependencies.fleet.recordAttemptStarted(m_replica.id, m_request, m_sentAt);
     auto outgoing = m_dependencies.protocol.writeRequest(
         m_request,
         {.replica = m_replica.id,
@@ -288,7 +289,7 @@
 Core::Duration ForwardedRequest::pauseLeft() const
 {
     const auto now = m_dependencies.scheduler.now();
-    const auto end = m_dependencies.fleet.firstPauseEnd(m_request, m_service, now);
+    const auto end = m_dependencies.fleet.firstAcceptance(m_request, m_service, now);
     if (!end.has_value()) {
         return {};
     }
--- a/Libraries/LibGateway/ForwardedRequest.h
+++ b/Libraries/LibGateway/ForwardedRequest.h
@@ -66,6 +66,7 @@
     void handleHead(long status, const Net::HttpFields &fields);
     // Records what the replica says in the head of its response about further requests.
     void recordAnnouncements();
+    void recordLimit();
     void handleBody(std::string_view bytes);
     void forwardEvents(std::string_view bytes);
     // Ends the attempt because the replica sends something that is no response.
@@ -101,7 +102,8 @@
     void endAttempt();
     void retryOrFail(std::string_view reason);
     void refuse(std::string_view reason, Core::Duration retryAfter);
-    // How long the caller should stay away because all replicas are paused; zero if they aren't.
+    // How long the caller should stay away because all replicas are paused or at their limits; zero if
+    // they aren't.
     [[nodiscard]] Core::Duration pauseLeft() const;
     void fail(unsigned status, std::string_view reason);
     void handleDeadline();
@@ -143,6 +145,7 @@
     Fleet::Replica m_replica;
     std::uint64_t m_version = 0; // Version of the adapter at the replica; zero without an adapter.
     Net::HttpRequestId m_transfer = Net::HttpRequestId::None;
+    Core::TimePoint m_sentAt {};
     // When the attempt started, or its head, the last bytes of its body, or the last complete event of a stream
     // arrived.
     Core::TimePoint m_lastProgressAt {};
--- a/Libraries/LibGateway/ForwardedRequestResponses.cpp
+++ b/Libraries/LibGateway/ForwardedRequestResponses.cpp
@@ -61,6 +61,7 @@
         m_dependencies.metrics.count("currantbay_replicas_leaving_total");
         Log::write(Log::Event::ReplicaLeaving, {{"request", m_request.attemptId}, {"replica", m_replica.id.value}});
     }
+    recordLimit();
     if (!m_head.pause.has_value()) {
         return;
     }
@@ -76,6 +77,25 @@
     }
 }
 
+void ForwardedRequest::recordLimit()
+{
+    using Change = Placement::RequestLimit::Change;
+    if (!m_head.requestLimit.has_value() && !m_head.namesNoLimit) {
+        return;
+    }
+    const auto now = m_dependencies.scheduler.now();
+    const auto change = m_dependencies.fleet.recordLimit(m_replica, m_head.requestLimit, m_sentAt, now);
+    if (change == Change::Begun) {
+        m_dependencies.metrics.count("currantbay_replica_limits_total");
+        Log::write(Log::Event::ReplicaLimited,
+                   {{"request", m_request.attemptId},
+                    {"replica", m_replica.id.value},
+                    {"perSecond", std::to_string(*m_head.requestLimit)}});
+    } else if (change == Change::Ended) {
+        Log::write(Log::Event::ReplicaLimitEnded, {{"request", m_request.attemptId}, {"replica", m_replica.id.value}});
+    }
+}
+
 void ForwardedRequest::handleBody(std::string_view bytes)
 {
     if (m_stage != Stage::Sending) {
@@ -158,8 +178,7 @@
 {
     if (result.mayHaveBeenSent && !result.isTimedOut) {
         m_dependencies.crashes.recordBreak(
-            m_replica, isUnproven() ? ReplicaCrashes::Role::Suspect : ReplicaCrashes::Role::Bystander,
-            m_fingerprints);
+            m_replica, isUnproven() ? ReplicaCrashes::Role::Suspect : ReplicaCrashes::Role::Bystander, m_fingerprints);
     }
     handleInterruption(result);
 }
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -1,10 +1,12 @@
 #include <LibGateway/Gateway.h>
 
 #include <LibCore/HttpStatus.h>
+#include <LibCore/Rendezvous.h>
 #include <LibFleet/AdapterName.h>
 #include <LibGateway/Framing.h>
 #include <LibGateway/Refusal.h>
 #include <LibLog/Log.h>
+#include <limits>
 
 namespace Gateway {
 
@@ -12,6 +14,12 @@
 
 constexpr auto RetryAfterStart = std::chrono::milliseconds(100);
 
+double phaseOf(const Core::HostId &host)
+{
+    return static_cast<double>(Core::stableHash(host.value))
+        / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+}
+
 }
 
 Gateway::Gateway(GatewayDependencies dependencies, GatewayOptions options)
@@ -28,7 +36,8 @@
           },
           [this] {
               return m_holders.liveHostCount();
-          })
+          },
+          phaseOf(m_options.holding.self.host))
     , m_retryBudget(m_options.retryBudget)
     , m_quarantine(m_dependencies.scheduler, m_router,
                    {.self = {.id = m_options.holding.self.host, .zone = m_options.holding.self.zone},
--- a/Libraries/LibGateway/Tests/ForwardingHarness.h
+++ b/Libraries/LibGateway/Tests/ForwardingHarness.h
@@ -92,7 +92,8 @@
     bool isAborted = false;
 };
 
-// Reads the headers "Not-Run", "Stream", "Framed", "Leaving" and "Pause", which is in milliseconds.
+// Reads the headers "Not-Run", "Stream", "Framed", "Leaving", "Limit" and "Pause", which is in
+// milliseconds.
 class PlainProtocol final : public Gateway::Protocol
 {
 public:
@@ -120,6 +121,11 @@
         if (const auto pause = Net::valueOf(fields, "Pause"); !pause.empty()) {
             head.pause = std::chrono::milliseconds(std::stoll(std::string(pause)));
         }
+        const auto limit = Net::valueOf(fields, "Limit");
+        head.namesNoLimit = limit.empty();
+        if (!limit.empty() && limit != "unreadable") {
+            head.requestLimit = std::stod(std::string(limit));
+        }
         return head;
     }
 };
--- a/Libraries/LibGateway/Tests/GatewayPartsTest.cpp
+++ b/Libraries/LibGateway/Tests/GatewayPartsTest.cpp
@@ -280,7 +280,7 @@
     {
         m_replicas.apply(changesWithReplica(1), true, m_now, m_now - 1min);
         m_view.refresh(m_now);
-        m_view.recordAttemptStarted({"r"}, request());
+        m_view.recordAttemptStarted({"r"}, request(), m_now);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_view.collectUse(m_now).size());
         CPPUNIT_ASSERT(m_view.collectUse(m_now + 75ms).empty());
         m_view.recordResponseStarted({"r"}, request());
