LibGateway: Keep to the request limits that replicas name

A replica at its limit is no candidate, one near it costs like one whose slots fill up, and if all are at their limits a request is refused at once with the time until there is room. First sends, retries, continuations and requests whose load has ended count when they are sent. The holder tells each host what the others have sent in the window, so that whoever has a request uses what is left; hosts without that news keep to an equal share and take turns where it is less than one request. Hosts of other versions ignore the additional field of the notices.

LimitedReplicaTest guards each of these; without the check of the limit in acceptsRequests its tests fail. RequestLimitTest plays 1, 6 and 60 hosts.

--- a/Libraries/LibGateway/FleetView.cpp
+++ b/Libraries/LibGateway/FleetView.cpp
@@ -113,6 +113,7 @@
         if (now - view.loadUpdatedAt >= HolderNoticeLifetime) {
             view.otherHostsActive = 0;
             view.otherHostsWaitingTokens = 0;
+            view.otherHostsSent = 0;
             view.loadDelay = {};
         }
         if (now - view.holderNoticeAt < HolderNoticeLifetime) {
@@ -135,6 +136,7 @@
     view.loadDelay = std::chrono::milliseconds(load.loadDelayMilliseconds);
     view.otherHostsActive = load.active - std::min(load.active, view.reported.active);
     view.otherHostsWaitingTokens = load.waitingTokens - std::min(load.waitingTokens, view.reported.waitingTokens);
+    view.otherHostsSent = load.recentlySent - std::min(load.recentlySent, view.reported.recentlySent);
 }
 
 void FleetView::applyExchangedLoad(const Holding::ReplicaLoad &load, Core::TimePoint now)
@@ -223,6 +225,14 @@
     return view->second.limit.record(perSecond, sentAt, now);
 }
 
+Placement::LimitSharing FleetView::sharing(const ReplicaView &view, Core::TimePoint now) const
+{
+    const bool isKnown = now - view.loadUpdatedAt < HolderNoticeLifetime;
+    return {.othersRecent = isKnown ? std::optional(view.otherHostsSent) : std::nullopt,
+            .hostCount = m_hostCount(),
+            .phase = m_phase};
+}
+
 bool FleetView::acceptsRequests(const Fleet::Replica &replica, Core::TimePoint now) const
 {
     const Placement::ReplicaPauses::Incarnation incarnation {replica.id, replica.startedAt};
@@ -237,7 +247,8 @@
     if (m_pauses.isReturning(incarnation, now) && active >= std::max(replica.slots, 1U)) {
         return false;
     }
-    return true;
+    const auto &limit = view->second.limit;
+    return !limit.isSet() || limit.usedShare(sharing(view->second, now), now) < 1;
 }
 
 bool FleetView::isAvailable(const Fleet::Replica &replica, Core::TimePoint now) const
@@ -262,7 +273,10 @@
 {
     std::optional<Core::TimePoint> first;
     for (const auto *replica : servingReplicas(request, service)) {
-        const auto at = m_pauses.endOf({replica->id, replica->startedAt}, now).value_or(now);
+        auto at = m_pauses.endOf({replica->id, replica->startedAt}, now).value_or(now);
+        if (const auto view = m_views.find(replica->id); view != m_views.end()) {
+            at = std::max(at, now + view->second.limit.untilRoom(sharing(view->second, now), now));
+        }
         if (at <= now) {
             return std::nullopt;
         }
@@ -295,6 +309,7 @@
                                     .zone = replica.zone,
                                     .slots = replica.slots,
                                     .active = view.active + view.otherHostsActive,
+                                    .usedLimit = view.limit.usedShare(sharing(view, now), now),
                                     .waitingTokens = view.waitingTokens + view.otherHostsWaitingTokens,
                                     .loadDelay = view.loadDelay,
                                     .penalty = m_health.penalty(replica.id, now),
@@ -374,16 +389,17 @@
         Holding::ReplicaUse use {.replica = id,
                                  .active = view.active,
                                  .waitingTokens = view.waitingTokens,
-                                 .adapters = {}};
+                                 .adapters = {},
+                                 .recentlySent = view.limit.recent(now)};
         for (const auto &[name, count] : view.running) {
             use.adapters.push_back(name);
         }
         use.adapters.insert(use.adapters.end(), view.recentlyUsed.begin(), view.recentlyUsed.end());
         view.recentlyUsed.clear();
-        const bool isUsed = use.active > 0 || !use.adapters.empty();
+        const bool isUsed = use.active > 0 || !use.adapters.empty() || use.recentlySent > 0;
         const bool isDue = isUsed && now - view.reportedAt >= UseRefreshPeriod;
         const bool isChanged = use.active != view.reported.active || use.waitingTokens != view.reported.waitingTokens
-            || use.adapters != view.reported.adapters;
+            || use.adapters != view.reported.adapters || use.recentlySent != view.reported.recentlySent;
         if (isDue || isChanged) {
             view.reported = use;
             view.reportedAt = now;
--- a/Libraries/LibGateway/FleetView.h
+++ b/Libraries/LibGateway/FleetView.h
@@ -106,6 +106,7 @@
         std::uint64_t startedAt = 0;
         unsigned otherHostsActive = 0; // Running requests of other hosts.
         std::uint64_t otherHostsWaitingTokens = 0;
+        unsigned otherHostsSent = 0; // Within the window of the request limit.
         Placement::RequestLimit limit;
         unsigned active = 0; // Running requests of this host.
         std::uint64_t waitingTokens = 0;
@@ -129,6 +130,8 @@
     // Whether the replica is neither paused nor at its limit. Requests that were held off by a pause fill its free
     // slots only, as they would otherwise all arrive at once.
     [[nodiscard]] bool acceptsRequests(const Fleet::Replica &replica, Core::TimePoint now) const;
+    // What is known of the other hosts that share the limit of the replica.
+    [[nodiscard]] Placement::LimitSharing sharing(const ReplicaView &view, Core::TimePoint now) const;
     // The adapter name is empty for requests that need no adapter.
     [[nodiscard]] Placement::Candidate candidate(const Fleet::Replica &replica, const std::string &adapter,
                                                  std::uint64_t newest, Core::TimePoint now) const;
--- a/Libraries/LibHolding/HoldingMessages.h
+++ b/Libraries/LibHolding/HoldingMessages.h
@@ -47,8 +47,10 @@
     std::uint32_t active = 0; // Requests sent but not completed.
     std::uint64_t waitingTokens = 0; // Prompt tokens of the requests without a response so far.
     std::vector<std::string> adapters; // As "model/adapter", used by requests at any time since the last notice.
+    // Requests sent within the window of the replica's request limit; zero if the host knows of no limit.
+    std::uint32_t recentlySent = 0;
 
-    MSGPACK_DEFINE(replica, active, waitingTokens, adapters)
+    MSGPACK_DEFINE(replica, active, waitingTokens, adapters, recentlySent)
 };
 
 // Sent by a host to the holders of the replicas that it uses, for as long as it uses them.
@@ -73,8 +75,9 @@
     std::uint32_t active = 0; // Requests from all hosts, including the receiver.
     std::uint64_t waitingTokens = 0; // Prompt tokens of the requests without a response so far.
     std::uint32_t loadDelayMilliseconds = 0; // Time until the load of another adapter could start.
+    std::uint32_t recentlySent = 0; // Requests within the window of the replica's limit, from hosts that know of it.
 
-    MSGPACK_DEFINE(replica, active, waitingTokens, loadDelayMilliseconds)
+    MSGPACK_DEFINE(replica, active, waitingTokens, loadDelayMilliseconds, recentlySent)
 };
 
 // The load of a replica and the adapters in its memory, or those that have changed since the last notice.
--- a/Libraries/LibHolding/NoticeSeries.cpp
+++ b/Libraries/LibHolding/NoticeSeries.cpp
@@ -10,7 +10,7 @@
 bool isEqual(const ReplicaLoad &left, const ReplicaLoad &right)
 {
     return left.active == right.active && left.waitingTokens == right.waitingTokens
-        && left.loadDelayMilliseconds == right.loadDelayMilliseconds;
+        && left.loadDelayMilliseconds == right.loadDelayMilliseconds && left.recentlySent == right.recentlySent;
 }
 
 bool contains(const std::vector<ResidentAdapter> &adapters, const ResidentAdapter &wanted)
--- a/Libraries/LibHolding/ReplicaController.cpp
+++ b/Libraries/LibHolding/ReplicaController.cpp
@@ -315,6 +315,7 @@
         }
         load.active += use.use.active;
         load.waitingTokens += use.use.waitingTokens;
+        load.recentlySent += use.use.recentlySent;
     }
     return load;
 }
--- a/Libraries/LibPlacement/ReplicaChooser.cpp
+++ b/Libraries/LibPlacement/ReplicaChooser.cpp
@@ -58,10 +58,8 @@
 
 Core::Duration ReplicaChooser::crowdingCost(const PlacementRequest &placement, const Candidate &candidate) const
 {
-    if (candidate.slots == 0) {
-        return {};
-    }
-    const auto usedShare = static_cast<double>(candidate.active) / candidate.slots;
+    const auto usedSlots = candidate.slots == 0 ? 0 : static_cast<double>(candidate.active) / candidate.slots;
+    const auto usedShare = std::max(usedSlots, candidate.usedLimit);
     const std::chrono::duration<double, std::milli> fullCost = m_options.fullCost;
     auto cost = fullCost * std::max(0.0, 2 * usedShare - 1);
     if (candidate.residency == Residency::Resident) {
--- a/Libraries/LibPlacement/ReplicaChooser.h
+++ b/Libraries/LibPlacement/ReplicaChooser.h
@@ -29,6 +29,7 @@
     bool isCached = false; // The adapter isn't in memory, but has been recently, so that it loads without the store.
     unsigned slots = 0;
     unsigned active = 0; // Requests that run or wait at the replica, from all hosts as far as known.
+    double usedLimit = 0; // The part of the replica's request limit that is used; zero without a limit.
     std::uint64_t waitingTokens = 0; // Prompt tokens of requests that wait for prefill.
     Core::Duration loadDelay {}; // Time until a load could start.
     Core::Duration penalty {}; // For recent failures.
@@ -62,8 +63,9 @@
     double additionalCopyDemand = 4;
     Core::Duration costPerRank = std::chrono::microseconds(50); // Breaks ties between replicas of equal cost.
     Core::Duration costPerActive = std::chrono::milliseconds(1); // Delay of a response by each running request.
-    // Cost of a replica all of whose slots are in use; from half of the slots on, each running request adds an equal
-    // part. A replica that fills up before its load is known everywhere interrupts its less urgent requests.
+    // Cost of a replica all of whose slots, or whose whole request limit, are in use; from half of them on, each
+    // request adds an equal part. A replica that fills up before its load is known everywhere interrupts its less
+    // urgent requests.
     Core::Duration fullCost = std::chrono::milliseconds(160);
     // Hosts that know the same loads, which are some hundred milliseconds old, choose differently within this span, of
     // which a replica gets the share of its slots that is in use.
