LibPlacement: Share what replicas tolerate beyond their limits by turns

The limit is a cost now, and what the replica doesn't tolerate is ruled out: 0.8 of one and a half times the limit and five requests, as the retry budget keeps a fifth for what isn't known yet. What the others have sent counts as falling no faster than it leaves the window.

--- a/Libraries/LibGateway/FleetView.cpp
+++ b/Libraries/LibGateway/FleetView.cpp
@@ -3,6 +3,7 @@
 #include <LibCore/Rendezvous.h>
 #include <LibFleet/AdapterName.h>
 #include <algorithm>
+#include <limits>
 
 namespace Gateway {
 
@@ -27,13 +28,13 @@
 
 FleetView::FleetView(Fleet::ReplicaSet &replicas, const Fleet::ReleaseTable &releases,
                      Placement::ReplicaChooserOptions chooser, IsHeldFunction isHeld, HostCountFunction hostCount,
-                     double phase)
+                     std::uint64_t turnSeed)
     : m_replicas(replicas)
     , m_releases(releases)
     , m_chooser(std::move(chooser))
     , m_isHeld(std::move(isHeld))
     , m_hostCount(std::move(hostCount))
-    , m_phase(phase)
+    , m_turnSeed(turnSeed)
 {
 }
 
@@ -113,7 +114,6 @@
         if (now - view.loadUpdatedAt >= HolderNoticeLifetime) {
             view.otherHostsActive = 0;
             view.otherHostsWaitingTokens = 0;
-            view.otherHostsSent = 0;
             view.loadDelay = {};
         }
         if (now - view.holderNoticeAt < HolderNoticeLifetime) {
@@ -136,7 +136,8 @@
     view.loadDelay = std::chrono::milliseconds(load.loadDelayMilliseconds);
     view.otherHostsActive = load.active - std::min(load.active, view.reported.active);
     view.otherHostsWaitingTokens = load.waitingTokens - std::min(load.waitingTokens, view.reported.waitingTokens);
-    view.otherHostsSent = load.recentlySent - std::min(load.recentlySent, view.reported.recentlySent);
+    view.limit.recordOthers(load.recentlySent - std::min(load.recentlySent, view.reported.recentlySent), load.senders,
+                            now);
 }
 
 void FleetView::applyExchangedLoad(const Holding::ReplicaLoad &load, Core::TimePoint now)
@@ -225,12 +226,14 @@
     return view->second.limit.record(perSecond, sentAt, now);
 }
 
-Placement::LimitSharing FleetView::sharing(const ReplicaView &view, Core::TimePoint now) const
+Placement::LimitSharing FleetView::sharing(const Core::TargetId &replica, const ReplicaView &view,
+                                           Core::TimePoint now) const
 {
-    const bool isKnown = now - view.loadUpdatedAt < HolderNoticeLifetime;
-    return {.othersRecent = isKnown ? std::optional(view.otherHostsSent) : std::nullopt,
+    // Each replica has an order of its own, so that no host has its turn at all of them together.
+    const auto hash = static_cast<double>(Core::stableHash(replica.value, m_turnSeed));
+    return {.isNewsRecent = now - view.loadUpdatedAt < HolderNoticeLifetime,
             .hostCount = m_hostCount(),
-            .phase = m_phase};
+            .phase = hash / static_cast<double>(std::numeric_limits<std::uint64_t>::max())};
 }
 
 bool FleetView::acceptsRequests(const Fleet::Replica &replica, Core::TimePoint now) const
@@ -247,8 +250,7 @@
     if (m_pauses.isReturning(incarnation, now) && active >= std::max(replica.slots, 1U)) {
         return false;
     }
-    const auto &limit = view->second.limit;
-    return !limit.isSet() || limit.usedShare(sharing(view->second, now), now) < 1;
+    return view->second.limit.untilRoom(sharing(replica.id, view->second, now), now) == Core::Duration::zero();
 }
 
 bool FleetView::isAvailable(const Fleet::Replica &replica, Core::TimePoint now) const
@@ -275,7 +277,7 @@
     for (const auto *replica : servingReplicas(request, service)) {
         auto at = m_pauses.endOf({replica->id, replica->startedAt}, now).value_or(now);
         if (const auto view = m_views.find(replica->id); view != m_views.end()) {
-            at = std::max(at, now + view->second.limit.untilRoom(sharing(view->second, now), now));
+            at = std::max(at, now + view->second.limit.untilRoom(sharing(replica->id, view->second, now), now));
         }
         if (at <= now) {
             return std::nullopt;
@@ -309,7 +311,7 @@
                                     .zone = replica.zone,
                                     .slots = replica.slots,
                                     .active = view.active + view.otherHostsActive,
-                                    .usedLimit = view.limit.usedShare(sharing(view, now), now),
+                                    .usedLimit = view.limit.usedShare(now),
                                     .waitingTokens = view.waitingTokens + view.otherHostsWaitingTokens,
                                     .loadDelay = view.loadDelay,
                                     .penalty = m_health.penalty(replica.id, now),
--- a/Libraries/LibGateway/FleetView.h
+++ b/Libraries/LibGateway/FleetView.h
@@ -29,10 +29,10 @@
     // Called after a replica was found to leave.
     using LeavingFunction = std::function<void()>;
 
-    // The phase differs between hosts, from 0 to 1; see Placement::LimitSharing.
+    // The seed differs between hosts. It decides in which order they take turns at a replica.
     FleetView(Fleet::ReplicaSet &replicas, const Fleet::ReleaseTable &releases,
               Placement::ReplicaChooserOptions chooser, IsHeldFunction isHeld, HostCountFunction hostCount,
-              double phase = 1);
+              std::uint64_t turnSeed = 0);
 
     // Applies the list's entries after a change.
     void refresh(Core::TimePoint now);
@@ -106,7 +106,6 @@
         std::uint64_t startedAt = 0;
         unsigned otherHostsActive = 0; // Running requests of other hosts.
         std::uint64_t otherHostsWaitingTokens = 0;
-        unsigned otherHostsSent = 0; // Within the window of the request limit.
         Placement::RequestLimit limit;
         unsigned active = 0; // Running requests of this host.
         std::uint64_t waitingTokens = 0;
@@ -131,7 +130,8 @@
     // slots only, as they would otherwise all arrive at once.
     [[nodiscard]] bool acceptsRequests(const Fleet::Replica &replica, Core::TimePoint now) const;
     // What is known of the other hosts that share the limit of the replica.
-    [[nodiscard]] Placement::LimitSharing sharing(const ReplicaView &view, Core::TimePoint now) const;
+    [[nodiscard]] Placement::LimitSharing sharing(const Core::TargetId &replica, const ReplicaView &view,
+                                                  Core::TimePoint now) const;
     // The adapter name is empty for requests that need no adapter.
     [[nodiscard]] Placement::Candidate candidate(const Fleet::Replica &replica, const std::string &adapter,
                                                  std::uint64_t newest, Core::TimePoint now) const;
@@ -143,7 +143,7 @@
     Placement::ReplicaChooser m_chooser;
     IsHeldFunction m_isHeld;
     HostCountFunction m_hostCount;
-    double m_phase;
+    std::uint64_t m_turnSeed;
     LeavingFunction m_leaving;
     Placement::ReplicaHealth m_health;
     Placement::ReplicaPauses m_pauses;
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -6,7 +6,6 @@
 #include <LibGateway/Framing.h>
 #include <LibGateway/Refusal.h>
 #include <LibLog/Log.h>
-#include <limits>
 
 namespace Gateway {
 
@@ -14,12 +13,6 @@
 
 constexpr auto RetryAfterStart = std::chrono::milliseconds(100);
 
-double phaseOf(const Core::HostId &host)
-{
-    return static_cast<double>(Core::stableHash(host.value))
-        / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
-}
-
 }
 
 Gateway::Gateway(GatewayDependencies dependencies, GatewayOptions options)
@@ -37,7 +30,7 @@
           [this] {
               return m_holders.liveHostCount();
           },
-          phaseOf(m_options.holding.self.host))
+          Core::stableHash(m_options.holding.self.host.value))
     , m_retryBudget(m_options.retryBudget)
     , m_quarantine(m_dependencies.scheduler, m_router,
                    {.self = {.id = m_options.holding.self.host, .zone = m_options.holding.self.zone},
--- a/Libraries/LibHolding/HoldingMessages.h
+++ b/Libraries/LibHolding/HoldingMessages.h
@@ -76,8 +76,9 @@
     std::uint64_t waitingTokens = 0; // Prompt tokens of the requests without a response so far.
     std::uint32_t loadDelayMilliseconds = 0; // Time until the load of another adapter could start.
     std::uint32_t recentlySent = 0; // Requests within the window of the replica's limit, from hosts that know of it.
+    std::uint32_t senders = 0; // Hosts that have sent these.
 
-    MSGPACK_DEFINE(replica, active, waitingTokens, loadDelayMilliseconds, recentlySent)
+    MSGPACK_DEFINE(replica, active, waitingTokens, loadDelayMilliseconds, recentlySent, senders)
 };
 
 // The load of a replica and the adapters in its memory, or those that have changed since the last notice.
--- a/Libraries/LibHolding/NoticeSeries.cpp
+++ b/Libraries/LibHolding/NoticeSeries.cpp
@@ -10,7 +10,8 @@
 bool isEqual(const ReplicaLoad &left, const ReplicaLoad &right)
 {
     return left.active == right.active && left.waitingTokens == right.waitingTokens
-        && left.loadDelayMilliseconds == right.loadDelayMilliseconds && left.recentlySent == right.recentlySent;
+        && left.loadDelayMilliseconds == right.loadDelayMilliseconds && left.recentlySent == right.recentlySent
+        && left.senders == right.senders;
 }
 
 bool contains(const std::vector<ResidentAdapter> &adapters, const ResidentAdapter &wanted)
--- a/Libraries/LibPlacement/RequestLimit.cpp
+++ b/Libraries/LibPlacement/RequestLimit.cpp
@@ -9,6 +9,14 @@
 
 using Seconds = std::chrono::duration<double>;
 
+// The least that counts as allowed in a window, so that the used share of a limit of zero is defined.
+constexpr double LeastAllowed = 1;
+
+Core::Duration toDuration(Seconds seconds)
+{
+    return std::chrono::duration_cast<Core::Duration>(seconds);
+}
+
 }
 
 RequestLimit::RequestLimit(RequestLimitOptions options)
@@ -31,6 +39,7 @@
     }
     m_perSecond.reset();
     m_sends.clear();
+    m_others = 0;
     return Change::Ended;
 }
 
@@ -39,73 +48,87 @@
     if (!m_perSecond.has_value()) {
         return;
     }
-    // The last one is kept, as it decides when the next one may follow if the share of this host is less than one.
     while (!m_sends.empty() && now - m_sends.front() >= m_options.window) {
         m_sends.pop_front();
     }
     m_sends.push_back(now);
 }
 
-bool RequestLimit::isSet() const
+void RequestLimit::recordOthers(unsigned count, std::size_t senders, Core::TimePoint now)
 {
-    return m_perSecond.has_value();
+    if (!m_perSecond.has_value()) {
+        return;
+    }
+    m_others = std::max<double>(count, others(now));
+    m_othersAt = now;
+    if (senders >= m_senders || now - m_sendersAt >= 2 * m_options.window) {
+        m_senders = std::max<std::size_t>(senders, 1);
+        m_sendersAt = now;
+    }
 }
 
 unsigned RequestLimit::recent(Core::TimePoint now) const
 {
-    const auto first = std::upper_bound(m_sends.begin(), m_sends.end(), now - m_options.window);
-    return static_cast<unsigned>(m_sends.end() - first);
+    return sentWithin(m_options.window, now);
 }
 
-double RequestLimit::allowedPerWindow() const
+unsigned RequestLimit::sentWithin(Core::Duration time, Core::TimePoint now) const
 {
-    return std::max(*m_perSecond * Seconds(m_options.window).count(), m_options.minPerWindow);
+    const auto first = std::upper_bound(m_sends.begin(), m_sends.end(), now - time);
+    return static_cast<unsigned>(m_sends.end() - first);
 }
 
-double RequestLimit::equalShare(const LimitSharing &sharing) const
+double RequestLimit::others(Core::TimePoint now) const
 {
-    return allowedPerWindow() / static_cast<double>(std::max<std::size_t>(sharing.hostCount, 1));
+    return m_others * std::max(0.0, 1 - Seconds(now - m_othersAt) / Seconds(m_options.window));
 }
 
-std::optional<Core::Duration> RequestLimit::sparseInterval(const LimitSharing &sharing) const
+double RequestLimit::toleratedPerWindow() const
 {
-    const auto share = equalShare(sharing);
-    if (sharing.othersRecent.has_value() || share >= 1) {
-        return std::nullopt;
-    }
-    return std::chrono::duration_cast<Core::Duration>(Seconds(m_options.window) / share);
+    const auto perWindow = *m_perSecond * Seconds(m_options.window).count();
+    return m_options.usableShare * (m_options.tolerance * perWindow + m_options.burst);
 }
 
-Core::TimePoint RequestLimit::nextTurn(const LimitSharing &sharing, Core::Duration interval) const
-{
-    return m_sends.empty() ? m_begunAt + std::chrono::duration_cast<Core::Duration>(interval * sharing.phase)
-                           : m_sends.back() + interval;
-}
-
-double RequestLimit::usedShare(const LimitSharing &sharing, Core::TimePoint now) const
+double RequestLimit::usedShare(Core::TimePoint now) const
 {
     if (!m_perSecond.has_value()) {
         return 0;
     }
-    if (const auto interval = sparseInterval(sharing); interval.has_value()) {
-        return now < nextTurn(sharing, *interval) ? 1 : 0;
-    }
-    const bool isShared = sharing.othersRecent.has_value();
-    const double used = recent(now) + sharing.othersRecent.value_or(0);
-    const auto allowed = isShared ? allowedPerWindow() : equalShare(sharing);
-    return used + 1 > allowed ? std::max(used / allowed, 1.0) : used / allowed;
+    return (recent(now) + others(now)) / std::max(*m_perSecond * Seconds(m_options.window).count(), LeastAllowed);
 }
 
 Core::Duration RequestLimit::untilRoom(const LimitSharing &sharing, Core::TimePoint now) const
 {
-    if (usedShare(sharing, now) < 1) {
+    if (!m_perSecond.has_value()) {
         return {};
     }
-    if (const auto interval = sparseInterval(sharing); interval.has_value()) {
-        return nextTurn(sharing, *interval) - now;
+    const Seconds window = m_options.window;
+    const auto tolerated = toleratedPerWindow();
+    const auto share = tolerated / static_cast<double>(std::max<std::size_t>(sharing.hostCount, 1));
+    if (!sharing.isNewsRecent && share < 1) {
+        return std::max<Core::Duration>(nextTurn(sharing, toDuration(window / share)) - now, {});
+    }
+    const double own = recent(now);
+    const auto room = tolerated - own - others(now);
+    const bool isWithinShare = sharing.isNewsRecent ? hasTurn(room, sharing, now) : own + 1 <= share;
+    // Until there is room, the requests of the window are taken to be spread evenly over it.
+    return isWithinShare && room >= 1 ? Core::Duration {} : toDuration(window / tolerated);
+}
+
+bool RequestLimit::hasTurn(double room, const LimitSharing &sharing, Core::TimePoint now) const
+{
+    const auto sent = sentWithin(m_options.turn, now);
+    if (const auto part = room / static_cast<double>(m_senders); part >= 1) {
+        return sent < part;
     }
-    // The requests of the window are taken to be spread evenly over it.
-    return std::chrono::duration_cast<Core::Duration>(Seconds(m_options.window) / allowedPerWindow());
+    const auto turn = static_cast<std::size_t>(now.time_since_epoch() / m_options.turn);
+    const auto position = turn + static_cast<std::size_t>(sharing.phase * static_cast<double>(m_senders));
+    return sent == 0 && static_cast<double>(position % m_senders) < room;
+}
+
+Core::TimePoint RequestLimit::nextTurn(const LimitSharing &sharing, Core::Duration interval) const
+{
+    return m_sends.empty() ? m_begunAt + toDuration(Seconds(interval) * sharing.phase) : m_sends.back() + interval;
 }
 
 }
--- a/Libraries/LibPlacement/RequestLimit.h
+++ b/Libraries/LibPlacement/RequestLimit.h
@@ -8,22 +8,27 @@
 
 struct RequestLimitOptions {
     Core::Duration window = std::chrono::seconds(4); // Over which the limit is averaged.
-    // A replica whose limit is lower is sent this many requests per window all the same, because only their responses
-    // show that it is limited no longer.
-    double minPerWindow = 1;
+    // A replica tolerates this multiple of its limit and so many requests more in a window.
+    double tolerance = 1.5;
+    double burst = 5;
+    // The usable part of that. The rest allows for what hosts don't know yet of each other.
+    double usableShare = 0.8;
+    // About the age of what hosts know of each other. Within this time each uses its part of the room, and takes turns
+    // with the others if that is less than a request. Otherwise all of them would use the same room.
+    Core::Duration turn = std::chrono::milliseconds(200);
 };
 
-// What is known of the other hosts that share the limit of a replica.
+// What is known of the hosts that share the limit of a replica.
 struct LimitSharing {
-    std::optional<unsigned> othersRecent; // Requests that they have sent within the window; empty if that isn't known.
+    bool isNewsRecent = false; // Whether this host is being told what the others send.
     std::size_t hostCount = 1; // Hosts that may send requests, including this one.
-    // Differs between hosts, from 0 to 1. Hosts that send less than one request per window take turns by it.
+    // Differs between hosts, from 0 to 1. Hosts take turns by it.
     double phase = 1;
 };
 
 // The number of requests per second that a replica in need accepts from all hosts together, for as long as its
-// responses say so. While the requests of the other hosts are known, whoever has one uses what is left of the limit.
-// Otherwise each host keeps to an equal share.
+// responses say so. While a host is told what the others send, it uses what is left of the limit. Otherwise it keeps to
+// an equal share. Replicas at their limit cost more than others; only what the replica doesn't tolerate is ruled out.
 class RequestLimit
 {
 public:
@@ -37,19 +42,26 @@
     Change record(std::optional<double> perSecond, Core::TimePoint sentAt, Core::TimePoint now);
     // Records a request of this host. Has no effect without a limit.
     void recordSend(Core::TimePoint now);
-    [[nodiscard]] bool isSet() const;
+    // Records how many requests the other hosts have sent within the window, and how many hosts have sent any. A new
+    // holder knows only some of them at first, so the number of requests counts as falling no faster than requests
+    // leave the window, and a larger number of hosts for another window.
+    void recordOthers(unsigned count, std::size_t senders, Core::TimePoint now);
     // Requests that this host has sent within the window; zero without a limit.
     [[nodiscard]] unsigned recent(Core::TimePoint now) const;
-    // The part of the limit that is used: 1 or more if no further request may be sent, 0 without a limit.
-    [[nodiscard]] double usedShare(const LimitSharing &sharing, Core::TimePoint now) const;
+    // The requests within the window as a part of what the limit allows in it; zero without a limit.
+    [[nodiscard]] double usedShare(Core::TimePoint now) const;
     // The time until this host may send a request; zero if it may at once.
     [[nodiscard]] Core::Duration untilRoom(const LimitSharing &sharing, Core::TimePoint now) const;
 
 private:
-    [[nodiscard]] double allowedPerWindow() const;
-    [[nodiscard]] double equalShare(const LimitSharing &sharing) const;
-    // The interval between requests of this host if an equal share is less than one request per window.
-    [[nodiscard]] std::optional<Core::Duration> sparseInterval(const LimitSharing &sharing) const;
+    // Requests per window that the replica tolerates from all hosts, as far as they are usable.
+    [[nodiscard]] double toleratedPerWindow() const;
+    // Requests of the other hosts within the window.
+    [[nodiscard]] double others(Core::TimePoint now) const;
+    // Requests that this host has sent within the time.
+    [[nodiscard]] unsigned sentWithin(Core::Duration time, Core::TimePoint now) const;
+    // Whether this host may use the room, as a number of requests, at this time.
+    [[nodiscard]] bool hasTurn(double room, const LimitSharing &sharing, Core::TimePoint now) const;
     // When this host may send the next request if it sends one per interval.
     [[nodiscard]] Core::TimePoint nextTurn(const LimitSharing &sharing, Core::Duration interval) const;
 
@@ -58,6 +70,10 @@
     Core::TimePoint m_begunAt {};
     Core::TimePoint m_namedAt {}; // When a response last named it.
     std::deque<Core::TimePoint> m_sends; // Those within the window, and a few older ones.
+    double m_others = 0;
+    Core::TimePoint m_othersAt {};
+    std::size_t m_senders = 1;
+    Core::TimePoint m_sendersAt {};
 };
 
 }
