LibGateway: Hold orders back from replicas that are paused

A replica that wants nothing from this host for some time got no requests from it, but still the orders of the requests that waited for a load there. While it is paused this host has no fence number for it, so that nothing is ordered and those who wait are told at once. Reports are still read: they take no slot, and show when a restarted replica is back. queuedOrderWaitsForTheEndOfThePause shows it for an order behind another one.

--- a/Libraries/LibGateway/FleetView.cpp
+++ b/Libraries/LibGateway/FleetView.cpp
@@ -236,10 +236,15 @@
             .phase = hash / static_cast<double>(std::numeric_limits<std::uint64_t>::max())};
 }
 
+bool FleetView::isPaused(const Fleet::Replica &replica, Core::TimePoint now) const
+{
+    return m_pauses.endOf({replica.id, replica.startedAt}, now).has_value();
+}
+
 bool FleetView::acceptsRequests(const Fleet::Replica &replica, Core::TimePoint now) const
 {
     const Placement::ReplicaPauses::Incarnation incarnation {replica.id, replica.startedAt};
-    if (m_pauses.endOf(incarnation, now).has_value()) {
+    if (isPaused(replica, now)) {
         return false;
     }
     const auto view = m_views.find(replica.id);
--- a/Libraries/LibGateway/FleetView.h
+++ b/Libraries/LibGateway/FleetView.h
@@ -54,6 +54,8 @@
     // Records that the replica wants no requests from this host for some time.
     Placement::ReplicaPauses::Change recordPause(const Fleet::Replica &replica, Core::Duration pause,
                                                  Core::TimePoint now);
+    // Whether the replica wants nothing from this host at present.
+    [[nodiscard]] bool isPaused(const Fleet::Replica &replica, Core::TimePoint now) const;
     // Records the request limit that the replica names, or none, in the response to a request that was sent at this
     // time.
     Placement::RequestLimit::Change recordLimit(const Fleet::Replica &replica, std::optional<double> perSecond,
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -76,6 +76,9 @@
     void synchronizeControllers();
     // Passes the newest entries and settings to the controllers.
     void updateControllers();
+    // The fence number of orders to the replica; empty while this host may send none, because another host holds the
+    // replica or because the replica is paused.
+    [[nodiscard]] std::optional<std::uint64_t> orderFence(const Core::TargetId &replica) const;
     // The engine settings of the replica's service, or null if the service runs no models or there is no configuration.
     [[nodiscard]] const Routes::EngineSettings *engineOf(const Fleet::Replica &replica) const;
     void sendNotices();
--- a/Libraries/LibGateway/GatewayOrders.cpp
+++ b/Libraries/LibGateway/GatewayOrders.cpp
@@ -29,13 +29,20 @@
                                       m_dependencies.scheduler, m_dependencies.orders,
                                       Holding::ReplicaControllerOptions {.self = m_options.holding.self.host},
                                       [this](const Core::TargetId &target) {
-                                          return m_holders.orderFence(target);
+                                          return orderFence(target);
                                       },
                                       m_releases, *replica, *engine));
         }
     }
 }
 
+std::optional<std::uint64_t> Gateway::orderFence(const Core::TargetId &replica) const
+{
+    const auto *listed = m_replicas.find(replica);
+    const bool isPaused = listed != nullptr && m_fleet.isPaused(*listed, m_dependencies.scheduler.now());
+    return isPaused ? std::nullopt : m_holders.orderFence(replica);
+}
+
 void Gateway::updateControllers()
 {
     synchronizeControllers();
--- a/Libraries/LibGateway/Tests/PausedReplicaTest.cpp
+++ b/Libraries/LibGateway/Tests/PausedReplicaTest.cpp
@@ -1,4 +1,6 @@
 #include <LibGateway/Tests/ForwardingHarness.h>
+#include <LibHolding/ReplicaController.h>
+#include <LibHolding/Tests/FakeReplica.h>
 #include <cppunit/extensions/HelperMacros.h>
 
 using namespace std::chrono_literals;
@@ -19,6 +21,7 @@
     CPPUNIT_TEST(brokenStreamWaitsForTheEndOfThePause);
     CPPUNIT_TEST(pausedReplicaThatLeavesIsNotUsedAgain);
     CPPUNIT_TEST(newIncarnationIsNotPaused);
+    CPPUNIT_TEST(queuedOrderWaitsForTheEndOfThePause);
     CPPUNIT_TEST(forwardedResponseKeepsItsRetryAfter);
     CPPUNIT_TEST_SUITE_END();
 
@@ -261,6 +264,47 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(60), countSendsTo("r1"));
     }
 
+    // Requests that wait for a load are told at once, and the order isn't sent when its turn comes during the pause.
+    void queuedOrderWaitsForTheEndOfThePause()
+    {
+        Holding::FakeReplica orders(m_host.scheduler);
+        const Fleet::ReleaseTable releases;
+        Holding::ReplicaController controller(
+            m_host.scheduler, orders, {.self = {"h"}},
+            [this](const Core::TargetId &) -> std::optional<std::uint64_t> {
+                return m_host.fleet.isPaused(Harness::replica("r1"), m_host.scheduler.now())
+                    ? std::nullopt
+                    : std::optional<std::uint64_t>(7);
+            },
+            releases, Harness::replica("r1"),
+            {.weightMemory = 1000, .adapterSlots = 3, .models = {{.name = "m", .size = 100, .adapterSize = 1}}});
+        const auto run = [this, &controller](int ticks) {
+            for (int tick = 0; tick < ticks; ++tick) {
+                controller.tick();
+                m_host.scheduler.advance(50ms);
+            }
+        };
+        std::vector<std::uint8_t> outcomes;
+        const auto ask = [&controller, &outcomes](const std::string &adapter) {
+            controller.request({.replica = {"r1"}, .model = "m", .adapter = adapter}, [&outcomes](const auto &reply) {
+                outcomes.push_back(reply.outcome);
+            });
+        };
+        run(10);
+        ask("a0");
+        ask("a1"); // Queued behind the order in flight.
+        pauseOnly("r1", "1000");
+        run(10);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), orders.orderCalls);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), outcomes.size());
+        ask("a2");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), outcomes.size());
+        run(20);
+        ask("a1");
+        run(10);
+        CPPUNIT_ASSERT(orders.isLoaded("a1") && !orders.isLoaded("a2"));
+    }
+
     // A response that the replica doesn't mark as not run is its answer to the caller, which stays as it is.
     void forwardedResponseKeepsItsRetryAfter()
     {
