LibGateway, currantbayd: Answer what is open at the end of a planned stop

Tests/gateway with the daemon of: 'Empty reply from server' for both a request held at its replica and one that came a second after the signal, with a grace period of two seconds.

Requests are accepted for two fifths of the time that they have to finish, and for 2.9 s at most as before. Just before the process ends, each one that is still open is refused if it hasn't run and fails with 504 otherwise; a begun stream is broken off. requestAtTheEndOfAStopGetsAnAnswer and Tests/gateway.

--- a/Libraries/LibGateway/ForwardedRequest.cpp
+++ b/Libraries/LibGateway/ForwardedRequest.cpp
@@ -317,17 +317,29 @@
     if (m_stage == Stage::Ended) {
         return;
     }
+    if (m_stage == Stage::Sending && !m_hasHead) {
+        recordOutcome(Placement::AttemptOutcome::Failed);
+    }
+    endUnanswered("the deadline has passed");
+}
+
+void ForwardedRequest::stop()
+{
+    if (m_stage != Stage::Ended) {
+        endUnanswered("this host is stopping");
+    }
+}
+
+void ForwardedRequest::endUnanswered(std::string_view reason)
+{
     if (m_stage == Stage::Sending) {
         ++m_possibleRuns;
-        if (!m_hasHead) {
-            recordOutcome(Placement::AttemptOutcome::Failed);
-        }
     }
     abandonAttempt();
     if (m_possibleRuns == 0) {
-        refuse("the deadline has passed", RetryAfterOverload);
+        refuse(reason, RetryAfterOverload);
     } else {
-        fail(Core::HttpStatus::GatewayTimeout, "the deadline has passed");
+        fail(Core::HttpStatus::GatewayTimeout, reason);
     }
 }
 
--- a/Libraries/LibGateway/ForwardedRequest.h
+++ b/Libraries/LibGateway/ForwardedRequest.h
@@ -44,6 +44,8 @@
                      CallerRequest request, Routes::MatchedRoute route);
 
     void start();
+    // Ends the request because the host stops: it is refused if it hasn't run, and otherwise fails.
+    void stop();
 
 private:
     enum class Stage { Selecting, Loading, Sending, Ended };
@@ -107,6 +109,8 @@
     [[nodiscard]] Core::Duration pauseLeft() const;
     void fail(unsigned status, std::string_view reason);
     void handleDeadline();
+    // Ends the request with an answer that says whether it may have run.
+    void endUnanswered(std::string_view reason);
     void handleCallerDisconnect();
     void end(unsigned status, std::string_view reason);
     [[nodiscard]] bool isIdempotent() const;
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -6,6 +6,7 @@
 #include <LibGateway/Framing.h>
 #include <LibGateway/Refusal.h>
 #include <LibLog/Log.h>
+#include <utility>
 
 namespace Gateway {
 
@@ -174,6 +175,15 @@
     m_refusesRequests = true;
 }
 
+void Gateway::endRequests()
+{
+    for (const auto &request : std::exchange(m_requests, {})) {
+        if (const auto open = request.lock()) {
+            open->stop();
+        }
+    }
+}
+
 void Gateway::releaseReplicas(std::function<void()> done)
 {
     m_holders.leave(std::move(done));
@@ -200,25 +210,27 @@
                std::nullopt);
         return;
     }
-    std::make_shared<ForwardedRequest>(ForwardingDependencies {.scheduler = m_dependencies.scheduler,
-                                                               .client = m_dependencies.client,
-                                                               .protocol = m_dependencies.protocol,
-                                                               .fleet = m_fleet,
-                                                               .releases = m_releases,
-                                                               .retryBudget = m_retryBudget,
-                                                               .quarantine = m_quarantine,
-                                                               .crashes = m_crashes,
-                                                               .metrics = m_dependencies.metrics,
-                                                               .loadAdapter =
-                                                                   [this](const auto &adapterRequest, auto done) {
-                                                                       loadAdapter(adapterRequest, std::move(done));
-                                                                   },
-                                                               .hostCount =
-                                                                   [this] {
-                                                                       return m_holders.liveHostCount();
-                                                                   }},
-                                       exchange, std::move(request), std::move(route))
-        ->start();
+    auto forwarded = std::make_shared<ForwardedRequest>(
+        ForwardingDependencies {.scheduler = m_dependencies.scheduler,
+                                .client = m_dependencies.client,
+                                .protocol = m_dependencies.protocol,
+                                .fleet = m_fleet,
+                                .releases = m_releases,
+                                .retryBudget = m_retryBudget,
+                                .quarantine = m_quarantine,
+                                .crashes = m_crashes,
+                                .metrics = m_dependencies.metrics,
+                                .loadAdapter =
+                                    [this](const auto &adapterRequest, auto done) {
+                                        loadAdapter(adapterRequest, std::move(done));
+                                    },
+                                .hostCount =
+                                    [this] {
+                                        return m_holders.liveHostCount();
+                                    }},
+        exchange, std::move(request), std::move(route));
+    m_requests.push_back(forwarded);
+    forwarded->start();
 }
 
 void Gateway::applyReplicaChanges(const Fleet::ReplicaChanges &changes, bool isFull)
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -63,6 +63,8 @@
     void beginLeaving();
     // Refuses requests that arrive from now on, because there is no time left to serve them.
     void refuseNewRequests();
+    // Ends the requests that are still open. For the end of a planned stop, after which they would get no answer.
+    void endRequests();
     // Releases the replicas that this host holds so that other hosts can claim them. The last step of a planned stop.
     void releaseReplicas(std::function<void()> done);
     [[nodiscard]] Peer::PeerRouter &router();
@@ -132,6 +134,7 @@
     std::map<Core::TargetId, std::unique_ptr<Holding::ReplicaController>> m_controllers;
     std::map<Core::TargetId, Holding::NoticeSeries> m_notices; // Of the replicas that this host holds.
     std::map<Core::HostId, Subscriber> m_subscribers; // Hosts that receive load notices.
+    std::vector<std::weak_ptr<ForwardedRequest>> m_requests; // Those that are open, and some that have ended.
     bool m_isLeaving = false;
     bool m_refusesRequests = false;
 };
--- a/Libraries/LibGateway/GatewayOrders.cpp
+++ b/Libraries/LibGateway/GatewayOrders.cpp
@@ -55,6 +55,9 @@
 void Gateway::tick()
 {
     const auto now = m_dependencies.scheduler.now();
+    std::erase_if(m_requests, [](const auto &request) {
+        return request.expired();
+    });
     m_replicas.pruneMissing(now, m_replicaFeed.healthySince());
     synchronizeControllers();
     for (const auto &[id, controller] : m_controllers) {
--- a/Libraries/LibGateway/Tests/ForwardedRequestTest.cpp
+++ b/Libraries/LibGateway/Tests/ForwardedRequestTest.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(requestThatDidNotRunIsSentAgain);
     CPPUNIT_TEST(refusedConnectionCostsNoRetry);
     CPPUNIT_TEST(workEndsWhenCallerLeaves);
+    CPPUNIT_TEST(requestAtTheEndOfAStopGetsAnAnswer);
     CPPUNIT_TEST_SUITE_END();
 
     void slowStreamIsNotCut()
@@ -212,6 +213,33 @@
         m_scheduler.advance(20s);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_transport.transfers.size());
     }
+
+    // Requests that were open at the end of a planned stop were cut off with no answer.
+    void requestAtTheEndOfAStopGetsAnAnswer()
+    {
+        startUnsafe();
+        m_forwarded->stop();
+        CPPUNIT_ASSERT(m_transport.transfers[0].isCancelled);
+        CPPUNIT_ASSERT_EQUAL(504U, m_exchange->status);
+        CPPUNIT_ASSERT(m_exchange->body.find("did not run") == std::string::npos);
+
+        m_exchange = std::make_shared<FakeExchange>();
+        start({.kind = Routes::RequestKind::Stream, .timeout = 15s, .objective = 1s, .maxAttempts = 1},
+              {.model = "m", .adapter = "not-loaded"});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_loads.size());
+        m_forwarded->stop();
+        CPPUNIT_ASSERT_EQUAL(503U, m_exchange->status);
+        CPPUNIT_ASSERT(m_exchange->body.find("did not run") != std::string::npos);
+        reply(0, Holding::AdapterOutcome::Ready);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_transport.transfers.size());
+
+        m_exchange = std::make_shared<FakeExchange>();
+        startUnsafe(2);
+        answerHead(1, 200, {{"Attempt", "caller-1"}, {"Framed", "yes"}});
+        end(1, {.status = 200});
+        m_forwarded->stop();
+        CPPUNIT_ASSERT_EQUAL(200U, m_exchange->status);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ForwardedRequestTest);
--- a/Libraries/LibGateway/Tests/ForwardingFixture.h
+++ b/Libraries/LibGateway/Tests/ForwardingFixture.h
@@ -139,7 +139,7 @@
         configuration->routes.push_back(std::move(route));
         request.attemptId = "caller-1";
         const auto *matched = &configuration->routes.front();
-        std::make_shared<Gateway::ForwardedRequest>(
+        m_forwarded = std::make_shared<Gateway::ForwardedRequest>(
             Gateway::ForwardingDependencies {.scheduler = m_scheduler,
                                              .client = m_transport,
                                              .protocol = m_protocol,
@@ -157,8 +157,8 @@
                                                  [] {
                                                      return std::size_t(1);
                                                  }},
-            m_exchange, std::move(request), Routes::MatchedRoute {.configuration = configuration, .route = matched})
-            ->start();
+            m_exchange, std::move(request), Routes::MatchedRoute {.configuration = configuration, .route = matched});
+        m_forwarded->start();
     }
 
     // A resumable stream for an adapter that is in the memory of r1 only, which has sent its first event.
@@ -177,10 +177,10 @@
         m_transport.transfers[0].data(200, event(0));
     }
 
-    void startUnsafe()
+    void startUnsafe(std::size_t expectedTransfers = 1)
     {
         start({.kind = Routes::RequestKind::Unsafe, .timeout = 1500ms, .objective = 300ms, .maxAttempts = 1}, {});
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_transport.transfers.size());
+        CPPUNIT_ASSERT_EQUAL(expectedTransfers, m_transport.transfers.size());
     }
 
     void answerHead(std::size_t transfer, long status, const Net::HttpFields &fields)
@@ -202,6 +202,7 @@
     }
 
     unsigned m_requests = 0;
+    std::shared_ptr<Gateway::ForwardedRequest> m_forwarded; // The last one.
     Core::VirtualScheduler m_scheduler;
     FakeTransport m_transport;
     FakeProtocol m_protocol;
--- a/Libraries/LibGateway/Tests/RepeatedRequestTest.cpp
+++ b/Libraries/LibGateway/Tests/RepeatedRequestTest.cpp
@@ -77,8 +77,7 @@
 
     std::size_t lateArrivals(const Routes::Route &route, const Gateway::CallerRequest &deadly)
     {
-        return lateArrivals(route, deadly, [] {
-        });
+        return lateArrivals(route, deadly, [] {});
     }
 
     // Sends a request that a replica serves.
@@ -130,7 +129,8 @@
         const Gateway::CallerRequest deadly {
             .method = "POST", .target = "/draft/2f", .body = "deadly", .model = "m", .promptParts = {1, 2}};
         const auto late = lateArrivals(stream(), deadly, [this] {
-            serve(stream(), {.method = "POST", .target = "/draft/2f", .body = "sound", .model = "m", .promptParts = {1, 2}});
+            serve(stream(),
+                  {.method = "POST", .target = "/draft/2f", .body = "sound", .model = "m", .promptParts = {1, 2}});
         });
         CPPUNIT_ASSERT(late <= RetriesAllowed);
     }
--- a/Services/currantbayd/GatewayDaemon.cpp
+++ b/Services/currantbayd/GatewayDaemon.cpp
@@ -15,15 +15,20 @@
 constexpr auto ExchangePollPeriod = std::chrono::milliseconds(20);
 // The load balancer probes once a second and takes a host out of rotation after two failed probes.
 constexpr auto BalancerRemovalTime = std::chrono::milliseconds(3200);
-// A request that arrives later than this during a shutdown could not finish within the grace period.
+// Callers arrive until the balancer has removed the host. A request that arrives later than this during a shutdown
+// could not finish within the grace period.
 constexpr auto AcceptWhileStoppingTime = std::chrono::milliseconds(2900);
+// Requests are accepted for at most this part of the time in which they have to finish.
+constexpr double AcceptWhileStoppingShare = 0.4;
 // Limit for releasing the replicas in the store at the end of a shutdown.
 constexpr auto ReplicaReleaseTimeout = std::chrono::milliseconds(250);
 // The part of the grace period that is reserved for releasing the replicas, for requests on accepted connections and
 // for the process to exit by itself.
 constexpr auto ExitReserveTime = std::chrono::milliseconds(550);
-// The part of that which the process needs to exit.
+// The part of that which the process needs to exit, after the last responses.
 constexpr auto LastExitTime = std::chrono::milliseconds(150);
+// The part of that in which requests that are still open are answered.
+constexpr auto LastResponseTime = std::chrono::milliseconds(60);
 // Work for a caller that has disconnected must stop within half a second.
 constexpr auto DisconnectCheckPeriod = std::chrono::milliseconds(150);
 constexpr auto SettingsPollPeriod = std::chrono::seconds(2);
@@ -188,7 +193,9 @@
     Log::write(Log::Event::DaemonStopping, {{"running", std::to_string(m_callerServer.openExchanges())}});
     m_callerServer.endKeepAlive();
     m_gateway.beginLeaving();
-    m_loop.runAfter(AcceptWhileStoppingTime, [this] {
+    const auto acceptTime
+        = std::chrono::duration_cast<Core::Duration>((m_stopDeadline - now) * AcceptWhileStoppingShare);
+    m_loop.runAfter(std::min<Core::Duration>(AcceptWhileStoppingTime, acceptTime), [this] {
         m_gateway.refuseNewRequests();
     });
     awaitOpenExchanges();
@@ -222,7 +229,10 @@
     }
     const auto remaining = m_stopDeadline + ExitReserveTime - LastExitTime - m_loop.now();
     m_drain.start(std::max<Core::Duration>(remaining, {}), [this] {
-        m_loop.stop();
+        m_gateway.endRequests();
+        m_loop.runAfter(LastResponseTime, [this] {
+            m_loop.stop();
+        });
     });
 }
 
