LibPlacement: Count requests from before a limit was named

The first window after the naming holds what was sent just before it, which no host counted.

Hosts count what they send to each replica, with or without a limit, and report it with what they report anyway; only where a limit is known is a change of it worth a notice of its own. requestsFromBeforeTheLimitCount is new and the tests of LimitedReplicaTest count the request that was told the limit.

--- a/Libraries/LibGateway/FleetView.cpp
+++ b/Libraries/LibGateway/FleetView.cpp
@@ -136,8 +136,8 @@
     view.loadDelay = std::chrono::milliseconds(load.loadDelayMilliseconds);
     view.otherHostsActive = load.active - std::min(load.active, view.reported.active);
     view.otherHostsWaitingTokens = load.waitingTokens - std::min(load.waitingTokens, view.reported.waitingTokens);
-    view.limit.recordOthers(load.recentlySent - std::min(load.recentlySent, view.reported.recentlySent), load.senders,
-                            now);
+    view.limit.recordOthers(load.recentlySent - std::min(load.recentlySent, view.reported.recentlySent),
+                            load.limitedSenders, now);
 }
 
 void FleetView::applyExchangedLoad(const Holding::ReplicaLoad &load, Core::TimePoint now)
@@ -397,16 +397,18 @@
                                  .active = view.active,
                                  .waitingTokens = view.waitingTokens,
                                  .adapters = {},
-                                 .recentlySent = view.limit.recent(now)};
+                                 .recentlySent = view.limit.recent(now),
+                                 .isLimited = view.limit.isSet()};
         for (const auto &[name, count] : view.running) {
             use.adapters.push_back(name);
         }
         use.adapters.insert(use.adapters.end(), view.recentlyUsed.begin(), view.recentlyUsed.end());
         view.recentlyUsed.clear();
-        const bool isUsed = use.active > 0 || !use.adapters.empty() || use.recentlySent > 0;
+        const bool isUsed = use.active > 0 || !use.adapters.empty() || (use.isLimited && use.recentlySent > 0);
         const bool isDue = isUsed && now - view.reportedAt >= UseRefreshPeriod;
         const bool isChanged = use.active != view.reported.active || use.waitingTokens != view.reported.waitingTokens
-            || use.adapters != view.reported.adapters || use.recentlySent != view.reported.recentlySent;
+            || use.adapters != view.reported.adapters
+            || (use.isLimited && use.recentlySent != view.reported.recentlySent);
         if (isDue || isChanged) {
             view.reported = use;
             view.reportedAt = now;
--- a/Libraries/LibGateway/Tests/LimitedReplicaTest.cpp
+++ b/Libraries/LibGateway/Tests/LimitedReplicaTest.cpp
@@ -20,8 +20,8 @@
 
     using Harness = Tests::ForwardingHarness;
 
-    // Requests that a replica with a limit of one per second gets in a window.
-    static constexpr std::size_t AtLimit = 8;
+    // Requests that a replica with a limit of one per second gets in a window beside the one that was told the limit.
+    static constexpr std::size_t AtLimit = 7;
 
     Harness m_host;
 
@@ -68,7 +68,7 @@
     {
         limitOnly("r1", "2.5");
         m_host.list({Harness::replica("r1"), Harness::replica("r2")});
-        CPPUNIT_ASSERT(countSendsTo("r1", 100, "2.5") <= 16);
+        CPPUNIT_ASSERT(countSendsTo("r1", 100, "2.5") <= 15);
         CPPUNIT_ASSERT_EQUAL(std::size_t(100), m_host.sendsTo("r1") - 1 + m_host.sendsTo("r2"));
         m_host.scheduler.advance(4s);
         CPPUNIT_ASSERT(countSendsTo("r1", 100, "2.5") > 0);
@@ -90,12 +90,12 @@
         limitOnly("r1", "2.5");
         std::size_t sent = 0;
         for (int turn = 0; turn < 10; ++turn) {
-            m_host.fleet.applyExchangedLoad({.replica = {"r1"}, .recentlySent = 7, .senders = 1},
+            m_host.fleet.applyExchangedLoad({.replica = {"r1"}, .recentlySent = 7, .limitedSenders = 1},
                                             m_host.scheduler.now());
             sent += countSendsTo("r1", 20, "2.5");
             m_host.scheduler.advance(200ms);
         }
-        CPPUNIT_ASSERT_EQUAL(std::size_t(9), sent);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(8), sent);
     }
 
     // The limit must not outlive the need, and a limit that can't be read changes nothing.
@@ -167,7 +167,7 @@
         CPPUNIT_ASSERT_EQUAL(AtLimit, countSendsTo("r1", 10, "1"));
         const auto use = m_host.fleet.collectUse(m_host.scheduler.now());
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), use.size());
-        CPPUNIT_ASSERT_EQUAL(std::uint32_t(AtLimit), use.front().recentlySent);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(AtLimit + 1), use.front().recentlySent);
         m_host.scheduler.advance(1s);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_host.fleet.collectUse(m_host.scheduler.now()).size());
         m_host.scheduler.advance(3s);
--- a/Libraries/LibHolding/HoldingMessages.h
+++ b/Libraries/LibHolding/HoldingMessages.h
@@ -47,10 +47,10 @@
     std::uint32_t active = 0; // Requests sent but not completed.
     std::uint64_t waitingTokens = 0; // Prompt tokens of the requests without a response so far.
     std::vector<std::string> adapters; // As "model/adapter", used by requests at any time since the last notice.
-    // Requests sent within the window of the replica's request limit; zero if the host knows of no limit.
-    std::uint32_t recentlySent = 0;
+    std::uint32_t recentlySent = 0; // Requests within the last seconds, the window of request limits.
+    bool isLimited = false; // The host knows that the replica has a request limit.
 
-    MSGPACK_DEFINE(replica, active, waitingTokens, adapters, recentlySent)
+    MSGPACK_DEFINE(replica, active, waitingTokens, adapters, recentlySent, isLimited)
 };
 
 // Sent by a host to the holders of the replicas that it uses, for as long as it uses them.
@@ -75,10 +75,10 @@
     std::uint32_t active = 0; // Requests from all hosts, including the receiver.
     std::uint64_t waitingTokens = 0; // Prompt tokens of the requests without a response so far.
     std::uint32_t loadDelayMilliseconds = 0; // Time until the load of another adapter could start.
-    std::uint32_t recentlySent = 0; // Requests within the window of the replica's limit, from hosts that know of it.
-    std::uint32_t senders = 0; // Hosts that have sent these.
+    std::uint32_t recentlySent = 0; // Requests within the last seconds, from all hosts.
+    std::uint32_t limitedSenders = 0; // Hosts that have sent such and know that the replica has a request limit.
 
-    MSGPACK_DEFINE(replica, active, waitingTokens, loadDelayMilliseconds, recentlySent, senders)
+    MSGPACK_DEFINE(replica, active, waitingTokens, loadDelayMilliseconds, recentlySent, limitedSenders)
 };
 
 // The load of a replica and the adapters in its memory, or those that have changed since the last notice.
--- a/Libraries/LibHolding/NoticeSeries.cpp
+++ b/Libraries/LibHolding/NoticeSeries.cpp
@@ -9,9 +9,11 @@
 
 bool isEqual(const ReplicaLoad &left, const ReplicaLoad &right)
 {
+    // Without a limit, what was sent isn't worth a notice of its own.
+    const bool isSentEqual = left.limitedSenders == right.limitedSenders
+        && (left.limitedSenders == 0 || left.recentlySent == right.recentlySent);
     return left.active == right.active && left.waitingTokens == right.waitingTokens
-        && left.loadDelayMilliseconds == right.loadDelayMilliseconds && left.recentlySent == right.recentlySent
-        && left.senders == right.senders;
+        && left.loadDelayMilliseconds == right.loadDelayMilliseconds && isSentEqual;
 }
 
 bool contains(const std::vector<ResidentAdapter> &adapters, const ResidentAdapter &wanted)
--- a/Libraries/LibHolding/ReplicaController.cpp
+++ b/Libraries/LibHolding/ReplicaController.cpp
@@ -316,7 +316,7 @@
         load.active += use.use.active;
         load.waitingTokens += use.use.waitingTokens;
         load.recentlySent += use.use.recentlySent;
-        load.senders += use.use.recentlySent > 0 ? 1 : 0;
+        load.limitedSenders += use.use.isLimited && use.use.recentlySent > 0 ? 1 : 0;
     }
     return load;
 }
--- a/Libraries/LibPlacement/RequestLimit.cpp
+++ b/Libraries/LibPlacement/RequestLimit.cpp
@@ -38,16 +38,11 @@
         return Change::None;
     }
     m_perSecond.reset();
-    m_sends.clear();
-    m_others = 0;
     return Change::Ended;
 }
 
 void RequestLimit::recordSend(Core::TimePoint now)
 {
-    if (!m_perSecond.has_value()) {
-        return;
-    }
     while (!m_sends.empty() && now - m_sends.front() >= m_options.window) {
         m_sends.pop_front();
     }
@@ -56,9 +51,6 @@
 
 void RequestLimit::recordOthers(unsigned count, std::size_t senders, Core::TimePoint now)
 {
-    if (!m_perSecond.has_value()) {
-        return;
-    }
     m_others = std::max<double>(count, others(now));
     m_othersAt = now;
     if (senders >= m_senders || now - m_sendersAt >= 2 * m_options.window) {
@@ -67,6 +59,11 @@
     }
 }
 
+bool RequestLimit::isSet() const
+{
+    return m_perSecond.has_value();
+}
+
 unsigned RequestLimit::recent(Core::TimePoint now) const
 {
     return sentWithin(m_options.window, now);
--- a/Libraries/LibPlacement/RequestLimit.h
+++ b/Libraries/LibPlacement/RequestLimit.h
@@ -40,13 +40,14 @@
     // Records the limit in a response, in requests per second, or that the response names none. A limit ends only by
     // the response to a request that was sent after the limit was last named: the responses to older ones may be older.
     Change record(std::optional<double> perSecond, Core::TimePoint sentAt, Core::TimePoint now);
-    // Records a request of this host. Has no effect without a limit.
+    // Records a request of this host, also without a limit: those from before it was named are in its first window.
     void recordSend(Core::TimePoint now);
-    // Records how many requests the other hosts have sent within the window, and how many hosts have sent any. A new
-    // holder knows only some of them at first, so the number of requests counts as falling no faster than requests
-    // leave the window, and a larger number of hosts for another window.
+    // Records how many requests the other hosts have sent within the window, and how many of all that know of the limit
+    // have. A new holder knows only some of them at first, so the number of requests counts as falling no faster than
+    // requests leave the window, and a larger number of hosts for another window.
     void recordOthers(unsigned count, std::size_t senders, Core::TimePoint now);
-    // Requests that this host has sent within the window; zero without a limit.
+    [[nodiscard]] bool isSet() const;
+    // Requests that this host has sent within the window.
     [[nodiscard]] unsigned recent(Core::TimePoint now) const;
     // The requests within the window as a part of what the limit allows in it; zero without a limit.
     [[nodiscard]] double usedShare(Core::TimePoint now) const;
--- a/Libraries/LibPlacement/Tests/RequestLimitTest.cpp
+++ b/Libraries/LibPlacement/Tests/RequestLimitTest.cpp
@@ -99,6 +99,7 @@
     CPPUNIT_TEST(hostsThatKnowEachOtherKeepTheLimit);
     CPPUNIT_TEST(hostsThatKnowNothingOfEachOtherKeepTheLimit);
     CPPUNIT_TEST(limitIsKeptWhileTheHolderChanges);
+    CPPUNIT_TEST(requestsFromBeforeTheLimitCount);
     CPPUNIT_TEST(hostWithAllTheTrafficUsesTheLimit);
     CPPUNIT_TEST(tinyLimitLetsARequestThrough);
     CPPUNIT_TEST(limitEndsByTheResponseToALaterRequest);
@@ -148,6 +149,20 @@
         }
     }
 
+    // The first window after a limit was named held what it allows and what had been sent before.
+    void requestsFromBeforeTheLimitCount()
+    {
+        const Core::TimePoint start(1h);
+        Placement::RequestLimit limit;
+        for (int number = 0; number < 16; ++number) {
+            limit.recordSend(start);
+        }
+        limit.recordOthers(0, 0, start);
+        limit.record(2.5, start, start + 1s);
+        CPPUNIT_ASSERT(limit.untilRoom({.isNewsRecent = true}, start + 3999ms) > Core::Duration::zero());
+        CPPUNIT_ASSERT(limit.untilRoom({.isNewsRecent = true}, start + 4s) == Core::Duration::zero());
+    }
+
     // Equal parts would give the only host with requests a sixtieth.
     void hostWithAllTheTrafficUsesTheLimit()
     {
