LibPlacement: Keep to the parts of a limit while there are no news of the others

Cause: while a replica changes its holder nobody tells the hosts what the others send. Those in the replica's zone, which send most of its requests, went on for a window; the others took their equal shares meanwhile, and what was known of the first had faded.

Without news a host now keeps to the part that it had, and to its share of what was left. After two windows hosts with more than an equal share give it up, after three the others take theirs. When the news are back, the new holder gets a second to hear of all hosts. limitIsKeptWhileTheHolderChanges plays gaps of 0.5, 3 and 6 s, with uneven and even demand; it failed before.

--- a/Libraries/LibGateway/FleetView.cpp
+++ b/Libraries/LibGateway/FleetView.cpp
@@ -226,14 +226,11 @@
     return view->second.limit.record(perSecond, sentAt, now);
 }
 
-Placement::LimitSharing FleetView::sharing(const Core::TargetId &replica, const ReplicaView &view,
-                                           Core::TimePoint now) const
+Placement::LimitSharing FleetView::sharing(const Core::TargetId &replica) const
 {
     // Each replica has an order of its own, so that no host has its turn at all of them together.
     const auto hash = static_cast<double>(Core::stableHash(replica.value, m_turnSeed));
-    return {.isNewsRecent = now - view.loadUpdatedAt < HolderNoticeLifetime,
-            .hostCount = m_hostCount(),
-            .phase = hash / static_cast<double>(std::numeric_limits<std::uint64_t>::max())};
+    return {.hostCount = m_hostCount(), .phase = hash / static_cast<double>(std::numeric_limits<std::uint64_t>::max())};
 }
 
 bool FleetView::isPaused(const Fleet::Replica &replica, Core::TimePoint now) const
@@ -255,7 +252,7 @@
     if (m_pauses.isReturning(incarnation, now) && active >= std::max(replica.slots, 1U)) {
         return false;
     }
-    return view->second.limit.untilRoom(sharing(replica.id, view->second, now), now) == Core::Duration::zero();
+    return view->second.limit.untilRoom(sharing(replica.id), now) == Core::Duration::zero();
 }
 
 bool FleetView::isAvailable(const Fleet::Replica &replica, Core::TimePoint now) const
@@ -282,7 +279,7 @@
     for (const auto *replica : servingReplicas(request, service)) {
         auto at = m_pauses.endOf({replica->id, replica->startedAt}, now).value_or(now);
         if (const auto view = m_views.find(replica->id); view != m_views.end()) {
-            at = std::max(at, now + view->second.limit.untilRoom(sharing(replica->id, view->second, now), now));
+            at = std::max(at, now + view->second.limit.untilRoom(sharing(replica->id), now));
         }
         if (at <= now) {
             return std::nullopt;
--- a/Libraries/LibGateway/FleetView.h
+++ b/Libraries/LibGateway/FleetView.h
@@ -132,8 +132,7 @@
     // slots only, as they would otherwise all arrive at once.
     [[nodiscard]] bool acceptsRequests(const Fleet::Replica &replica, Core::TimePoint now) const;
     // What is known of the other hosts that share the limit of the replica.
-    [[nodiscard]] Placement::LimitSharing sharing(const Core::TargetId &replica, const ReplicaView &view,
-                                                  Core::TimePoint now) const;
+    [[nodiscard]] Placement::LimitSharing sharing(const Core::TargetId &replica) const;
     // The adapter name is empty for requests that need no adapter.
     [[nodiscard]] Placement::Candidate candidate(const Fleet::Replica &replica, const std::string &adapter,
                                                  std::uint64_t newest, Core::TimePoint now) const;
--- a/Libraries/LibPlacement/RequestLimit.cpp
+++ b/Libraries/LibPlacement/RequestLimit.cpp
@@ -51,7 +51,15 @@
 
 void RequestLimit::recordOthers(unsigned count, std::size_t senders, Core::TimePoint now)
 {
-    m_others = std::max<double>(count, others(now));
+    const auto age = now - m_othersAt;
+    if (age >= m_options.newsGap) {
+        m_newsSince = now;
+    }
+    // During a gap, and until the news are complete, the others have kept to their parts.
+    const bool isFalling = now - m_newsSince >= m_options.newsCompleteAfter;
+    const auto left = others(now) * (isFalling ? 1 - Seconds(age) / Seconds(m_options.window) : 1);
+    m_others = std::max<double>(count, left);
+    m_ownAtNews = recent(now);
     m_othersAt = now;
     if (senders >= m_senders || now - m_sendersAt >= 2 * m_options.window) {
         m_senders = std::max<std::size_t>(senders, 1);
@@ -77,7 +85,19 @@
 
 double RequestLimit::others(Core::TimePoint now) const
 {
-    return m_others * std::max(0.0, 1 - Seconds(now - m_othersAt) / Seconds(m_options.window));
+    return now - m_othersAt < 3 * m_options.window ? m_others : 0;
+}
+
+double RequestLimit::partWithoutNews(double tolerated, std::size_t hostCount, Core::TimePoint now) const
+{
+    const auto age = now - m_othersAt;
+    const auto share = tolerated / static_cast<double>(hostCount);
+    if (age >= 3 * m_options.window) {
+        return share;
+    }
+    const auto part = m_ownAtNews + std::max(0.0, tolerated - m_ownAtNews - m_others) / static_cast<double>(hostCount);
+    // Hosts with more than an equal share give it up before the others take theirs.
+    return age >= 2 * m_options.window ? std::min(part, share) : part;
 }
 
 double RequestLimit::toleratedPerWindow() const
@@ -101,15 +121,19 @@
     }
     const Seconds window = m_options.window;
     const auto tolerated = toleratedPerWindow();
-    const auto share = tolerated / static_cast<double>(std::max<std::size_t>(sharing.hostCount, 1));
-    if (!sharing.isNewsRecent && share < 1) {
-        return std::max<Core::Duration>(nextTurn(sharing, toDuration(window / share)) - now, {});
-    }
     const double own = recent(now);
-    const auto room = tolerated - own - others(now);
-    const bool isWithinShare = sharing.isNewsRecent ? hasTurn(room, sharing, now) : own + 1 <= share;
-    // Until there is room, the requests of the window are taken to be spread evenly over it.
-    return isWithinShare && room >= 1 ? Core::Duration {} : toDuration(window / tolerated);
+    const bool hasNews = now - m_othersAt < m_options.newsGap && now - m_newsSince >= m_options.newsCompleteAfter;
+    if (hasNews) {
+        const auto room = tolerated - own - others(now);
+        // Until there is room, the requests of the window are taken to be spread evenly over it.
+        return room >= 1 && hasTurn(room, sharing, now) ? Core::Duration {} : toDuration(window / tolerated);
+    }
+    const auto hostCount = std::max<std::size_t>(sharing.hostCount, 1);
+    const auto part = partWithoutNews(tolerated, hostCount, now);
+    if (now - m_othersAt >= 3 * m_options.window && part < 1) {
+        return std::max<Core::Duration>(nextTurn(sharing, toDuration(window / part)) - now, {});
+    }
+    return own + 1 <= part ? Core::Duration {} : toDuration(window / tolerated);
 }
 
 bool RequestLimit::hasTurn(double room, const LimitSharing &sharing, Core::TimePoint now) const
@@ -120,7 +144,7 @@
     }
     const auto turn = static_cast<std::size_t>(now.time_since_epoch() / m_options.turn);
     const auto position = turn + static_cast<std::size_t>(sharing.phase * static_cast<double>(m_senders));
-    return sent == 0 && static_cast<double>(position % m_senders) < room;
+    return sent == 0 && static_cast<double>(position % m_senders) + 1 <= room;
 }
 
 Core::TimePoint RequestLimit::nextTurn(const LimitSharing &sharing, Core::Duration interval) const
--- a/Libraries/LibPlacement/RequestLimit.h
+++ b/Libraries/LibPlacement/RequestLimit.h
@@ -16,11 +16,13 @@
     // About the age of what hosts know of each other. Within this time each uses its part of the room, and takes turns
     // with the others if that is less than a request. Otherwise all of them would use the same room.
     Core::Duration turn = std::chrono::milliseconds(200);
+    // After a gap of this length in the news, a new holder has to hear of all hosts first, which takes this time.
+    Core::Duration newsGap = std::chrono::milliseconds(1500);
+    Core::Duration newsCompleteAfter = std::chrono::milliseconds(1000);
 };
 
 // What is known of the hosts that share the limit of a replica.
 struct LimitSharing {
-    bool isNewsRecent = false; // Whether this host is being told what the others send.
     std::size_t hostCount = 1; // Hosts that may send requests, including this one.
     // Differs between hosts, from 0 to 1. Hosts take turns by it.
     double phase = 1;
@@ -57,8 +59,10 @@
 private:
     // Requests per window that the replica tolerates from all hosts, as far as they are usable.
     [[nodiscard]] double toleratedPerWindow() const;
-    // Requests of the other hosts within the window.
+    // Requests of the other hosts within the window, as last heard.
     [[nodiscard]] double others(Core::TimePoint now) const;
+    // The requests within the window to which this host keeps while it hears nothing of the others.
+    [[nodiscard]] double partWithoutNews(double tolerated, std::size_t hostCount, Core::TimePoint now) const;
     // Requests that this host has sent within the time.
     [[nodiscard]] unsigned sentWithin(Core::Duration time, Core::TimePoint now) const;
     // Whether this host may use the room, as a number of requests, at this time.
@@ -72,7 +76,9 @@
     Core::TimePoint m_namedAt {}; // When a response last named it.
     std::deque<Core::TimePoint> m_sends; // Those within the window, and a few older ones.
     double m_others = 0;
+    unsigned m_ownAtNews = 0; // Requests of this host in the window when it last heard of the others.
     Core::TimePoint m_othersAt {};
+    Core::TimePoint m_newsSince {}; // When the news began after the last gap.
     std::size_t m_senders = 1;
     Core::TimePoint m_sendersAt {};
 };
--- a/Libraries/LibPlacement/Tests/RequestLimitTest.cpp
+++ b/Libraries/LibPlacement/Tests/RequestLimitTest.cpp
@@ -19,16 +19,16 @@
     // Age of what the hosts know of each other; empty if they know nothing.
     std::optional<Core::Duration> lag;
     unsigned seed = 1;
-    bool losesHolder
-        = false; // From 8 s to 11 s there are no news, and for half a second more the new holder knows none.
+    // From 8 s on there are no news for this time, and for half a second more the new holder knows of no request.
+    Core::Duration withoutHolder {};
 
     [[nodiscard]] bool isWithoutNews(Core::Duration elapsed) const
     {
-        return losesHolder && elapsed >= 8s && elapsed < 11s;
+        return elapsed >= 8s && elapsed < 8s + withoutHolder;
     }
     [[nodiscard]] bool isHolderNew(Core::Duration elapsed) const
     {
-        return losesHolder && elapsed >= 11s && elapsed < 11500ms;
+        return withoutHolder > 0s && elapsed >= 8s + withoutHolder && elapsed < 8500ms + withoutHolder;
     }
 };
 
@@ -53,8 +53,7 @@
         const auto &known = history[history.size() - 1 - std::min(age, history.size() - 1)];
         for (std::size_t i = 0; i < hosts.size(); ++i) {
             const bool hasNews = load.lag.has_value() && !load.isWithoutNews(now - start);
-            const Placement::LimitSharing sharing {.isNewsRecent = hasNews,
-                                                   .hostCount = hosts.size(),
+            const Placement::LimitSharing sharing {.hostCount = hosts.size(),
                                                    .phase = static_cast<double>(i) / static_cast<double>(hosts.size())};
             if (hasNews) {
                 const auto others = std::accumulate(known.begin(), known.end(), 0U) - known[i];
@@ -139,12 +138,21 @@
     // had not heard of any request gave each host the whole limit.
     void limitIsKeptWhileTheHolderChanges()
     {
-        for (const double perSecond : {0.5, 3.7, 16.8}) {
-            for (unsigned seed = 1; seed <= 20; ++seed) {
-                std::vector<double> demands {3 * perSecond, perSecond, 0.1, 0.1, 0.1, 0.1};
-                const auto sends = play(
-                    {.perSecond = perSecond, .demands = demands, .lag = 200ms, .seed = seed, .losesHolder = true}, 20s);
-                CPPUNIT_ASSERT(static_cast<double>(mostInWindow(sends)) <= allowed(perSecond));
+        for (const Core::Duration withoutHolder : {500ms, 3000ms, 6000ms}) {
+            for (const double perSecond : {0.5, 3.2, 16.8}) {
+                for (unsigned seed = 1; seed <= 20; ++seed) {
+                    const std::vector<double> one {3 * perSecond, perSecond, 0.1, 0.1, 0.1, 0.1};
+                    const std::vector<double> all(6, perSecond);
+                    for (const auto &demands : {one, all}) {
+                        const auto sends = play({.perSecond = perSecond,
+                                                 .demands = demands,
+                                                 .lag = 200ms,
+                                                 .seed = seed,
+                                                 .withoutHolder = withoutHolder},
+                                                24s);
+                        CPPUNIT_ASSERT(static_cast<double>(mostInWindow(sends)) <= allowed(perSecond));
+                    }
+                }
             }
         }
     }
@@ -159,8 +167,8 @@
         }
         limit.recordOthers(0, 0, start);
         limit.record(2.5, start, start + 1s);
-        CPPUNIT_ASSERT(limit.untilRoom({.isNewsRecent = true}, start + 3999ms) > Core::Duration::zero());
-        CPPUNIT_ASSERT(limit.untilRoom({.isNewsRecent = true}, start + 4s) == Core::Duration::zero());
+        CPPUNIT_ASSERT(limit.untilRoom({}, start + 3999ms) > Core::Duration::zero());
+        CPPUNIT_ASSERT(limit.untilRoom({}, start + 4s) == Core::Duration::zero());
     }
 
     // Equal parts would give the only host with requests a sixtieth.
@@ -205,7 +213,7 @@
     void zeroAndEnormousLimits()
     {
         const Core::TimePoint start(1h);
-        const Placement::LimitSharing alone {.isNewsRecent = true};
+        const Placement::LimitSharing alone;
         Placement::RequestLimit limit;
         limit.record(0.0, start, start);
         for (int number = 0; number < 4; ++number) {
@@ -229,7 +237,7 @@
         for (int number = 0; number < 16; ++number) {
             limit.recordSend(start);
         }
-        CPPUNIT_ASSERT(limit.untilRoom({.isNewsRecent = true}, start) == 250ms);
+        CPPUNIT_ASSERT(limit.untilRoom({}, start) == 250ms);
         CPPUNIT_ASSERT(limit.untilRoom({.hostCount = 80}, start + 1s) == 19s);
     }
 };
