LibGateway: Ask who shares a limit only where there is one

Each choice counted the live hosts for each replica, also of replicas without a limit. What is decided stays the same.

--- a/Libraries/LibGateway/FleetView.cpp
+++ b/Libraries/LibGateway/FleetView.cpp
@@ -252,7 +252,8 @@
     if (m_pauses.isReturning(incarnation, now) && active >= std::max(replica.slots, 1U)) {
         return false;
     }
-    return view->second.limit.untilRoom(sharing(replica.id), now) == Core::Duration::zero();
+    const auto &limit = view->second.limit;
+    return !limit.isSet() || limit.untilRoom(sharing(replica.id), now) == Core::Duration::zero();
 }
 
 bool FleetView::isAvailable(const Fleet::Replica &replica, Core::TimePoint now) const
@@ -278,7 +279,7 @@
     std::optional<Core::TimePoint> first;
     for (const auto *replica : servingReplicas(request, service)) {
         auto at = m_pauses.endOf({replica->id, replica->startedAt}, now).value_or(now);
-        if (const auto view = m_views.find(replica->id); view != m_views.end()) {
+        if (const auto view = m_views.find(replica->id); view != m_views.end() && view->second.limit.isSet()) {
             at = std::max(at, now + view->second.limit.untilRoom(sharing(replica->id), now));
         }
         if (at <= now) {
--- a/Libraries/LibPlacement/RequestLimit.h
+++ b/Libraries/LibPlacement/RequestLimit.h
@@ -29,8 +29,9 @@
 };
 
 // The number of requests per second that a replica in need accepts from all hosts together, for as long as its
-// responses say so. While a host is told what the others send, it uses what is left of the limit. Otherwise it keeps to
-// an equal share. Replicas at their limit cost more than others; only what the replica doesn't tolerate is ruled out.
+// responses say so. While a host is told what the others send, it uses what is left of the limit. When the news stop,
+// it keeps to its part for two windows, and changes to an equal share then. Replicas at their limit cost more than
+// others; only what the replica doesn't tolerate is ruled out.
 class RequestLimit
 {
 public:
@@ -46,7 +47,7 @@
     void recordSend(Core::TimePoint now);
     // Records how many requests the other hosts have sent within the window, and how many of all that know of the limit
     // have. A new holder knows only some of them at first, so the number of requests counts as falling no faster than
-    // requests leave the window, and a larger number of hosts for another window.
+    // requests leave the window, and a larger number of hosts for two windows.
     void recordOthers(unsigned count, std::size_t senders, Core::TimePoint now);
     [[nodiscard]] bool isSet() const;
     // Requests that this host has sent within the window.
@@ -80,7 +81,7 @@
     Core::TimePoint m_othersAt {};
     Core::TimePoint m_newsSince {}; // When the news began after the last gap.
     std::size_t m_senders = 1;
-    Core::TimePoint m_sendersAt {};
+    Core::TimePoint m_sendersAt {}; // When there were that many or more.
 };
 
 }
