--- a/review/build.sh
+++ b/review/build.sh
@@ -6,6 +6,6 @@
 for source in review/*/case.cc; do
     [ -e "$source" ] || continue
     number=$(basename "$(dirname "$source")")
-    g++ -std=c++20 -O1 -pthread -Wall -Wextra -Wno-missing-field-initializers -DCURRANTBAY_TARGET="\"$PWD/target\"" -Ireview/common \
+    g++ -std=c++20 -O1 -pthread -Wall -Wextra -Wno-missing-field-initializers -Ireview/common \
         -o "target/review/case-$number" "$source"
 done
--- a/review/common/World.hh
+++ b/review/common/World.hh
@@ -493,6 +493,12 @@
     Server m_server;
 };
 
+// The folder of the deploy file's build, in which this program stands too.
+inline std::string targetFolder()
+{
+    return std::filesystem::read_symlink("/proc/self/exe").parent_path().parent_path().string();
+}
+
 // One entry host: a process with the command of the deploy file, and settings like those of its template.
 class Host
 {
@@ -543,7 +549,7 @@
     }
     void start()
     {
-        const auto program = std::string(CURRANTBAY_TARGET) + "/Services/currantbayd/currantbayd";
+        const auto program = targetFolder() + "/Services/currantbayd/currantbayd";
         const auto file = settingsFile();
         const auto log = m_folder + '/' + m_id + ".log";
         m_isEnded = false;
