--- /dev/null
+++ b/Libraries/LibNet/Exchange.cpp
@@ -0,0 +1,118 @@
+#include <LibNet/Exchange.h>
+
+#include <LibNet/HttpServer.h>
+#include <cerrno>
+#include <microhttpd.h>
+#include <sys/socket.h>
+
+namespace Net {
+
+namespace {
+
+// The sent part of the buffer of a streamed body is freed once it is larger than this.
+constexpr std::size_t MaxSentBytesKept = 16 * 1024;
+
+}
+
+std::string_view ServerRequest::header(const std::string &name) const
+{
+    const auto found = headers.find(name);
+    return found == headers.end() ? std::string_view() : std::string_view(found->second);
+}
+
+const ServerRequest &Exchange::request() const
+{
+    return m_request;
+}
+
+void Exchange::respond(ResponseHead head, std::string body)
+{
+    if (m_connection == nullptr || m_hasResponse) {
+        return;
+    }
+    m_head = std::move(head);
+    m_pending = std::move(body);
+    m_hasResponse = true;
+    resume();
+}
+
+void Exchange::beginStream(ResponseHead head)
+{
+    if (m_connection == nullptr || m_hasResponse) {
+        return;
+    }
+    m_head = std::move(head);
+    m_hasResponse = true;
+    m_isStreaming = true;
+    resume();
+}
+
+void Exchange::send(std::string_view piece)
+{
+    if (m_connection == nullptr || m_isClosing) {
+        return;
+    }
+    if (m_pending.size() - m_pendingOffset + piece.size() > m_server->m_options.maxUnsentBytes) {
+        closeConnection();
+        return;
+    }
+    // Frees the part of the buffer that has been sent before it becomes larger than the unsent part.
+    if (m_pendingOffset > MaxSentBytesKept && m_pendingOffset > m_pending.size() / 2) {
+        m_pending.erase(0, m_pendingOffset);
+        m_pendingOffset = 0;
+    }
+    m_pending += piece;
+    resume();
+}
+
+void Exchange::endStream()
+{
+    m_bodyState = BodyState::Complete;
+    resume();
+}
+
+void Exchange::abortStream()
+{
+    m_bodyState = BodyState::Aborted;
+    resume();
+}
+
+void Exchange::onClosed(ClosedFunction closed)
+{
+    m_onClosed = std::move(closed);
+}
+
+void Exchange::resume()
+{
+    if (m_connection == nullptr || !m_isSuspended) {
+        return;
+    }
+    m_isSuspended = false;
+    MHD_resume_connection(m_connection);
+    m_server->scheduleRun();
+}
+
+void Exchange::closeConnection()
+{
+    m_isClosing = true;
+    m_pending.clear();
+    m_pendingOffset = 0;
+    // A connection that blocks on writing isn't suspended, so resume() has no effect on it. Shutting down its socket
+    // makes libmicrohttpd detect the end of the connection.
+    shutdown(socket(), SHUT_RDWR);
+    resume();
+}
+
+bool Exchange::hasCallerDisconnected() const
+{
+    char next = 0;
+    const auto count = recv(socket(), &next, sizeof next, MSG_PEEK | MSG_DONTWAIT);
+    return count == 0 || (count < 0 && errno != EAGAIN && errno != EINTR);
+}
+
+int Exchange::socket() const
+{
+    return MHD_get_connection_info(m_connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibNet/Exchange.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <LibNet/HttpFields.h>
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+struct MHD_Connection;
+
+namespace Net {
+
+// A request from a caller (an HTTP client of this server), including its body.
+struct ServerRequest {
+    std::string method;
+    std::string path; // Decoded and without the query.
+    std::string target; // The path and query exactly as they were sent.
+    HttpFields fields; // All header fields.
+    std::map<std::string, std::string> query;
+    std::map<std::string, std::string> headers; // Names in lower case.
+    std::string body;
+
+    // Returns the value of a header, or an empty view. The name must be in lower case.
+    [[nodiscard]] std::string_view header(const std::string &name) const;
+};
+
+// The status and headers of a response.
+struct ResponseHead {
+    unsigned status = 200;
+    std::string contentType
+        = "application/json"; // Empty when `headers` contains Content-Type or the response has none.
+    std::vector<std::pair<std::string, std::string>> headers;
+};
+
+// A request and its response. The response can be sent at any time after the request has arrived, and only once.
+// Calls after the connection has closed have no effect.
+class Exchange
+{
+public:
+    using ClosedFunction = std::function<void()>;
+
+    virtual ~Exchange() = default;
+    [[nodiscard]] const ServerRequest &request() const;
+    // Sends a response with a complete body.
+    virtual void respond(ResponseHead head, std::string body);
+    // Starts a response whose body is sent in pieces by send().
+    virtual void beginStream(ResponseHead head);
+    // Sends a piece of the body. If the caller reads so slowly that more than maxUnsentBytes would be buffered, its
+    // connection is closed and the closed function runs.
+    virtual void send(std::string_view piece);
+    // Ends the body normally.
+    virtual void endStream();
+    // Closes the connection in the middle of the body, so that the caller detects an incomplete response.
+    virtual void abortStream();
+    // Sets a function that runs if the caller's connection closes before the response has ended.
+    virtual void onClosed(ClosedFunction closed);
+
+private:
+    friend class HttpServer;
+    friend struct ServerCallbacks;
+    enum class BodyState { Open, Complete, Aborted };
+
+    void resume();
+    // Closes the connection of a caller that has disconnected or reads too slowly.
+    void closeConnection();
+    // Returns true when the caller has closed its end. libmicrohttpd doesn't detect this while the connection is
+    // suspended.
+    [[nodiscard]] bool hasCallerDisconnected() const;
+    [[nodiscard]] int socket() const;
+
+    class HttpServer *m_server = nullptr;
+    MHD_Connection *m_connection = nullptr; // Null when the connection has closed.
+    ServerRequest m_request;
+    ResponseHead m_head;
+    std::string m_pending;
+    std::size_t m_pendingOffset = 0;
+    BodyState m_bodyState = BodyState::Open;
+    bool m_isTooLarge = false;
+    bool m_isHandled = false;
+    bool m_hasResponse = false;
+    bool m_isStreaming = false;
+    bool m_isResponseQueued = false;
+    bool m_isSuspended = false;
+    bool m_isClosing = false;
+    ClosedFunction m_onClosed;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibNet/ServerCallbacks.cpp
@@ -0,0 +1,165 @@
+#include <LibNet/ServerCallbacks.h>
+
+#include <LibCore/LowerCase.h>
+#include <algorithm>
+#include <cstring>
+
+namespace Net {
+
+namespace {
+
+constexpr std::size_t StreamBlockBytes = 16 * 1024;
+
+MHD_Result collectValue(void *context, MHD_ValueKind kind, const char *name, const char *value)
+{
+    auto &request = *static_cast<ServerRequest *>(context);
+    if (kind == MHD_HEADER_KIND) {
+        request.headers[Core::toLower(name)] = value == nullptr ? "" : value;
+        request.fields.emplace_back(name, value == nullptr ? "" : value);
+    } else {
+        request.query[name] = value == nullptr ? "" : value;
+    }
+    return MHD_YES;
+}
+
+}
+
+void *ServerCallbacks::onRequestLine(void * /*context*/, const char *target, MHD_Connection * /*connection*/)
+{
+    auto exchange = std::make_shared<Exchange>();
+    exchange->m_request.target = target;
+    return new std::shared_ptr<Exchange>(std::move(exchange));
+}
+
+MHD_Result ServerCallbacks::onRequest(void *context, MHD_Connection *connection, const char *url, const char *method,
+                                      const char * /*version*/, const char *data, std::size_t *size, void **state)
+{
+    auto *server = static_cast<HttpServer *>(context);
+    const auto exchange = *static_cast<std::shared_ptr<Exchange> *>(*state);
+    if (exchange->m_server == nullptr) {
+        exchange->m_server = server;
+        exchange->m_connection = connection;
+        exchange->m_request.method = method;
+        exchange->m_request.path = url;
+        MHD_get_connection_values(connection, MHD_HEADER_KIND, &collectValue, &exchange->m_request);
+        MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &collectValue, &exchange->m_request);
+        server->m_openExchanges.insert(exchange);
+        return MHD_YES;
+    }
+    if (*size > 0) {
+        if (exchange->m_request.body.size() + *size > server->m_options.maxBodyBytes) {
+            exchange->m_isTooLarge = true;
+        } else if (!exchange->m_isTooLarge) {
+            exchange->m_request.body.append(data, *size);
+        }
+        *size = 0;
+        return MHD_YES;
+    }
+    return processRequest(*server, exchange);
+}
+
+MHD_Result ServerCallbacks::processRequest(HttpServer &server, const std::shared_ptr<Exchange> &exchange)
+{
+    if (exchange->m_isClosing) {
+        return MHD_NO;
+    }
+    if (!exchange->m_isHandled) {
+        exchange->m_isHandled = true;
+        if (exchange->m_isTooLarge) {
+            exchange->respond({.status = 413, .headers = {{"Currantbay-Outcome", "not-run"}}},
+                              R"({"error":{"message":"the request body is larger than )"
+                                  + std::to_string(server.m_options.maxBodyBytes)
+                                  + R"( bytes; it did not run; send a smaller one"}})");
+        } else {
+            server.m_handler(exchange);
+        }
+    }
+    if (exchange->m_isResponseQueued) {
+        return MHD_YES;
+    }
+    if (!exchange->m_hasResponse) {
+        exchange->m_isSuspended = true;
+        MHD_suspend_connection(exchange->m_connection);
+        return MHD_YES;
+    }
+    return queueResponse(exchange);
+}
+
+MHD_Result ServerCallbacks::queueResponse(const std::shared_ptr<Exchange> &exchange)
+{
+    exchange->m_isResponseQueued = true;
+    MHD_Response *response = nullptr;
+    if (exchange->m_isStreaming) {
+        response = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, StreamBlockBytes, &onReadBody,
+                                                     new std::shared_ptr<Exchange>(exchange), &onBodyFreed);
+    } else {
+        response = MHD_create_response_from_buffer(exchange->m_pending.size(), exchange->m_pending.data(),
+                                                   MHD_RESPMEM_MUST_COPY);
+    }
+    if (!exchange->m_head.contentType.empty()) {
+        MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE, exchange->m_head.contentType.c_str());
+    }
+    for (const auto &[name, value] : exchange->m_head.headers) {
+        MHD_add_response_header(response, name.c_str(), value.c_str());
+    }
+    if (exchange->m_server->m_isKeepAliveDisabled) {
+        MHD_add_response_header(response, MHD_HTTP_HEADER_CONNECTION, "close");
+    }
+    const auto result = MHD_queue_response(exchange->m_connection, exchange->m_head.status, response);
+    MHD_destroy_response(response);
+    return result;
+}
+
+ssize_t ServerCallbacks::onReadBody(void *context, std::uint64_t /*position*/, char *buffer, std::size_t capacity)
+{
+    auto &exchange = **static_cast<std::shared_ptr<Exchange> *>(context);
+    if (exchange.m_isClosing) {
+        return MHD_CONTENT_READER_END_WITH_ERROR;
+    }
+    const auto available = exchange.m_pending.size() - exchange.m_pendingOffset;
+    if (available == 0) {
+        if (exchange.m_bodyState == Exchange::BodyState::Complete) {
+            return MHD_CONTENT_READER_END_OF_STREAM;
+        }
+        if (exchange.m_bodyState == Exchange::BodyState::Aborted) {
+            return MHD_CONTENT_READER_END_WITH_ERROR;
+        }
+        exchange.m_isSuspended = true;
+        MHD_suspend_connection(exchange.m_connection);
+        return 0;
+    }
+    const auto count = std::min(available, capacity);
+    std::memcpy(buffer, exchange.m_pending.data() + exchange.m_pendingOffset, count);
+    exchange.m_pendingOffset += count;
+    if (exchange.m_pendingOffset == exchange.m_pending.size()) {
+        exchange.m_pending.clear();
+        exchange.m_pendingOffset = 0;
+    }
+    return static_cast<ssize_t>(count);
+}
+
+void ServerCallbacks::onBodyFreed(void *context)
+{
+    delete static_cast<std::shared_ptr<Exchange> *>(context);
+}
+
+void ServerCallbacks::onCompleted(void *context, MHD_Connection * /*connection*/, void **state,
+                                  MHD_RequestTerminationCode code)
+{
+    auto *server = static_cast<HttpServer *>(context);
+    if (*state == nullptr) {
+        return;
+    }
+    const auto exchange = *static_cast<std::shared_ptr<Exchange> *>(*state);
+    delete static_cast<std::shared_ptr<Exchange> *>(*state);
+    *state = nullptr;
+    exchange->m_connection = nullptr;
+    server->m_openExchanges.erase(exchange);
+    auto closed = std::move(exchange->m_onClosed);
+    exchange->m_onClosed = nullptr;
+    if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK && closed) {
+        closed();
+    }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibNet/ServerCallbacks.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <LibNet/HttpServer.h>
+#include <microhttpd.h>
+
+namespace Net {
+
+// libmicrohttpd's C callbacks. The context of each is the server; the state of a request is its exchange.
+struct ServerCallbacks {
+    // Called before a request's headers are read. The returned pointer is passed as state to the request's other
+    // callbacks.
+    static void *onRequestLine(void *context, const char *target, MHD_Connection *connection);
+    // Called when the headers have been read, then for each part of the body, and then when the request is complete.
+    static MHD_Result onRequest(void *context, MHD_Connection *connection, const char *url, const char *method,
+                                const char *version, const char *data, std::size_t *size, void **state);
+    // Called when the response has ended or the connection has closed.
+    static void onCompleted(void *context, MHD_Connection *connection, void **state, MHD_RequestTerminationCode code);
+
+private:
+    static MHD_Result processRequest(HttpServer &server, const std::shared_ptr<Exchange> &exchange);
+    static MHD_Result queueResponse(const std::shared_ptr<Exchange> &exchange);
+    // Supplies the next part of a streamed body.
+    static ssize_t onReadBody(void *context, std::uint64_t position, char *buffer, std::size_t capacity);
+    static void onBodyFreed(void *context);
+};
+
+}
