LibNet: Handle signals outside of signal context

What callers saw: a busy host that got SIGHUP stopped for good after some ten to some hundred signals. SIGTERM takes the same way.

Cause: EventLoop::watchSignal let ACE call it in signal context, where it copied a std::function and appended to a vector. A signal that interrupts malloc then waits for malloc's lock for ever.

Change: the handler sets a lock-free flag and writes a byte to a pipe, which the loop reads like any descriptor; it calls the handler once for all signals of a kind. Daemons record signals from the start of main(), so that one that comes before the loop runs is neither lost nor fatal, and ignore SIGPIPE.

Evidence: nothingIsAllocatedInSignalContext counts three allocations for three signals before and none now; stormOfSignalsEndsWithTheNewestState (20,000 signals) didn't end within 40 s before and takes under a second now; signalBeforeTheLoopRunsIsHandled failed before. LibNet: 26 of 26. Tests/gateway passes with its series of signals to a busy and to a stopping host.

--- a/Libraries/LibNet/EventLoop.cpp
+++ b/Libraries/LibNet/EventLoop.cpp
@@ -1,6 +1,7 @@
 #include <LibNet/EventLoop.h>
 
 #include <LibCore/StepError.h>
+#include <LibNet/Signals.h>
 #include <ace/Dev_Poll_Reactor.h>
 #include <ace/Event_Handler.h>
 #include <ace/Reactor.h>
@@ -15,7 +16,7 @@
 
 constexpr auto MaxWait = std::chrono::milliseconds(1000);
 
-// Calls a function for the events of one descriptor or signal.
+// Calls a function for the events of one descriptor.
 class FunctionHandler final : public ACE_Event_Handler
 {
 public:
@@ -36,12 +37,6 @@
         return 0;
     }
 
-    int handle_signal(int /*number*/, siginfo_t * /*information*/, ucontext_t * /*context*/) override
-    {
-        m_task();
-        return 0;
-    }
-
 private:
     ACE_HANDLE m_handle;
     EventLoop::Task m_task;
@@ -105,12 +100,23 @@
 
 void EventLoop::watchSignal(int signalNumber, Task handler)
 {
-    // Little is safe to call in signal context, so the handler is posted to the loop.
-    auto entry = std::make_unique<FunctionHandler>(ACE_INVALID_HANDLE, [this, handler = std::move(handler)] {
-        post(handler);
-    });
-    m_reactor->register_handler(signalNumber, entry.get());
-    m_handlers.push_back(std::move(entry));
+    recordSignals({signalNumber});
+    if (m_signalHandlers.empty()) {
+        watchReadable(recordedSignalsFd(), [this] {
+            handleSignals();
+        });
+    }
+    m_signalHandlers[signalNumber] = std::move(handler);
+}
+
+void EventLoop::handleSignals()
+{
+    clearRecordedSignalsFd();
+    for (const auto &[number, handler] : m_signalHandlers) {
+        if (takeRecordedSignal(number)) {
+            handler();
+        }
+    }
 }
 
 void EventLoop::run()
--- a/Libraries/LibNet/EventLoop.h
+++ b/Libraries/LibNet/EventLoop.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/TimerQueue.h>
 #include <functional>
+#include <map>
 #include <memory>
 #include <vector>
 
@@ -10,7 +11,7 @@
 
 namespace Net {
 
-// The event loop of a process: an ACE reactor for descriptors and signals, with a queue of timers and tasks.
+// The event loop of a process: an ACE reactor for descriptors, with a queue of timers and tasks.
 // All handlers and tasks run on the thread that calls run().
 class EventLoop final : public Core::Scheduler
 {
@@ -31,7 +32,8 @@
     void watchReadable(int fd, Task handler);
     // Stops calling the descriptor's handler. The caller keeps the descriptor open until then and closes it itself.
     void unwatch(int fd);
-    // Calls the handler when the process receives the signal.
+    // Calls the handler after the process has received the signal, once for all that have arrived since the last call.
+    // A signal that was recorded before counts too (see Signals.h).
     void watchSignal(int signalNumber, Task handler);
 
     // Processes events until stop() is called.
@@ -41,11 +43,13 @@
 private:
     void runDueTimers();
     void runPostedTasks();
+    void handleSignals();
 
     std::unique_ptr<ACE_Reactor> m_reactor;
     Core::TimerQueue m_timers;
     std::vector<Task> m_posted;
     std::vector<std::unique_ptr<ACE_Event_Handler>> m_handlers;
+    std::map<int, Task> m_signalHandlers; // By signal number.
     bool m_isStopped = false;
 };
 
--- a/Services/currantbayd/Main.cpp
+++ b/Services/currantbayd/Main.cpp
@@ -3,6 +3,8 @@
 
 #include <CLI/CLI.hpp>
 #include <LibLog/Log.h>
+#include <LibNet/Signals.h>
+#include <csignal>
 #include <cstdlib>
 #include <iostream>
 
@@ -44,6 +46,11 @@
     app.add_flag("--check", isCheckOnly, "Validate the settings, print every mistake, and exit");
     CLI11_PARSE(app, argc, argv);
     try {
+        if (!isCheckOnly) {
+            // Before anything that takes time, and before the first thread. What a daemon doesn't watch is ignored.
+            Net::recordSignals({SIGTERM, SIGINT, SIGHUP});
+            Net::ignoreBrokenPipes();
+        }
         const auto text = Settings::readSettingsFile(settingsFile);
         if (Settings::isGatewaySettings(text)) {
             return runGateway(text, settingsFile, isCheckOnly);
