LibNet, LibGateway: Limit what peers can make a host buffer

Cause: memory was limited for each response, event, request body and connection, and not for the host; and bytes were collected that nothing would use, as the head had shown already.

Change: all buffers whose size a peer decides reserve their bytes in a BufferBudget of the host, a quarter of limits.memoryMegabytes. When it is full, the largest buffer without a known end yields. Request bodies may use half of it and are refused with 503 as not run beyond that; they are shared by their owners in place of three copies. A response whose head can't be used ends its attempt there, and the body of a rejection isn't kept. Replies that are small by their nature have limits that fit.

--- a/Libraries/LibEngine/HttpEngineLink.cpp
+++ b/Libraries/LibEngine/HttpEngineLink.cpp
@@ -101,7 +101,8 @@
                     .headers = {"Content-Type: application/json"},
                     .body = toJson(order).dump(),
                     .totalTimeout = m_options.orderTimeout,
-                    .isStillPermitted = order.isPermitted},
+                    .isStillPermitted = order.isPermitted,
+                    .maxBodyBytes = Net::SmallMaxBodyBytes},
                    [done = std::move(done)](const Net::HttpResult &result) {
                        if (!result.isComplete()) {
                            done(result.mayHaveBeenSent ? OrderOutcome::Unknown : OrderOutcome::Failed);
--- a/Libraries/LibGateway/CallerRequest.h
+++ b/Libraries/LibGateway/CallerRequest.h
@@ -17,7 +17,7 @@
     std::string target; // Path and query, exactly as received.
     // End-to-end headers, without those that only the system may set.
     Net::HttpFields fields;
-    std::string body;
+    Net::SharedBytes body;
     std::optional<Core::Duration> timeout; // How long the caller waits for the response.
     std::string model; // Empty if the request needs no model.
     std::string adapter; // Empty for the base model.
@@ -48,6 +48,7 @@
     bool isEncoded = false; // The body has a content encoding, so its bytes aren't those of the replica.
     bool isEventStream = false;
     bool isFramed = false; // By a length or chunks, so that a body that is cut short shows.
+    bool hasLength = false; // The head says how long the body is.
     bool isLeaving = false; // The replica is about to stop and wants no new requests.
     std::optional<Core::Duration> pause; // The replica wants no requests from this host for this long.
     // The requests per second that the replica accepts from all hosts together, until a response names no limit.
--- a/Libraries/LibGateway/ForwardedRequest.cpp
+++ b/Libraries/LibGateway/ForwardedRequest.cpp
@@ -33,6 +33,9 @@
     , m_route(std::move(route))
 {
     m_fingerprints.push_back(Routing::fingerprintOfRequest(m_request.target, m_request.body));
+    m_buffer.attach(m_dependencies.budget, [this] {
+        breakOff("the host needs the memory that the response takes");
+    });
 }
 
 void ForwardedRequest::start()
@@ -220,8 +223,8 @@
     m_hasResponseBody = false;
     m_answeringSince.reset();
     m_isHarmless = false;
-    m_body.clear();
-    m_events.dropPartial();
+    m_discardedBytes = 0;
+    dropBuffer();
     m_dependencies.fleet.recordAttemptStarted(m_replica.id, m_request, m_sentAt);
     auto outgoing = m_dependencies.protocol.writeRequest(
         m_request,
@@ -317,7 +320,8 @@
     if (m_stage == Stage::Ended) {
         return;
     }
-    if (m_stage == Stage::Sending && !m_hasHead) {
+    // A body that goes on beyond the deadline has no end, as far as this host can know.
+    if (m_stage == Stage::Sending && (!m_hasHead || !isEventStream())) {
         recordOutcome(Placement::AttemptOutcome::Failed);
     }
     endUnanswered("the deadline has passed");
@@ -355,6 +359,7 @@
 void ForwardedRequest::end(unsigned status, std::string_view reason)
 {
     m_stage = Stage::Ended;
+    dropBuffer();
     m_dependencies.scheduler.cancel(m_deadlineTimer);
     m_dependencies.scheduler.cancel(m_idleTimer);
     const auto now = m_dependencies.scheduler.now();
--- a/Libraries/LibGateway/ForwardedRequest.h
+++ b/Libraries/LibGateway/ForwardedRequest.h
@@ -8,6 +8,7 @@
 #include <LibGateway/ReplicaCrashes.h>
 #include <LibGateway/ServiceRetryBudget.h>
 #include <LibMetrics/Registry.h>
+#include <LibNet/BufferBudget.h>
 #include <LibNet/HttpServer.h>
 #include <LibNet/HttpTransport.h>
 #include <LibRoutes/RouteTable.h>
@@ -32,6 +33,7 @@
     Metrics::Registry &metrics;
     AdapterLoader loadAdapter;
     std::function<std::size_t()> hostCount;
+    Net::BufferBudget *budget = nullptr; // For the responses that the host buffers; null for no limit.
 };
 
 // Forwards one caller's request: selects a replica, has the adapter loaded if needed, sends the request, checks the
@@ -71,14 +73,21 @@
     void recordLimit();
     void handleBody(std::string_view bytes);
     void forwardEvents(std::string_view bytes);
-    // Ends the attempt because the replica sends something that is no response.
+    // Reads on to the end of a response whose body isn't used, unless it is far too long.
+    void discardBody(std::string_view bytes);
+    // Makes room for so many bytes of the response. Ends the attempt and returns false if there is none.
+    bool reserveBuffer(std::size_t bytes);
+    void dropBuffer();
+    // Ends the attempt because the replica sends something that is no response, or more than the host can hold.
     void breakOff(std::string_view reason);
     void handleEnd(const Net::HttpResult &result);
     // Handles an attempt that the replica has broken off, by which it may have crashed.
     void handleBreak(const Net::HttpResult &result);
     void handleRejection(const Net::HttpResult &result);
     void handleInterruption(const Net::HttpResult &result);
-    void handleResponse(const Net::HttpResult &result);
+    void handleResponse();
+    // Ends the attempt because the response can't be the one to this request.
+    void dropResponse();
     void forwardResponse(std::string body);
     void abandonAttempt();
     // Watches for a replica that falls silent, if the request may be continued elsewhere.
@@ -118,6 +127,10 @@
     // Whether the head names this request. A replica may send the response to another one.
     [[nodiscard]] bool isHeadForRequest() const;
     [[nodiscard]] bool isUsableHead() const;
+    // Whether the replica says of this request that it didn't run it.
+    [[nodiscard]] bool isRejection() const;
+    // Whether the head shows that the response can't be used, whatever its body is.
+    [[nodiscard]] bool isUnusableResponse() const;
     // Whether the response is an event stream whose events are forwarded as they arrive.
     [[nodiscard]] bool isEventStream() const;
     // Why the response isn't the whole event stream that it seems to be; empty if it is or if it is something else. A
@@ -159,7 +172,9 @@
     bool m_hasResponseBody = false; // The first byte of the response body has arrived.
     std::optional<Core::TimePoint> m_answeringSince; // When the first event of the attempt arrived.
     bool m_isHarmless = false; // The replica has answered without crashing.
-    std::string m_body;
+    std::string m_body; // Of a response that isn't an event stream.
+    std::size_t m_discardedBytes = 0;
+    Net::BufferBudget::Reservation m_buffer; // The body, or the incomplete event of a stream.
 
     // The response to the caller.
     EventSplitter m_events;
--- a/Libraries/LibGateway/ForwardedRequestResponses.cpp
+++ b/Libraries/LibGateway/ForwardedRequestResponses.cpp
@@ -12,6 +12,8 @@
 
 // Far above the responses of replicas. A faulty replica may send bytes without end.
 constexpr std::size_t MaxBodyBytes = 16U << 20U;
+// A body that isn't used, such as that of a rejection, is read for so long to let the replica finish.
+constexpr std::size_t MaxDiscardedBytes = 64U << 10U;
 // A replica that crashes by a request does so as it begins its answer.
 constexpr auto HarmlessAnswerTime = std::chrono::milliseconds(250);
 
@@ -27,6 +29,17 @@
     return isHeadForRequest() && m_head.hasServerStamp && !m_head.isEncoded;
 }
 
+bool ForwardedRequest::isRejection() const
+{
+    return m_head.hasNotRun && isHeadForRequest();
+}
+
+bool ForwardedRequest::isUnusableResponse() const
+{
+    const bool isFalsePromise = m_head.readsAsNotRun && !isIdempotent();
+    return !isUsableHead() || isFalsePromise || (m_isStreaming && !isEventStream());
+}
+
 bool ForwardedRequest::isEventStream() const
 {
     return m_head.isEventStream && m_head.status == Core::HttpStatus::Ok && isUsableHead();
@@ -52,6 +65,14 @@
     if (isHeadForRequest()) {
         recordAnnouncements();
     }
+    const bool mayBeLong = isEventStream() || !m_head.hasLength;
+    m_buffer.setEnd(mayBeLong ? Net::BufferEnd::Unknown : Net::BufferEnd::Known);
+    // The body of such a response is no use, and may have no end.
+    if (m_stage == Stage::Sending && !isRejection() && isUnusableResponse()) {
+        m_dependencies.client.cancel(m_transfer);
+        m_transfer = Net::HttpRequestId::None;
+        dropResponse();
+    }
 }
 
 void ForwardedRequest::recordAnnouncements()
@@ -101,6 +122,10 @@
     if (m_stage != Stage::Sending) {
         return;
     }
+    if (isRejection()) {
+        discardBody(bytes);
+        return;
+    }
     m_dependencies.crashes.recordActivity(m_replica);
     if (!m_hasResponseBody) {
         m_hasResponseBody = true;
@@ -111,10 +136,38 @@
         return;
     }
     m_lastProgressAt = m_dependencies.scheduler.now();
-    m_body += bytes;
-    if (m_body.size() > MaxBodyBytes) {
+    if (m_body.size() + bytes.size() > MaxBodyBytes) {
         breakOff("the body of the response is too large");
+    } else if (reserveBuffer(m_body.size() + bytes.size())) {
+        m_body += bytes;
+    }
+}
+
+void ForwardedRequest::discardBody(std::string_view bytes)
+{
+    m_discardedBytes += bytes.size();
+    if (m_discardedBytes > MaxDiscardedBytes) {
+        m_dependencies.client.cancel(m_transfer);
+        m_transfer = Net::HttpRequestId::None;
+        recordOutcome(Placement::AttemptOutcome::Failed);
+        handleRejection({.status = m_head.status});
+    }
+}
+
+bool ForwardedRequest::reserveBuffer(std::size_t bytes)
+{
+    if (m_buffer.resize(bytes)) {
+        return true;
     }
+    breakOff("the host has no memory left for the response");
+    return false;
+}
+
+void ForwardedRequest::dropBuffer()
+{
+    m_body = {};
+    m_events.dropPartial();
+    m_buffer.release();
 }
 
 void ForwardedRequest::forwardEvents(std::string_view bytes)
@@ -148,6 +201,8 @@
         breakOff("the event stream skipped an event");
     } else if (sequence == EventSplitter::Sequence::TooLong) {
         breakOff("an event of the stream has no end");
+    } else {
+        reserveBuffer(m_events.partial().size());
     }
 }
 
@@ -155,6 +210,7 @@
 {
     m_dependencies.client.cancel(m_transfer);
     m_transfer = Net::HttpRequestId::None;
+    dropBuffer();
     handleInterruption({.error = std::string(reason)});
 }
 
@@ -165,12 +221,12 @@
     }
     if (!result.isComplete()) {
         handleBreak(result);
-    } else if (m_head.hasNotRun && isHeadForRequest()) {
+    } else if (isRejection()) {
         handleRejection(result);
     } else if (const auto defect = streamDefect(); !defect.empty()) {
         handleBreak({.error = std::string(defect)});
     } else {
-        handleResponse(result);
+        handleResponse();
     }
 }
 
@@ -269,22 +325,26 @@
     retryOrFail(result.error);
 }
 
-void ForwardedRequest::handleResponse(const Net::HttpResult &result)
+void ForwardedRequest::dropResponse()
 {
     ++m_possibleRuns;
-    const bool isFailure = m_head.status >= Core::HttpStatus::InternalServerError;
-    const bool isFalsePromise = m_head.readsAsNotRun && !isIdempotent();
-    if (!isUsableHead() || isFalsePromise || (m_isStreaming && !isEventStream())) {
-        recordOutcome(Placement::AttemptOutcome::Failed);
-        endAttempt();
-        m_excluded.insert(m_replica.id);
-        Log::write(Log::Event::WrongAnswerDropped,
-                   {{"request", m_request.attemptId},
-                    {"replica", m_replica.id.value},
-                    {"status", std::to_string(result.status)}});
-        retryOrFail("the response of the replica doesn't match the request");
+    recordOutcome(Placement::AttemptOutcome::Failed);
+    endAttempt();
+    m_excluded.insert(m_replica.id);
+    Log::write(
+        Log::Event::WrongAnswerDropped,
+        {{"request", m_request.attemptId}, {"replica", m_replica.id.value}, {"status", std::to_string(m_head.status)}});
+    retryOrFail("the response of the replica doesn't match the request");
+}
+
+void ForwardedRequest::handleResponse()
+{
+    if (isUnusableResponse()) {
+        dropResponse();
         return;
     }
+    ++m_possibleRuns;
+    const bool isFailure = m_head.status >= Core::HttpStatus::InternalServerError;
     recordOutcome(isFailure ? Placement::AttemptOutcome::Failed : Placement::AttemptOutcome::Served);
     // A crash can't be told from the end of a response without framing.
     if (m_head.status == Core::HttpStatus::Ok && m_head.isFramed) {
@@ -306,6 +366,7 @@
         m_exchange->send(m_events.partial());
         m_exchange->endStream();
     } else {
+        m_buffer.release(); // The exchange reserves the body from here on.
         m_exchange->respond({.status = status, .contentType = {}, .headers = m_head.fields}, std::move(body));
     }
     end(status, "answered");
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -226,7 +226,8 @@
                                 .hostCount =
                                     [this] {
                                         return m_holders.liveHostCount();
-                                    }},
+                                    },
+                                .budget = m_dependencies.budget},
         exchange, std::move(request), std::move(route));
     m_requests.push_back(forwarded);
     forwarded->start();
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -41,6 +41,7 @@
     const Protocol &protocol;
     Peer::PeerTransport &transport;
     Metrics::Registry &metrics;
+    Net::BufferBudget *budget = nullptr; // For the responses that the host buffers; null for no limit.
     // Creates the source of replicas and configuration from a row feed that the hosts of a zone share.
     std::function<std::unique_ptr<Fleet::DeploymentSource>(Platform::RowFeed &rows)> makeSource;
 };
--- a/Libraries/LibGateway/Tests/ForwardingHarness.h
+++ b/Libraries/LibGateway/Tests/ForwardingHarness.h
@@ -92,7 +92,7 @@
     bool isAborted = false;
 };
 
-// Reads the headers "Not-Run", "Stream", "Framed", "Leaving", "Limit" and "Pause", which is in
+// Reads the headers "Not-Run", "Stream", "Framed", "Length", "Unstamped", "Leaving", "Limit" and "Pause", which is in
 // milliseconds.
 class PlainProtocol final : public Gateway::Protocol
 {
@@ -112,9 +112,10 @@
     {
         Gateway::ResponseHead head {.status = status,
                                     .hasNotRun = !Net::valueOf(fields, "Not-Run").empty(),
-                                    .hasServerStamp = true,
+                                    .hasServerStamp = Net::valueOf(fields, "Unstamped").empty(),
                                     .isEventStream = !Net::valueOf(fields, "Stream").empty(),
                                     .isFramed = !Net::valueOf(fields, "Framed").empty(),
+                                    .hasLength = !Net::valueOf(fields, "Length").empty(),
                                     .isLeaving = !Net::valueOf(fields, "Leaving").empty(),
                                     .attemptId = std::string(Net::valueOf(fields, "Attempt")),
                                     .fields = fields};
@@ -187,7 +188,8 @@
                                                             .hostCount =
                                                                 [] {
                                                                     return std::size_t(1);
-                                                                }};
+                                                                },
+                                                            .budget = buffers};
         std::make_shared<Gateway::ForwardedRequest>(
             dependencies, caller, std::move(request),
             Routes::MatchedRoute {.configuration = configuration, .route = matched})
@@ -236,6 +238,7 @@
     ManualTransport transport {scheduler};
     Gateway::ServiceRetryBudget budget;
     Metrics::Registry metrics;
+    Net::BufferBudget *buffers = nullptr;
     std::vector<std::pair<Holding::AdapterRequest, Loaded>> loads;
 
 private:
--- a/Libraries/LibNet/Exchange.cpp
+++ b/Libraries/LibNet/Exchange.cpp
@@ -33,6 +33,10 @@
     m_head = std::move(head);
     m_pending = std::move(body);
     m_hasResponse = true;
+    if (!m_pendingBytes.resize(m_pending.size())) {
+        closeConnection();
+        return;
+    }
     resume();
 }
 
@@ -56,10 +60,10 @@
         closeConnection();
         return;
     }
-    // Frees the part of the buffer that has been sent before it becomes larger than the unsent part.
-    if (m_pendingOffset > MaxSentBytesKept && m_pendingOffset > m_pending.size() / 2) {
-        m_pending.erase(0, m_pendingOffset);
-        m_pendingOffset = 0;
+    dropSentBytes();
+    if (!m_pendingBytes.resize(m_pending.size() + piece.size())) {
+        closeConnection();
+        return;
     }
     m_pending += piece;
     resume();
@@ -92,11 +96,21 @@
     m_server->scheduleRun();
 }
 
+void Exchange::dropSentBytes()
+{
+    // Moving the unsent bytes costs less than what it frees once they are the smaller part.
+    if (m_pendingOffset > MaxSentBytesKept && m_pendingOffset > m_pending.size() / 2) {
+        m_pending.erase(0, m_pendingOffset);
+        m_pendingOffset = 0;
+    }
+}
+
 void Exchange::closeConnection()
 {
     m_isClosing = true;
-    m_pending.clear();
+    m_pending = {};
     m_pendingOffset = 0;
+    m_pendingBytes.release();
     // A connection that blocks on writing isn't suspended, so resume() has no effect on it. Shutting down its socket
     // makes libmicrohttpd detect the end of the connection.
     shutdown(socket(), SHUT_RDWR);
--- a/Libraries/LibNet/Exchange.h
+++ b/Libraries/LibNet/Exchange.h
@@ -1,9 +1,12 @@
 #pragma once
 
+#include <LibNet/BufferBudget.h>
 #include <LibNet/HttpFields.h>
+#include <LibNet/SharedBytes.h>
 #include <cstddef>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -21,7 +24,7 @@
     HttpFields fields; // All header fields.
     std::map<std::string, std::string> query;
     std::map<std::string, std::string> headers; // Names in lower case.
-    std::string body;
+    SharedBytes body;
 
     // Returns the value of a header, or an empty view. The name must be in lower case.
     [[nodiscard]] std::string_view header(const std::string &name) const;
@@ -48,8 +51,8 @@
     virtual void respond(ResponseHead head, std::string body);
     // Starts a response whose body is sent in pieces by send().
     virtual void beginStream(ResponseHead head);
-    // Sends a piece of the body. If the caller reads so slowly that more than maxUnsentBytes would be buffered, its
-    // connection is closed and the closed function runs.
+    // Sends a piece of the body. If the caller reads so slowly that more than maxUnsentBytes would be buffered, or more
+    // than the host's budget has room for, its connection is closed and the closed function runs.
     virtual void send(std::string_view piece);
     // Ends the body normally.
     virtual void endStream();
@@ -64,6 +67,8 @@
     enum class BodyState { Open, Complete, Aborted };
 
     void resume();
+    // Frees the part of the body that has been sent, if it is large enough.
+    void dropSentBytes();
     // Closes the connection of a caller that has disconnected or reads too slowly.
     void closeConnection();
     // Returns true when the caller has closed its end. libmicrohttpd doesn't detect this while the connection is
@@ -76,10 +81,14 @@
     ServerRequest m_request;
     std::string_view m_targetInBuffer; // The target where libmicrohttpd has read it, until the head is complete.
     ResponseHead m_head;
+    std::string m_received; // The body of the request while it arrives.
+    std::size_t m_discardedBytes = 0; // Of the body of a request that is going to be refused.
+    BufferBudget::Reservation m_requestBytes;
     std::string m_pending;
     std::size_t m_pendingOffset = 0;
+    BufferBudget::Reservation m_pendingBytes;
     BodyState m_bodyState = BodyState::Open;
-    bool m_isTooLarge = false;
+    std::optional<unsigned> m_refusal; // The status with which the server itself refuses the request.
     bool m_endsConnection = false; // The connection closes after the response.
     bool m_isHandled = false;
     bool m_hasResponse = false;
--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -22,8 +22,9 @@
 
 }
 
-HttpClient::HttpClient(EventLoop &loop)
+HttpClient::HttpClient(EventLoop &loop, BufferBudget *budget)
     : m_loop(loop)
+    , m_budget(budget)
 {
     curl_global_init(CURL_GLOBAL_DEFAULT);
     m_multi = curl_multi_init();
@@ -67,6 +68,7 @@
     transfer->data = std::move(data);
     transfer->head = std::move(head);
     transfer->lastActivity = m_loop.now();
+    transfer->bodyBytes.attach(m_budget);
     configure(*transfer);
     const auto id = transfer->id;
     auto &added = *m_transfers.emplace(id, std::move(transfer)).first->second;
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibNet/BufferBudget.h>
 #include <LibNet/EventLoop.h>
 #include <LibNet/HttpTransport.h>
 #include <memory>
@@ -12,7 +13,8 @@
 class HttpClient final : public HttpTransport
 {
 public:
-    explicit HttpClient(EventLoop &loop);
+    // The bodies that the client stores are work of the budget, if one is given. It must outlive the client.
+    explicit HttpClient(EventLoop &loop, BufferBudget *budget = nullptr);
     ~HttpClient() override;
     HttpClient(const HttpClient &) = delete;
     HttpClient &operator=(const HttpClient &) = delete;
@@ -41,6 +43,7 @@
     void release(Transfer &transfer);
 
     EventLoop &m_loop;
+    BufferBudget *m_budget;
     void *m_multi = nullptr; // A CURLM; curl's header is not included here.
     int m_epollFd = -1;
     Core::TimerId m_timer = Core::TimerId::None;
--- a/Libraries/LibNet/HttpRequest.h
+++ b/Libraries/LibNet/HttpRequest.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Time.h>
 #include <LibNet/HttpFields.h>
+#include <LibNet/SharedBytes.h>
 #include <functional>
 #include <string>
 #include <vector>
@@ -36,8 +37,10 @@
 
 // Twice what common servers allow.
 inline constexpr std::size_t DefaultMaxHeadBytes = 64U << 10U;
-// The largest responses are pages of the store, of at most a megabyte.
-inline constexpr std::size_t DefaultMaxBodyBytes = 16U << 20U;
+// The largest responses are pages of the store: a megabyte, which Base64 and JSON make larger.
+inline constexpr std::size_t DefaultMaxBodyBytes = 4U << 20U;
+// For responses that say little more than their status, such as those to orders.
+inline constexpr std::size_t SmallMaxBodyBytes = 64U << 10U;
 
 // One outgoing HTTP request.
 struct HttpRequest {
@@ -46,7 +49,7 @@
     std::string target; // The path and query exactly as sent; if empty, they are taken from the URL.
     HeaderDefaults headerDefaults = HeaderDefaults::Added;
     std::vector<std::string> headers; // Each in the form "Name: value".
-    std::string body;
+    SharedBytes body;
     Core::Duration connectTimeout = std::chrono::milliseconds(500);
     Core::Duration totalTimeout = {}; // Zero means no limit.
     Core::Duration idleTimeout = {}; // Maximum time without progress; zero means no limit.
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -21,6 +21,7 @@
     std::size_t connectionMemory = 32 * 1024; // Bytes for the headers and buffers of one connection.
     std::size_t maxUnsentBytes = 1U << 20U; // Limit on the buffered part of a streamed body.
     Core::Duration disconnectCheckPeriod = std::chrono::milliseconds(500);
+    BufferBudget *budget = nullptr; // Of the host; null for no limit. Must outlive the server.
 };
 
 // Returns options for a server that listens at "host:port". Throws StepError when the text isn't such an address.
--- a/Libraries/LibNet/HttpTransfer.cpp
+++ b/Libraries/LibNet/HttpTransfer.cpp
@@ -77,7 +77,7 @@
 std::size_t HttpClient::CurlCallbacks::onReadBody(char *bytes, std::size_t size, std::size_t count, void *context)
 {
     auto *transfer = static_cast<Transfer *>(context);
-    const auto &body = transfer->request.body;
+    const auto body = transfer->request.body.view();
     const auto piece = std::min(size * count, body.size() - transfer->sentBodyBytes);
     std::memcpy(bytes, body.data() + transfer->sentBodyBytes, piece);
     transfer->sentBodyBytes += piece;
@@ -133,6 +133,9 @@
     } else if (transfer->body.size() + piece.size() > transfer->request.maxBodyBytes) {
         transfer->violation = "the body of the response is too large";
         return 0;
+    } else if (!transfer->bodyBytes.resize(transfer->body.size() + piece.size())) {
+        transfer->violation = "this host has no memory left for the body of the response";
+        return 0;
     } else {
         transfer->body += piece;
     }
--- a/Libraries/LibNet/HttpTransfer.h
+++ b/Libraries/LibNet/HttpTransfer.h
@@ -20,6 +20,7 @@
     std::string_view violation; // Why the client has ended the transfer; empty if it hasn't.
     HttpFields fields;
     std::string body;
+    BufferBudget::Reservation bodyBytes;
     Core::TimePoint lastActivity {};
     Core::TimerId idleTimer = Core::TimerId::None;
     bool isCancelled = false;
--- a/Libraries/LibNet/ServerCallbacks.cpp
+++ b/Libraries/LibNet/ServerCallbacks.cpp
@@ -5,13 +5,19 @@
 #include <LibNet/HeadLines.h>
 #include <LibNet/RequestFraming.h>
 #include <algorithm>
+#include <charconv>
 #include <cstring>
 
 namespace Net {
 
 namespace {
 
-constexpr std::size_t StreamBlockBytes = 16 * 1024;
+constexpr std::size_t BodyBlockBytes = 16 * 1024;
+constexpr unsigned ContentTooLarge = 413;
+// How many times the largest body is read and discarded before the response to a request that is refused.
+constexpr std::size_t MaxDiscardedBodies = 2;
+// In seconds. Other bodies leave the host within about this time.
+constexpr const char *RetryAfterNoMemory = "0.5";
 
 struct HeaderCollector {
     ServerRequest &request;
@@ -62,17 +68,18 @@
         exchange->m_connection = connection;
         exchange->m_request.method = method;
         exchange->m_request.path = url;
+        exchange->m_requestBytes.attach(server->m_options.budget);
+        exchange->m_pendingBytes.attach(server->m_options.budget, [&pending = *exchange] {
+            pending.closeConnection();
+        });
+        exchange->m_pendingBytes.setEnd(BufferEnd::Unknown); // A caller may never read its response.
         server->m_openExchanges.insert(exchange);
         return readHead(exchange, method, version);
     }
     if (*size > 0) {
-        if (exchange->m_request.body.size() + *size > server->m_options.maxBodyBytes) {
-            exchange->m_isTooLarge = true;
-        } else if (!exchange->m_isTooLarge) {
-            exchange->m_request.body.append(data, *size);
-        }
+        const auto result = receiveBody(*exchange, {data, *size});
         *size = 0;
-        return MHD_YES;
+        return result;
     }
     return processRequest(*server, exchange);
 }
@@ -92,6 +99,10 @@
     // libmicrohttpd also accepts a lone LF after the size of a chunk, which doesn't show.
     exchange->m_endsConnection = error.has_value() || isChunked(request.fields);
     if (!error.has_value()) {
+        const auto length = request.header("content-length");
+        std::size_t bytes = 0;
+        std::from_chars(length.data(), length.data() + length.size(), bytes);
+        limitBody(*exchange, bytes);
         return MHD_YES;
     }
     ++exchange->m_server->m_ambiguousRequests;
@@ -102,6 +113,49 @@
     return queueResponse(exchange);
 }
 
+void ServerCallbacks::limitBody(Exchange &exchange, std::size_t bytes)
+{
+    const auto &options = exchange.m_server->m_options;
+    const auto missing = bytes - std::min(bytes, exchange.m_requestBytes.size());
+    if (bytes > options.maxBodyBytes) {
+        exchange.m_refusal = ContentTooLarge;
+    } else if (options.budget != nullptr && !options.budget->hasRoomForWork(missing)) {
+        exchange.m_refusal = Core::HttpStatus::ServiceUnavailable;
+    }
+}
+
+MHD_Result ServerCallbacks::receiveBody(Exchange &exchange, std::string_view bytes)
+{
+    const auto size = exchange.m_received.size() + bytes.size();
+    if (!exchange.m_refusal.has_value()) {
+        limitBody(exchange, size);
+    }
+    if (!exchange.m_refusal.has_value() && exchange.m_requestBytes.resize(size)) {
+        exchange.m_received += bytes;
+        return MHD_YES;
+    }
+    exchange.m_refusal = exchange.m_refusal.value_or(Core::HttpStatus::ServiceUnavailable);
+    exchange.m_received = {};
+    exchange.m_requestBytes.release();
+    // A caller that sends on without reading would otherwise find its connection reset in place of the response.
+    exchange.m_discardedBytes += bytes.size();
+    return exchange.m_discardedBytes > exchange.m_server->m_options.maxBodyBytes * MaxDiscardedBodies ? MHD_NO
+                                                                                                      : MHD_YES;
+}
+
+void ServerCallbacks::refuse(Exchange &exchange)
+{
+    ResponseHead head {.status = *exchange.m_refusal, .headers = {{"Currantbay-Outcome", "not-run"}}};
+    if (head.status == ContentTooLarge) {
+        exchange.respond(std::move(head),
+                         refusalBody("its body is larger than "
+                                     + std::to_string(exchange.m_server->m_options.maxBodyBytes) + " bytes"));
+        return;
+    }
+    head.headers.emplace_back("Retry-After", RetryAfterNoMemory);
+    exchange.respond(std::move(head), refusalBody("this host has no memory left for its body; send it again"));
+}
+
 MHD_Result ServerCallbacks::processRequest(HttpServer &server, const std::shared_ptr<Exchange> &exchange)
 {
     if (exchange->m_isClosing) {
@@ -109,12 +163,14 @@
     }
     if (!exchange->m_isHandled) {
         exchange->m_isHandled = true;
-        if (exchange->m_isTooLarge) {
-            exchange->respond(
-                {.status = 413, .headers = {{"Currantbay-Outcome", "not-run"}}},
-                refusalBody("its body is larger than " + std::to_string(server.m_options.maxBodyBytes) + " bytes"));
+        if (exchange->m_refusal.has_value()) {
+            refuse(*exchange);
         } else {
+            exchange->m_request.body = std::move(exchange->m_received);
             server.m_handler(exchange);
+            if (exchange->m_isClosing) {
+                return MHD_NO;
+            }
         }
     }
     if (exchange->m_isResponseQueued) {
@@ -132,12 +188,12 @@
 {
     exchange->m_isResponseQueued = true;
     MHD_Response *response = nullptr;
-    if (exchange->m_isStreaming) {
-        response = MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, StreamBlockBytes, &onReadBody,
+    const auto size = exchange->m_isStreaming ? MHD_SIZE_UNKNOWN : exchange->m_pending.size();
+    if (exchange->m_isStreaming || size > BodyBlockBytes) {
+        response = MHD_create_response_from_callback(size, BodyBlockBytes, &onReadBody,
                                                      new std::shared_ptr<Exchange>(exchange), &onBodyFreed);
     } else {
-        response = MHD_create_response_from_buffer(exchange->m_pending.size(), exchange->m_pending.data(),
-                                                   MHD_RESPMEM_MUST_COPY);
+        response = MHD_create_response_from_buffer(size, exchange->m_pending.data(), MHD_RESPMEM_MUST_COPY);
     }
     if (!exchange->m_head.contentType.empty()) {
         MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE, exchange->m_head.contentType.c_str());
@@ -177,6 +233,7 @@
     if (exchange.m_pendingOffset == exchange.m_pending.size()) {
         exchange.m_pending.clear();
         exchange.m_pendingOffset = 0;
+        exchange.m_pendingBytes.release();
     }
     return static_cast<ssize_t>(count);
 }
@@ -197,6 +254,8 @@
     delete static_cast<std::shared_ptr<Exchange> *>(*state);
     *state = nullptr;
     exchange->m_connection = nullptr;
+    exchange->m_requestBytes.release();
+    exchange->m_pendingBytes.attach(nullptr);
     server->m_openExchanges.erase(exchange);
     auto closed = std::move(exchange->m_onClosed);
     exchange->m_onClosed = nullptr;
--- a/Libraries/LibNet/ServerCallbacks.h
+++ b/Libraries/LibNet/ServerCallbacks.h
@@ -20,7 +20,13 @@
     // Reads the request line and the headers. Refuses a request whose limits are ambiguous.
     static MHD_Result readHead(const std::shared_ptr<Exchange> &exchange, std::string_view method,
                                std::string_view version);
+    // Decides whether the server refuses the request because of its body, of which so many bytes are known so far.
+    static void limitBody(Exchange &exchange, std::size_t bytes);
+    // Stores a part of the body, or discards it if the request is refused. Fails after too much of that.
+    static MHD_Result receiveBody(Exchange &exchange, std::string_view bytes);
     static MHD_Result processRequest(HttpServer &server, const std::shared_ptr<Exchange> &exchange);
+    // Responds with the server's own refusal.
+    static void refuse(Exchange &exchange);
     static MHD_Result queueResponse(const std::shared_ptr<Exchange> &exchange);
     // Supplies the next part of a streamed body.
     static ssize_t onReadBody(void *context, std::uint64_t position, char *buffer, std::size_t capacity);
--- a/Libraries/LibNet/Tests/ServedConnection.h
+++ b/Libraries/LibNet/Tests/ServedConnection.h
@@ -26,8 +26,9 @@
 class RecordingServer
 {
 public:
-    explicit RecordingServer(Net::HttpServerOptions options = {})
-        : m_thread([this, options] {
+    explicit RecordingServer(Net::HttpServerOptions options = {}, std::string response = "ran")
+        : m_response(std::move(response))
+        , m_thread([this, options] {
             run(options);
         })
     {
@@ -48,7 +49,10 @@
     // Sends the bytes and a last request on a new connection, and waits until the server closes it.
     ServedConnection serve(std::string bytes, const SendOptions &options = {})
     {
-        m_served = {};
+        {
+            const std::lock_guard lock(m_mutex);
+            m_served = {};
+        }
         bytes += "GET " + std::string(LastTarget) + " HTTP/1.1\r\nHost: test.example\r\nConnection: close\r\n\r\n";
         const int connection = Net::connectTo(m_port);
         std::string received;
@@ -63,6 +67,12 @@
         return served;
     }
 
+    // The largest part of its budget that was in use.
+    [[nodiscard]] std::size_t largestUsed() const
+    {
+        return m_largestUsed;
+    }
+
     [[nodiscard]] std::uint16_t port() const
     {
         return m_port;
@@ -111,22 +121,27 @@
                 m_served.targets.push_back(exchange->request().target);
                 m_served.bodies.emplace_back(exchange->request().body);
             }
-            exchange->respond({}, "ran");
+            exchange->respond({}, m_response);
         });
         std::function<void()> poll = [&] {
             if (m_isStopping) {
                 loop.stop();
             }
-            loop.runAfter(std::chrono::milliseconds(5), poll);
+            if (options.budget != nullptr) {
+                m_largestUsed = std::max(m_largestUsed.load(), options.budget->used());
+            }
+            loop.runAfter(std::chrono::milliseconds(1), poll);
         };
         poll();
         m_port = server.port();
         loop.run();
     }
 
+    const std::string m_response;
     std::mutex m_mutex;
     ServedConnection m_served;
     std::atomic<bool> m_isStopping = false;
     std::atomic<std::uint16_t> m_port = 0;
+    std::atomic<std::size_t> m_largestUsed = 0;
     std::thread m_thread;
 };
--- a/Libraries/LibService/HttpServiceLink.cpp
+++ b/Libraries/LibService/HttpServiceLink.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+// Responses of services are passed on whole.
+constexpr std::size_t MaxResponseBytes = 16U << 20U;
+
 std::vector<std::string> headersOf(const ServiceMessage &message)
 {
     std::vector<std::string> headers {"Currantbay-Attempt: " + message.attempt.value};
@@ -50,7 +53,8 @@
                     .url = "http://" + service.address + message.path,
                     .headers = headersOf(message),
                     .body = message.body,
-                    .totalTimeout = message.timeout},
+                    .totalTimeout = message.timeout,
+                    .maxBodyBytes = MaxResponseBytes},
                    [done = std::move(done)](Net::HttpResult result) {
                        done(replyFrom(std::move(result)));
                    });
@@ -62,7 +66,8 @@
     m_client.start({.method = "POST",
                     .url = "http://" + service.address + fencePath + '/' + attempt.value + "/fence",
                     .headers = {"Content-Type: application/json"},
-                    .totalTimeout = m_options.fenceTimeout},
+                    .totalTimeout = m_options.fenceTimeout,
+                    .maxBodyBytes = Net::SmallMaxBodyBytes},
                    [done = std::move(done)](const Net::HttpResult &result) {
                        const bool hasResponse = result.isComplete() && result.status == Core::HttpStatus::Ok;
                        done(hasResponse ? fenceVerdictFromText(result.body) : Ledger::FenceVerdict {});
--- a/Libraries/LibSettings/DaemonSettings.cpp
+++ b/Libraries/LibSettings/DaemonSettings.cpp
@@ -12,6 +12,10 @@
 constexpr long long LargestBodyBytes = 64 << 20;
 constexpr long long DefaultConnections = 2000;
 constexpr long long MostConnections = 60000;
+constexpr double DefaultMemoryMegabytes = 256;
+constexpr double LeastMemoryMegabytes = 16;
+constexpr double MostMemoryMegabytes = 1 << 20;
+constexpr double BytesPerMegabyte = 1 << 20;
 constexpr long long DefaultRequestMilliseconds = 120000;
 constexpr long long LongestRequestMilliseconds = 3600000;
 constexpr long long DefaultStreamSilenceMilliseconds = 5000;
@@ -82,6 +86,9 @@
         = static_cast<std::size_t>(limits.number("bodyBytes", DefaultBodyBytes, 1, LargestBodyBytes));
     settings.mostConnections
         = static_cast<unsigned>(limits.number("connections", DefaultConnections, 1, MostConnections));
+    settings.memoryBytes = static_cast<std::size_t>(
+        limits.fraction("memoryMegabytes", DefaultMemoryMegabytes, LeastMemoryMegabytes, MostMemoryMegabytes)
+        * BytesPerMegabyte);
     settings.requestTimeout = std::chrono::milliseconds(
         limits.number("requestMilliseconds", DefaultRequestMilliseconds, 1, LongestRequestMilliseconds));
     settings.leaveGrace = std::chrono::milliseconds(
--- a/Libraries/LibSettings/DaemonSettings.h
+++ b/Libraries/LibSettings/DaemonSettings.h
@@ -28,6 +28,7 @@
     std::string traceFile;
     std::size_t largestBodyBytes = 0;
     unsigned mostConnections = 0;
+    std::size_t memoryBytes = 0; // That the process may use.
     Core::Duration requestTimeout {};
     Core::Duration leaveGrace {};
     Core::Duration drainTimeout {};
--- a/Libraries/LibSettings/GatewaySettings.cpp
+++ b/Libraries/LibSettings/GatewaySettings.cpp
@@ -8,6 +8,10 @@
 constexpr long long LargestBodyBytes = 64 << 20;
 constexpr long long DefaultConnections = 2000;
 constexpr long long MostConnections = 60000;
+constexpr double DefaultMemoryMegabytes = 256;
+constexpr double LeastMemoryMegabytes = 16;
+constexpr double MostMemoryMegabytes = 1 << 20;
+constexpr double BytesPerMegabyte = 1 << 20;
 constexpr long long DefaultGraceSeconds = 8;
 constexpr long long LongestGraceSeconds = 3600;
 constexpr long long DefaultApplyMilliseconds = 2000;
@@ -67,6 +71,9 @@
         = static_cast<std::size_t>(limits.number("bodyBytes", DefaultBodyBytes, 1, LargestBodyBytes));
     settings.mostConnections
         = static_cast<unsigned>(limits.number("connections", DefaultConnections, 1, MostConnections));
+    settings.memoryBytes = static_cast<std::size_t>(
+        limits.fraction("memoryMegabytes", DefaultMemoryMegabytes, LeastMemoryMegabytes, MostMemoryMegabytes)
+        * BytesPerMegabyte);
     settings.stopGrace
         = std::chrono::seconds(limits.number("stopGraceSeconds", DefaultGraceSeconds, 1, LongestGraceSeconds));
     limits.finish();
--- a/Libraries/LibSettings/GatewaySettings.h
+++ b/Libraries/LibSettings/GatewaySettings.h
@@ -20,6 +20,7 @@
     std::string peerKey; // Shared by all hosts of the system.
     std::size_t largestBodyBytes = 0;
     unsigned mostConnections = 0;
+    std::size_t memoryBytes = 0; // That the process may use.
     Core::Duration stopGrace {}; // The platform kills the process so long after SIGTERM.
     Core::Duration changeApplyTime {}; // Within which an operator's change must be in force on every host.
     Core::Duration drainTime {}; // Within which a replica that is leaving must get no more requests.
--- a/Services/currantbayd/CallerInterface.cpp
+++ b/Services/currantbayd/CallerInterface.cpp
@@ -144,7 +144,7 @@
 {
     const auto &incoming = exchange->request();
     try {
-        const auto body = nlohmann::json::parse(incoming.body);
+        const auto body = nlohmann::json::parse(incoming.body.view());
         auto request = readRequest(body, format);
         const auto mode = readMode(body);
         request.customer = customer;
--- a/Services/currantbayd/Daemon.cpp
+++ b/Services/currantbayd/Daemon.cpp
@@ -16,9 +16,13 @@
     return (static_cast<std::uint64_t>(device()) << 32U) | device();
 }
 
-Net::HttpServerOptions serverOptions(const Settings::DaemonSettings &settings)
+// One in this many bytes of the process may be buffered for peers.
+constexpr std::size_t BufferShare = 4;
+
+Net::HttpServerOptions serverOptions(const Settings::DaemonSettings &settings, Net::BufferBudget &budget)
 {
     auto options = Net::listenAt(settings.callerAddress);
+    options.budget = &budget;
     options.maxBodyBytes = settings.largestBodyBytes;
     options.maxConnections = settings.mostConnections;
     return options;
@@ -64,7 +68,8 @@
     : m_settings(settings)
     , m_ids(randomBits())
     , m_tracer(m_ids, {.file = settings.traceFile, .host = settings.hostId})
-    , m_client(m_loop)
+    , m_budget(settings.memoryBytes / BufferShare)
+    , m_client(m_loop, &m_budget)
     , m_platform(m_client, {.address = settings.platformAddress})
     , m_engines(m_client, {.idleTimeout = settings.streamSilence})
     , m_services(m_client, {})
@@ -84,7 +89,7 @@
              hostOptions(settings, m_ids.randomNumber()))
     , m_callerInterface(m_host, {.callers = settings.callers, .requestTimeout = settings.requestTimeout})
     , m_operatorInterface(m_host, settings.operators)
-    , m_server(m_loop, serverOptions(settings),
+    , m_server(m_loop, serverOptions(settings, m_budget),
                [this](const auto &exchange) {
                    handleRequest(exchange);
                })
@@ -93,6 +98,9 @@
     m_metrics.gauge("currantbay_running_requests", [this] {
         return static_cast<double>(m_host.runningCount());
     });
+    m_metrics.gauge("currantbay_buffered_bytes", [this] {
+        return static_cast<double>(m_budget.used());
+    });
     m_metrics.gauge("currantbay_ambiguous_requests", [this] {
         return static_cast<double>(m_server.ambiguousRequests());
     });
--- a/Services/currantbayd/Daemon.h
+++ b/Services/currantbayd/Daemon.h
@@ -36,6 +36,7 @@
     Core::IdSource m_ids;
     Metrics::Registry m_metrics;
     Trace::Tracer m_tracer;
+    Net::BufferBudget m_budget;
     Net::HttpClient m_client;
     Platform::HttpPlatform m_platform;
     Engine::HttpEngineLink m_engines;
--- a/Services/currantbayd/GatewayDaemon.cpp
+++ b/Services/currantbayd/GatewayDaemon.cpp
@@ -33,6 +33,9 @@
 constexpr auto DisconnectCheckPeriod = std::chrono::milliseconds(150);
 constexpr auto SettingsPollPeriod = std::chrono::seconds(2);
 constexpr unsigned IdleTimeoutSeconds = 60;
+// One in this many bytes of the process may be buffered for peers. A string that grows takes up to three times its
+// size, and the rest of the process needs some memory too.
+constexpr std::size_t BufferShare = 4;
 constexpr std::size_t ConnectionMemoryBytes = 40 * 1024;
 
 std::uint64_t randomBits()
@@ -41,9 +44,11 @@
     return (static_cast<std::uint64_t>(device()) << 32U) | device();
 }
 
-Net::HttpServerOptions serverOptions(const std::string &address, const Settings::GatewaySettings &settings)
+Net::HttpServerOptions serverOptions(const std::string &address, const Settings::GatewaySettings &settings,
+                                     Net::BufferBudget &budget)
 {
     auto options = Net::listenAt(address);
+    options.budget = &budget;
     options.maxBodyBytes = settings.largestBodyBytes;
     options.maxConnections = settings.mostConnections;
     options.idleTimeoutSeconds = IdleTimeoutSeconds;
@@ -78,7 +83,8 @@
 GatewayDaemon::GatewayDaemon(const Settings::GatewaySettings &settings, std::string settingsFile)
     : m_settings(settings)
     , m_settingsFile(std::move(settingsFile))
-    , m_client(m_loop)
+    , m_budget(settings.memoryBytes / BufferShare)
+    , m_client(m_loop, &m_budget)
     , m_store(m_client, {.address = settings.platformAddress})
     , m_orders(m_client)
     , m_peers(m_loop, settings.peerAddress,
@@ -93,32 +99,40 @@
                  .protocol = m_protocol,
                  .transport = *this,
                  .metrics = m_metrics,
+                 .budget = &m_budget,
                  .makeSource =
                      [](Platform::RowFeed &rows) {
                          return std::make_unique<PlatformAdapter::StoreDeploymentSource>(rows);
                      }},
                 gatewayOptions(settings))
-    , m_callerServer(m_loop, serverOptions(settings.callerAddress, settings),
+    , m_callerServer(m_loop, serverOptions(settings.callerAddress, settings, m_budget),
                      [this](const auto &exchange) {
                          m_gateway.handleRequest(exchange);
                      })
     , m_drain(m_loop, Net::drainedServer(m_callerServer), {})
-    , m_readinessServer(m_loop, serverOptions(settings.readinessAddress, settings), [this](const auto &exchange) {
-        const bool isReady = m_gateway.isReady() && !m_isStopping;
-        exchange->respond({.status = isReady ? Core::HttpStatus::Ok : Core::HttpStatus::ServiceUnavailable,
-                           .contentType = "text/plain"},
-                          isReady ? "ready\n" : "not ready\n");
-    })
+    , m_readinessServer(
+          m_loop, serverOptions(settings.readinessAddress, settings, m_budget), [this](const auto &exchange) {
+              const bool isReady = m_gateway.isReady() && !m_isStopping;
+              exchange->respond({.status = isReady ? Core::HttpStatus::Ok : Core::HttpStatus::ServiceUnavailable,
+                                 .contentType = "text/plain"},
+                                isReady ? "ready\n" : "not ready\n");
+          })
 {
     if (!settings.metricsAddress.empty()) {
         m_metricsServer = std::make_unique<Net::HttpServer>(
-            m_loop, serverOptions(settings.metricsAddress, settings), [this](const auto &exchange) {
+            m_loop, serverOptions(settings.metricsAddress, settings, m_budget), [this](const auto &exchange) {
                 exchange->respond({.contentType = "text/plain; version=0.0.4"}, m_metrics.toPrometheusText());
             });
     }
     m_metrics.gauge("currantbay_open_exchanges", [this] {
         return static_cast<double>(m_callerServer.openExchanges());
     });
+    m_metrics.gauge("currantbay_buffered_bytes", [this] {
+        return static_cast<double>(m_budget.used());
+    });
+    m_metrics.gauge("currantbay_reclaimed_buffers", [this] {
+        return static_cast<double>(m_budget.reclaimed());
+    });
     m_metrics.gauge("currantbay_ambiguous_requests", [this] {
         return static_cast<double>(m_callerServer.ambiguousRequests());
     });
--- a/Services/currantbayd/GatewayDaemon.h
+++ b/Services/currantbayd/GatewayDaemon.h
@@ -41,6 +41,7 @@
     std::string m_settingsFile;
     Net::EventLoop m_loop;
     Metrics::Registry m_metrics;
+    Net::BufferBudget m_budget;
     Net::HttpClient m_client;
     PlatformAdapter::StoreClient m_store;
     PlatformAdapter::ReplicaOrders m_orders;
--- a/Services/currantbayd/OperatorInterface.cpp
+++ b/Services/currantbayd/OperatorInterface.cpp
@@ -158,7 +158,7 @@
 void OperatorInterface::submitTicket(const ExchangePointer &exchange, const std::string & /*name*/)
 {
     try {
-        auto ticket = Ticket::ticketFromJson(nlohmann::json::parse(exchange->request().body));
+        auto ticket = Ticket::ticketFromJson(nlohmann::json::parse(exchange->request().body.view()));
         ticket.submittedBy = m_operatorName;
         const auto number = ticket.number;
         m_host.submitTicket(std::move(ticket), [exchange, number](const auto &result) {
--- a/Services/currantbayd/ServiceInterface.cpp
+++ b/Services/currantbayd/ServiceInterface.cpp
@@ -98,7 +98,7 @@
                                      .path = std::move(*path),
                                      .route = incoming.path.substr(1, incoming.path.find('/', 1) - 1),
                                      .contentType = std::string(incoming.header("content-type")),
-                                     .body = incoming.body,
+                                     .body = std::string(incoming.body),
                                      .key = std::string(incoming.header("idempotency-key")),
                                      .timeout = m_callTimeout,
                                      .traceParent = Trace::TraceContext::fromHeader(incoming.header("traceparent"))};
--- a/StandIns/EngineStandIn.cpp
+++ b/StandIns/EngineStandIn.cpp
@@ -48,14 +48,14 @@
         if (request.path == "/v1/status") {
             exchange->respond({}, Engine::toJson(m_model.status()).dump());
         } else if (request.path == "/v1/adapters/load") {
-            load(exchange, Engine::orderFromJson(nlohmann::json::parse(request.body)));
+            load(exchange, Engine::orderFromJson(nlohmann::json::parse(request.body.view())));
         } else if (request.path == "/v1/adapters/unload") {
-            const auto outcome = m_model.unload(Engine::orderFromJson(nlohmann::json::parse(request.body)));
+            const auto outcome = m_model.unload(Engine::orderFromJson(nlohmann::json::parse(request.body.view())));
             exchange->respond({.status = statusOf(outcome)}, "{}");
         } else if (request.path == "/v1/generate") {
-            generate(exchange, Engine::generateRequestFromJson(nlohmann::json::parse(request.body)));
+            generate(exchange, Engine::generateRequestFromJson(nlohmann::json::parse(request.body.view())));
         } else if (request.path == "/fault") {
-            m_faults.merge_patch(nlohmann::json::parse(request.body));
+            m_faults.merge_patch(nlohmann::json::parse(request.body.view()));
             m_model.setLeaving(m_faults.value("leaving", false));
             exchange->respond({}, "{}");
         } else if (request.path == "/counts") {
--- a/StandIns/PlatformStandIn.cpp
+++ b/StandIns/PlatformStandIn.cpp
@@ -50,7 +50,7 @@
 
     void setFaults(const std::shared_ptr<Net::Exchange> &exchange)
     {
-        const auto faults = nlohmann::json::parse(exchange->request().body, nullptr, false);
+        const auto faults = nlohmann::json::parse(exchange->request().body.view(), nullptr, false);
         if (!faults.is_object()) {
             exchange->respond({.status = Core::HttpStatus::BadRequest}, "expected an object of faults");
             return;
@@ -66,7 +66,7 @@
         const auto &request = exchange->request();
         if (request.path == "/v1/transact" && request.method == "POST") {
             const auto isCommitted
-                = m_table.transact(Platform::transactionFromJson(nlohmann::json::parse(request.body)));
+                = m_table.transact(Platform::transactionFromJson(nlohmann::json::parse(request.body.view())));
             ++m_writes;
             if (m_lostAnswers > 0) {
                 --m_lostAnswers;
@@ -99,7 +99,7 @@
     void serveHosts(const std::shared_ptr<Net::Exchange> &exchange)
     {
         if (exchange->request().method == "PUT") {
-            m_machines = nlohmann::json::parse(exchange->request().body);
+            m_machines = nlohmann::json::parse(exchange->request().body.view());
         }
         exchange->respond({}, m_machines.dump());
     }
--- a/StandIns/ServiceStandIn.cpp
+++ b/StandIns/ServiceStandIn.cpp
@@ -31,7 +31,7 @@
     {
         const auto &request = exchange->request();
         if (request.path == "/fault") {
-            const auto faults = nlohmann::json::parse(request.body, nullptr, false);
+            const auto faults = nlohmann::json::parse(request.body.view(), nullptr, false);
             m_lostAnswers = faults.is_object() ? faults.value("lostAnswers", 0) : 0;
             m_delay = std::chrono::milliseconds(faults.is_object() ? faults.value("delay", 0) : 0);
             exchange->respond({}, "{}");
@@ -88,7 +88,7 @@
             {"service", m_name},
             {"method", request.method},
             {"path", request.path},
-            {"body", request.body},
+            {"body", std::string(request.body)},
             {"run",
              count}}.dump();
         m_attempts[attempt]
