LibGateway: Give up a response that isn't being received any more

A forwarded request keeps the body of a failed response until its next attempt. If the budget reclaimed it in between, the request would have counted one more interrupted attempt. It now only drops the bytes then. The budget outlives what the event loop keeps, and globals follow the naming rules of the linter.

--- a/Libraries/LibGateway/ForwardedRequest.cpp
+++ b/Libraries/LibGateway/ForwardedRequest.cpp
@@ -34,7 +34,11 @@
 {
     m_fingerprints.push_back(Routing::fingerprintOfRequest(m_request.target, m_request.body));
     m_buffer.attach(m_dependencies.budget, [this] {
-        breakOff("the host needs the memory that the response takes");
+        if (m_transfer != Net::HttpRequestId::None) {
+            breakOff("the host needs the memory that the response takes");
+        } else {
+            dropBuffer();
+        }
     });
 }
 
--- a/Libraries/LibNet/Signals.cpp
+++ b/Libraries/LibNet/Signals.cpp
@@ -16,8 +16,8 @@
 
 // What the signal handler uses. Lock-free atomics may be used in a signal handler.
 static_assert(std::atomic<bool>::is_always_lock_free && std::atomic<int>::is_always_lock_free);
-std::array<std::atomic<bool>, NSIG> s_isRecorded;
-std::atomic<int> s_writeFd = -1;
+std::array<std::atomic<bool>, NSIG> isSignalRecorded;
+std::atomic<int> pipeWriteFd = -1;
 
 struct Pipe {
     int readFd = -1;
@@ -31,7 +31,7 @@
         }
         readFd = fds[0];
         writeFd = fds[1];
-        s_writeFd = writeFd;
+        pipeWriteFd = writeFd;
     }
 };
 
@@ -44,10 +44,10 @@
 extern "C" void recordSignal(int number)
 {
     const int savedError = errno;
-    s_isRecorded[static_cast<std::size_t>(number)] = true;
+    isSignalRecorded[static_cast<std::size_t>(number)] = true;
     const char byte = 0;
     // If the pipe is full, it is readable already.
-    (void)!write(s_writeFd, &byte, 1);
+    (void)!write(pipeWriteFd, &byte, 1);
     errno = savedError;
 }
 
@@ -91,7 +91,7 @@
 
 bool takeRecordedSignal(int number)
 {
-    return s_isRecorded.at(static_cast<std::size_t>(number)).exchange(false);
+    return isSignalRecorded.at(static_cast<std::size_t>(number)).exchange(false);
 }
 
 }
--- a/Libraries/LibNet/Tests/SignalsTest.cpp
+++ b/Libraries/LibNet/Tests/SignalsTest.cpp
@@ -14,14 +14,14 @@
 namespace {
 
 // Counts the allocations of a thread while a signal is being handled there.
-thread_local bool s_isCounting = false;
-thread_local int s_allocations = 0;
+thread_local bool isCountingAllocations = false;
+thread_local int countedAllocations = 0;
 
 }
 
 void *operator new(std::size_t size)
 {
-    s_allocations += s_isCounting ? 1 : 0;
+    countedAllocations += isCountingAllocations ? 1 : 0;
     if (void *memory = std::malloc(size == 0 ? 1 : size)) {
         return memory;
     }
@@ -59,13 +59,13 @@
                 ++handled;
             });
         }
-        s_allocations = 0;
+        countedAllocations = 0;
         for (const int number : {SIGHUP, SIGTERM, SIGINT}) {
-            s_isCounting = true;
+            isCountingAllocations = true;
             raise(number);
-            s_isCounting = false;
+            isCountingAllocations = false;
         }
-        CPPUNIT_ASSERT_EQUAL(0, s_allocations);
+        CPPUNIT_ASSERT_EQUAL(0, countedAllocations);
         CPPUNIT_ASSERT_EQUAL(0, handled);
         loop.runAfter(50ms, [&loop] {
             loop.stop();
--- a/Services/currantbayd/Daemon.cpp
+++ b/Services/currantbayd/Daemon.cpp
@@ -66,9 +66,9 @@
 
 Daemon::Daemon(const Settings::DaemonSettings &settings)
     : m_settings(settings)
+    , m_budget(settings.memoryBytes / BufferShare)
     , m_ids(randomBits())
     , m_tracer(m_ids, {.file = settings.traceFile, .host = settings.hostId})
-    , m_budget(settings.memoryBytes / BufferShare)
     , m_client(m_loop, &m_budget)
     , m_platform(m_client, {.address = settings.platformAddress})
     , m_engines(m_client, {.idleTimeout = settings.streamSilence})
--- a/Services/currantbayd/Daemon.h
+++ b/Services/currantbayd/Daemon.h
@@ -32,11 +32,11 @@
     void beginShutdown();
 
     Settings::DaemonSettings m_settings;
+    Net::BufferBudget m_budget; // Outlives what the loop keeps.
     Net::EventLoop m_loop;
     Core::IdSource m_ids;
     Metrics::Registry m_metrics;
     Trace::Tracer m_tracer;
-    Net::BufferBudget m_budget;
     Net::HttpClient m_client;
     Platform::HttpPlatform m_platform;
     Engine::HttpEngineLink m_engines;
--- a/Services/currantbayd/GatewayDaemon.h
+++ b/Services/currantbayd/GatewayDaemon.h
@@ -39,9 +39,9 @@
 
     Settings::GatewaySettings m_settings;
     std::string m_settingsFile;
+    Net::BufferBudget m_budget; // Outlives what the loop keeps.
     Net::EventLoop m_loop;
     Metrics::Registry m_metrics;
-    Net::BufferBudget m_budget;
     Net::HttpClient m_client;
     PlatformAdapter::StoreClient m_store;
     PlatformAdapter::ReplicaOrders m_orders;
