LibRoutes: Read client accounts and find them by their keys

Configurations may list accounts with keys, a priority and an allowance. They weren't read. Configurations without accounts are read as before.

--- a/Libraries/LibCore/HttpStatus.h
+++ b/Libraries/LibCore/HttpStatus.h
@@ -14,6 +14,7 @@
 inline constexpr unsigned UnprocessableContent = 422;
 inline constexpr unsigned MisdirectedRequest = 421;
 inline constexpr unsigned TooEarly = 425;
+inline constexpr unsigned TooManyRequests = 429;
 inline constexpr unsigned InternalServerError = 500;
 inline constexpr unsigned BadGateway = 502;
 inline constexpr unsigned ServiceUnavailable = 503;
--- a/Libraries/LibRoutes/RouteConfiguration.h
+++ b/Libraries/LibRoutes/RouteConfiguration.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Time.h>
+#include <LibRoutes/ClientAccount.h>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -34,6 +35,7 @@
     Core::Duration timeout {}; // Maximum duration of a request; zero if the route sets no limit.
     Core::Duration objective {}; // Latency objective: time to the response, or to a stream's first event.
     int priority = 0; // 0 is the most urgent.
+    bool isPublic = false; // Needs no account, also if the configuration has accounts.
     unsigned maxAttempts = 1; // Maximum number of replicas at which one attempt of a caller may run.
     std::vector<ServiceShare> services;
 };
@@ -67,6 +69,8 @@
     std::uint64_t version = 0;
     std::vector<Route> routes;
     std::vector<ServiceSettings> services;
+    // The accounts that may use the routes that aren't public; no value if requests need no account.
+    std::optional<std::vector<ClientAccount>> accounts;
     std::size_t maxBodySize = 0; // Maximum request body in bytes; zero if the configuration sets no limit.
 
     // The service's settings, or null if there is no such service.
--- a/Libraries/LibRoutes/RouteTable.cpp
+++ b/Libraries/LibRoutes/RouteTable.cpp
@@ -21,6 +21,10 @@
         return false;
     }
     m_current = std::make_shared<const RouteConfiguration>(std::move(configuration));
+    m_accountKeys.reset();
+    if (m_current->accounts.has_value()) {
+        m_accountKeys.emplace(*m_current->accounts);
+    }
     m_routesByHost.clear();
     for (const auto &route : m_current->routes) {
         m_routesByHost[toHostKey(route.host)].push_back(&route);
@@ -51,6 +55,11 @@
     return match;
 }
 
+const ClientAccount *RouteTable::findAccount(std::string_view key) const
+{
+    return m_accountKeys.has_value() ? m_accountKeys->find(key) : nullptr;
+}
+
 const std::string &chooseService(const Route &route, std::string_view attemptId)
 {
     static const std::string none;
--- a/Libraries/LibRoutes/RouteTable.h
+++ b/Libraries/LibRoutes/RouteTable.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibRoutes/AccountKeys.h>
 #include <LibRoutes/RouteConfiguration.h>
 #include <memory>
 #include <string_view>
@@ -26,8 +27,12 @@
     // matches. Ignores the case and the port of the host and the query of the target.
     [[nodiscard]] MatchedRoute find(std::string_view host, std::string_view target) const;
 
+    // The account that holds the key in the active configuration, or null. Valid until the next replacement.
+    [[nodiscard]] const ClientAccount *findAccount(std::string_view key) const;
+
 private:
     std::shared_ptr<const RouteConfiguration> m_current;
+    std::optional<AccountKeys> m_accountKeys;
     std::unordered_map<std::string, std::vector<const Route *>> m_routesByHost; // Longest prefix first.
 };
 
