LibRelay: Say until when relayed rows include every acknowledged change

A host that follows the store through another one didn't know how old its rows were: a notice may lie in a buffer while the host is suspended. Notices now state the time on the store's own clock, which each host relates to its clock by its direct calls, so that the time on the way doesn't matter.

--- a/Libraries/LibFleet/DeploymentSource.h
+++ b/Libraries/LibFleet/DeploymentSource.h
@@ -22,6 +22,9 @@
     std::uint64_t version = 0; // Version of the table that includes these changes; not the configuration's version.
     std::optional<Routes::RouteConfiguration> configuration;
     std::vector<AdapterRelease> releases;
+    // The changes include all that were acknowledged before this time; no value if that isn't known.
+    std::optional<Core::TimePoint> provenAt;
+    bool isUnreadable = false; // The newest configuration can't be decoded, so that an older one stays active.
     std::string error;
 };
 
--- a/Libraries/LibPlatform/RowFeed.h
+++ b/Libraries/LibPlatform/RowFeed.h
@@ -3,6 +3,7 @@
 #include <LibCore/Time.h>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,6 +29,10 @@
     FeedOutcome outcome = FeedOutcome::Failed;
     std::uint64_t version = 0; // The rows include all changes up to this version.
     std::vector<ChangedRow> rows;
+    // The service's own monotonic clock as of the result, if it reports it.
+    std::optional<std::chrono::milliseconds> serviceTime;
+    // The rows include all changes that the service acknowledged before this time; no value if that isn't known.
+    std::optional<Core::TimePoint> provenAt;
     std::string error;
 };
 
--- a/Libraries/LibRelay/RelayMessages.h
+++ b/Libraries/LibRelay/RelayMessages.h
@@ -35,8 +35,10 @@
     std::uint64_t after = 0;
     std::uint64_t version = 0;
     std::vector<RelayedRow> rows;
+    // Time on the service's clock by which all acknowledged changes are included; zero if it isn't known.
+    std::uint64_t provenAtMilliseconds = 0;
 
-    MSGPACK_DEFINE(table, after, version, rows)
+    MSGPACK_DEFINE(table, after, version, rows, provenAtMilliseconds)
 };
 
 // Asks the reader to write a row in a transaction shared with the rows of other hosts.
--- a/Libraries/LibRelay/SharedRowFeed.cpp
+++ b/Libraries/LibRelay/SharedRowFeed.cpp
@@ -28,7 +28,20 @@
 
 void SharedRowFeed::readTable(std::string_view table, FeedFunction done)
 {
-    m_store.readTable(table, std::move(done));
+    m_store.readTable(table, withProof(std::move(done)));
+}
+
+Platform::RowFeed::FeedFunction SharedRowFeed::withProof(FeedFunction done)
+{
+    return [this, sentAt = m_scheduler.now(), done = std::move(done)](Platform::FeedResult result) {
+        if (result.outcome == Platform::FeedOutcome::Read) {
+            result.provenAt = sentAt;
+            if (result.serviceTime.has_value()) {
+                m_clock.record(sentAt, *result.serviceTime);
+            }
+        }
+        done(std::move(result));
+    };
 }
 
 void SharedRowFeed::follow(std::string_view table, std::uint64_t after, Core::Duration wait, FeedFunction done)
@@ -38,7 +51,9 @@
         followStore(name, after, wait, std::move(done));
         return;
     }
-    m_tables[name].pending = PendingFollow {.after = after, .until = m_scheduler.now() + wait, .done = std::move(done)};
+    auto &followed = m_tables[name];
+    followed.pending = PendingFollow {
+        .after = after, .until = m_scheduler.now() + wait, .provenAt = followed.provenAt, .done = std::move(done)};
     // The callback must not run before this function returns.
     m_scheduler.runAfter({}, [this, name] {
         completeIfReady(name);
@@ -48,17 +63,23 @@
 
 void SharedRowFeed::followStore(const std::string &table, std::uint64_t after, Core::Duration wait, FeedFunction done)
 {
-    m_store.follow(table, after, wait, [this, table, after, done = std::move(done)](Platform::FeedResult result) {
-        if (result.outcome == Platform::FeedOutcome::Read && m_reader.isReading()) {
-            publish(table, after, result);
-        }
-        done(std::move(result));
-    });
+    m_store.follow(table, after, wait,
+                   withProof([this, table, after, done = std::move(done)](Platform::FeedResult result) {
+                       if (result.outcome == Platform::FeedOutcome::Read && m_reader.isReading()) {
+                           publish(table, after, result, *result.provenAt);
+                       }
+                       done(std::move(result));
+                   }));
 }
 
-void SharedRowFeed::publish(const std::string &table, std::uint64_t after, const Platform::FeedResult &result)
+void SharedRowFeed::publish(const std::string &table, std::uint64_t after, const Platform::FeedResult &result,
+                            Core::TimePoint sentAt)
 {
     RowsNotice notice {.table = table, .after = after, .version = result.version};
+    if (result.serviceTime.has_value()) {
+        const auto proven = ServiceClock::toService(sentAt, m_scheduler.now(), *result.serviceTime);
+        notice.provenAtMilliseconds = static_cast<std::uint64_t>(std::max<std::int64_t>(proven.count(), 0));
+    }
     for (const auto &row : result.rows) {
         notice.rows.push_back({.key = row.key, .version = row.version, .value = row.value, .isRemoved = row.isRemoved});
     }
@@ -75,6 +96,9 @@
         // A notice is missing, so that the earlier ones are no longer contiguous with this one.
         table.notices.clear();
     }
+    if (const auto proven = std::chrono::milliseconds(notice.provenAtMilliseconds); proven.count() > 0) {
+        table.provenAt = std::max(table.provenAt, m_clock.toLocal(proven));
+    }
     table.notices.push_back(std::move(notice));
     if (table.notices.size() > MaxNotices) {
         table.notices.pop_front();
@@ -87,7 +111,7 @@
     if (table.notices.empty() || table.notices.front().after > after) {
         return std::nullopt;
     }
-    Platform::FeedResult result {.outcome = Platform::FeedOutcome::Read, .version = after};
+    Platform::FeedResult result {.outcome = Platform::FeedOutcome::Read, .version = after, .provenAt = table.provenAt};
     for (const auto &notice : table.notices) {
         if (notice.version <= after) {
             continue;
@@ -113,7 +137,8 @@
     auto changes = hasReader ? collect(table, table.pending->after) : std::nullopt;
     const bool isTimedOut = m_scheduler.now() >= table.pending->until;
     const bool isAwaitingFirstNotice = hasReader && table.notices.empty();
-    if ((isAwaitingFirstNotice || (changes.has_value() && changes->rows.empty())) && !isTimedOut) {
+    const bool isUnchanged = changes.has_value() && changes->rows.empty() && table.provenAt <= table.pending->provenAt;
+    if ((isAwaitingFirstNotice || isUnchanged) && !isTimedOut) {
         return;
     }
     auto pending = std::move(*table.pending);
