--- /dev/null
+++ b/Libraries/LibAccounts/LenderRole.cpp
@@ -0,0 +1,56 @@
+#include <LibAccounts/LenderRole.h>
+
+namespace Accounts {
+
+namespace {
+
+constexpr auto ProbePeriod = std::chrono::milliseconds(500);
+constexpr auto MaxProbeGap = std::chrono::milliseconds(1500);
+
+}
+
+LenderRole::LenderRole(LenderRoleOptions options)
+    : m_options(options)
+{
+}
+
+bool LenderRole::mayLend(const std::string &account, std::optional<std::size_t> position, Core::TimePoint now)
+{
+    auto &state = m_positions[account];
+    if (position == 0) {
+        state.silentSince.reset();
+        state.firstSince = state.firstSince.value_or(now);
+        const bool isEstablished = now - *state.firstSince >= m_options.takeover;
+        if (isEstablished) {
+            state.firstUntil = now;
+        }
+        return isEstablished;
+    }
+    state.firstSince.reset();
+    if (state.firstUntil != Core::TimePoint {} && now - state.firstUntil < m_options.handover) {
+        return true;
+    }
+    return position == 1 && state.silentSince.has_value() && now - *state.silentSince >= m_options.silence;
+}
+
+bool LenderRole::shouldProbe(const std::string &account, Core::TimePoint now)
+{
+    auto &state = m_positions[account];
+    if (now - state.probedAt < ProbePeriod) {
+        return false;
+    }
+    // Silence between probes that lie far apart proves nothing.
+    if (now - state.probedAt > MaxProbeGap) {
+        state.silentSince.reset();
+    }
+    state.probedAt = now;
+    state.silentSince = state.silentSince.value_or(now);
+    return true;
+}
+
+void LenderRole::recordLending(const std::string &account)
+{
+    m_positions[account].silentSince.reset();
+}
+
+}
--- a/Libraries/LibPeer/MessageKind.h
+++ b/Libraries/LibPeer/MessageKind.h
@@ -36,6 +36,8 @@
     WriteRequest = 82,
     LoadPost = 84,
     LoadDigest = 85,
+    // LibAccounts, 90 to 99.
+    AllowanceRequest = 90,
 };
 
 }
