LibGateway: Check the keys and allowances of accounts

With accounts in the configuration, a key was passed on to the replica and never looked up. Now an unknown key gets 401, and the replica gets the name of the account instead of the key. A host accepts keys only while it can prove that its configuration includes all changes from before the revocation bound, and looks them up again before each send. The priority of the account goes before the route's, and requests take their cost from its allowance.

--- a/Libraries/LibGateway/CallerRequest.h
+++ b/Libraries/LibGateway/CallerRequest.h
@@ -23,6 +23,9 @@
     std::string adapter; // Empty for the base model.
     // Fingerprints of the parts of the prompt that other requests may share, which excludes its last part.
     std::vector<std::uint64_t> promptParts;
+    // The key of the caller's account. Empty if the request carries none, or several.
+    std::string accountKey;
+    std::optional<std::uint64_t> statedTokens; // Prompt and output tokens that the request states, if it does.
     std::uint64_t promptTokens = 0;
     std::uint64_t outputTokens = 0; // Expected number, or the maximum if no expectation was given.
     std::optional<std::uint64_t> lastEventId; // The caller resumes a stream after this event.
@@ -34,6 +37,9 @@
     std::string address;
     std::uint64_t adapterVersion = 0; // Version that the replica must have; zero for any.
     int priority = 0; // 0 is the most urgent.
+    // The account's name, empty on public routes; no value if requests need no account. With a value, what the caller
+    // has sent about its account is replaced.
+    std::optional<std::string> account;
     Core::Duration remaining {}; // Time left until the deadline of the request.
     std::optional<std::uint64_t> lastEventId; // The replica resumes the stream after this event.
 };
--- a/Libraries/LibGateway/ForwardedRequest.cpp
+++ b/Libraries/LibGateway/ForwardedRequest.cpp
@@ -25,12 +25,13 @@
 }
 
 ForwardedRequest::ForwardedRequest(ForwardingDependencies dependencies, std::shared_ptr<Net::Exchange> exchange,
-                                   CallerRequest request, Routes::MatchedRoute route)
+                                   CallerRequest request, Routes::MatchedRoute route, RequestAccount account)
     : m_dependencies(std::move(dependencies))
     , m_exchange(std::move(exchange))
     , m_request(std::move(request))
     , m_fingerprints(m_request.promptParts)
     , m_route(std::move(route))
+    , m_account(std::move(account))
 {
     m_fingerprints.push_back(Routing::fingerprintOfRequest(m_request.target, m_request.body));
     m_buffer.attach(m_dependencies.budget, [this] {
@@ -138,7 +139,7 @@
             .adapter = m_request.adapter,
             .version = m_dependencies.releases.newestVersion(FleetView::adapterName(m_request)),
             .isReportedMissing = m_isReportedMissing,
-            .priority = m_route.route->priority,
+            .priority = priority(),
             .isLastTry = m_loadRequests >= MaxLoadRequests};
 }
 
@@ -198,11 +199,26 @@
     return true;
 }
 
+int ForwardedRequest::priority() const
+{
+    return m_account.priority.value_or(m_route.route->priority);
+}
+
+bool ForwardedRequest::hasValidKey() const
+{
+    const bool needsKey = m_account.name.has_value() && !m_account.name->empty();
+    return !needsKey || m_dependencies.isKeyValid(m_request.accountKey, *m_account.name);
+}
+
 void ForwardedRequest::send()
 {
     if (refuseIfQuarantined()) {
         return;
     }
+    if (!hasValidKey()) {
+        refuse("the key of the account was revoked", RetryAfterNoReplica);
+        return;
+    }
     const auto now = m_dependencies.scheduler.now();
     if (m_arrivals > 0 && !m_dependencies.retryBudget.tryRetry(m_service, m_dependencies.hostCount(), now)) {
         if (isContinued()) {
@@ -235,7 +251,8 @@
         {.replica = m_replica.id,
          .address = m_replica.address,
          .adapterVersion = m_version,
-         .priority = m_route.route->priority,
+         .priority = priority(),
+         .account = m_account.name,
          .remaining = remaining(),
          .lastEventId = m_isStreaming ? m_events.lastId() : m_request.lastEventId});
     outgoing.connectTimeout = std::min<Core::Duration>(ConnectTimeout, remaining());
@@ -356,6 +373,9 @@
     if (m_stage == Stage::Ended) {
         return;
     }
+    if (m_stage == Stage::Sending) {
+        ++m_possibleRuns;
+    }
     abandonAttempt();
     end(0, "the caller closed the connection");
 }
@@ -364,6 +384,9 @@
 {
     m_stage = Stage::Ended;
     dropBuffer();
+    if (m_account.cost > 0 && m_possibleRuns == 0 && m_dependencies.giveBack) {
+        m_dependencies.giveBack(m_account);
+    }
     m_dependencies.scheduler.cancel(m_deadlineTimer);
     m_dependencies.scheduler.cancel(m_idleTimer);
     const auto now = m_dependencies.scheduler.now();
--- a/Libraries/LibGateway/ForwardedRequest.h
+++ b/Libraries/LibGateway/ForwardedRequest.h
@@ -6,6 +6,7 @@
 #include <LibGateway/FleetView.h>
 #include <LibGateway/LoadPatience.h>
 #include <LibGateway/ReplicaCrashes.h>
+#include <LibGateway/RequestAccount.h>
 #include <LibGateway/ServiceRetryBudget.h>
 #include <LibMetrics/Registry.h>
 #include <LibNet/BufferBudget.h>
@@ -33,6 +34,10 @@
     Metrics::Registry &metrics;
     AdapterLoader loadAdapter;
     std::function<std::size_t()> hostCount;
+    // Whether the key belongs to the account by the active configuration; not called for requests without a key.
+    std::function<bool(const std::string &key, const std::string &account)> isKeyValid;
+    // Returns what the request has taken from the allowance of its account, if it has certainly not run.
+    std::function<void(const RequestAccount &account)> giveBack;
     Net::BufferBudget *budget = nullptr; // For the responses that the host buffers; null for no limit.
 };
 
@@ -43,7 +48,7 @@
 {
 public:
     ForwardedRequest(ForwardingDependencies dependencies, std::shared_ptr<Net::Exchange> exchange,
-                     CallerRequest request, Routes::MatchedRoute route);
+                     CallerRequest request, Routes::MatchedRoute route, RequestAccount account = {});
 
     void start();
     // Ends the request because the host stops: it is refused if it hasn't run, and otherwise fails.
@@ -64,8 +69,11 @@
     // The request has run in part, and refusing it now would break its response off.
     [[nodiscard]] bool isContinued() const;
     [[nodiscard]] Holding::AdapterRequest adapterRequest(const Core::TargetId &replica) const;
-    // Starts an attempt if the retry budget allows it.
+    // Starts an attempt if the retry budget allows it and the account's key hasn't been revoked.
     void send();
+    // 0 is the most urgent.
+    [[nodiscard]] int priority() const;
+    [[nodiscard]] bool hasValidKey() const;
     void startAttempt();
     void handleHead(long status, const Net::HttpFields &fields);
     // Records what the replica says in the head of its response about further requests.
@@ -144,6 +152,7 @@
     // Of the request as a whole, by which it is recognised when it comes again, and of the shared parts of its prompt.
     std::vector<std::uint64_t> m_fingerprints;
     Routes::MatchedRoute m_route;
+    RequestAccount m_account;
     std::string m_service;
     Stage m_stage = Stage::Selecting;
     Core::TimePoint m_startedAt {};
--- a/Libraries/LibGateway/ForwardedRequestContinuation.cpp
+++ b/Libraries/LibGateway/ForwardedRequestContinuation.cpp
@@ -147,7 +147,7 @@
 {
     const auto now = m_dependencies.scheduler.now();
     const bool isPossible = isIdle() && m_dependencies.fleet.isAvailable(replica, now) && !isQuarantined()
-        && m_dependencies.retryBudget.tryRetry(m_service, m_dependencies.hostCount(), now);
+        && hasValidKey() && m_dependencies.retryBudget.tryRetry(m_service, m_dependencies.hostCount(), now);
     if (!isPossible) {
         startIdleTimer();
         return;
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -12,6 +12,9 @@
 namespace {
 
 constexpr auto RetryAfterStart = std::chrono::milliseconds(100);
+// A host that is cut off stops lending parts of allowances after this time, before another one begins. The proof of a
+// host that isn't cut off is at most two polls old.
+constexpr auto MaxLenderProofAge = std::chrono::milliseconds(3000);
 
 }
 
@@ -74,6 +77,14 @@
                   m_writer.write(std::move(row), std::move(done));
               }
           })
+    , m_allowances(
+          m_dependencies.scheduler, m_router, {},
+          [this] {
+              return lenderCandidates();
+          },
+          [this] {
+              return m_configurationProof.isWithin(MaxLenderProofAge, m_dependencies.scheduler.now());
+          })
     , m_replicaFeed(
           m_dependencies.scheduler, withSharedState(replicaFeedOptions(m_options.changes)),
           [this](auto done) {
@@ -138,6 +149,7 @@
     m_replicaFeed.start();
     m_holderFeed.start();
     m_holders.start();
+    m_allowances.start();
     m_quarantine.start();
     m_reader.start();
     m_loadExchange.start();
@@ -209,6 +221,14 @@
                std::nullopt);
         return;
     }
+    if (auto account = identifyAccount(*exchange, request, route); account.has_value()) {
+        takeAllowance(exchange, std::move(request), std::move(route), std::move(*account));
+    }
+}
+
+void Gateway::forward(const std::shared_ptr<Net::Exchange> &exchange, CallerRequest request, Routes::MatchedRoute route,
+                      RequestAccount account)
+{
     auto forwarded = std::make_shared<ForwardedRequest>(
         ForwardingDependencies {.scheduler = m_dependencies.scheduler,
                                 .client = m_dependencies.client,
@@ -227,8 +247,16 @@
                                     [this] {
                                         return m_holders.liveHostCount();
                                     },
+                                .isKeyValid =
+                                    [this](const auto &key, const auto &name) {
+                                        return isKeyValid(key, name);
+                                    },
+                                .giveBack =
+                                    [this](const auto &used) {
+                                        m_allowances.giveBack(*used.name, static_cast<double>(used.cost));
+                                    },
                                 .budget = m_dependencies.budget},
-        exchange, std::move(request), std::move(route));
+        exchange, std::move(request), std::move(route), std::move(account));
     m_requests.push_back(forwarded);
     forwarded->start();
 }
@@ -260,6 +288,9 @@
 
 void Gateway::applyConfigurationChanges(Fleet::ConfigurationChanges &&changes)
 {
+    if (changes.isUnreadable) {
+        m_configurationProof.suspend();
+    }
     if (changes.configuration.has_value()) {
         const auto version = changes.configuration->version;
         const auto routeCount = changes.configuration->routes.size();
@@ -267,7 +298,12 @@
             Log::write(Log::Event::ConfigurationApplied,
                        {{"version", std::to_string(version)}, {"routes", std::to_string(routeCount)}});
             updateControllers();
+            updateAllowances();
         }
+        m_configurationProof.resume();
+    }
+    if (changes.provenAt.has_value()) {
+        m_configurationProof.record(*changes.provenAt);
     }
     for (const auto &release : changes.releases) {
         if (!m_releases.apply(release)) {
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <LibAccounts/AllowanceExchange.h>
 #include <LibFleet/Feed.h>
 #include <LibFleet/OrderLink.h>
+#include <LibGateway/ConfigurationProof.h>
 #include <LibGateway/FeedTimes.h>
 #include <LibGateway/ForwardedRequest.h>
 #include <LibHolding/HolderTable.h>
@@ -20,6 +22,9 @@
     Routing::QuarantineOptions quarantine = Routing::QuarantineOptions::forPromptParts();
     std::string peerKey; // Key shared by all hosts of the system.
     ChangeBounds changes;
+    // A request whose key was revoked for longer than this when its caller sent it doesn't run, also on a host that is
+    // cut off from the platform. Zero for no such bound.
+    Core::Duration revocationBound {};
     // Notices without news are sent at this interval.
     Core::Duration quietNoticePeriod = std::chrono::milliseconds(450);
     // A host that has missed a notice gets the complete state after at most this time.
@@ -70,8 +75,25 @@
     void releaseReplicas(std::function<void()> done);
     [[nodiscard]] Peer::PeerRouter &router();
     [[nodiscard]] const Holding::HolderTable &holders() const;
+    [[nodiscard]] const Accounts::AllowanceCounts &allowanceCounts() const;
 
 private:
+    // Forwards a request whose caller may use the route.
+    void forward(const std::shared_ptr<Net::Exchange> &exchange, CallerRequest request, Routes::MatchedRoute route,
+                 RequestAccount account);
+    // Checks the key of a request. Refuses the request and returns no value if its account can't use the route now.
+    [[nodiscard]] std::optional<RequestAccount> identifyAccount(Net::Exchange &exchange, const CallerRequest &request,
+                                                                const Routes::MatchedRoute &route);
+    // Takes the cost of the request from the account's allowance, and forwards or refuses it.
+    void takeAllowance(const std::shared_ptr<Net::Exchange> &exchange, CallerRequest request,
+                       Routes::MatchedRoute route, RequestAccount account);
+    void refuseAccount(Net::Exchange &exchange, const CallerRequest &request, unsigned status, std::string_view reason,
+                       std::optional<Core::Duration> retryAfter, const std::string &account);
+    // Whether the key still belongs to the account.
+    [[nodiscard]] bool isKeyValid(const std::string &key, const std::string &account) const;
+    // Applies the allowances of the active configuration.
+    void updateAllowances();
+    [[nodiscard]] std::vector<Accounts::LenderCandidate> lenderCandidates() const;
     void applyReplicaChanges(const Fleet::ReplicaChanges &changes, bool isFull);
     void applyConfigurationChanges(Fleet::ConfigurationChanges &&changes);
     void tick();
@@ -120,6 +142,7 @@
     Fleet::ReleaseTable m_releases;
     FleetView m_fleet;
     ServiceRetryBudget m_retryBudget;
+    ConfigurationProof m_configurationProof;
     Routing::Quarantine m_quarantine;
     ReplicaCrashes m_crashes;
     Fleet::PlatformOutage m_outage;
@@ -129,6 +152,7 @@
     Relay::LoadExchange m_loadExchange;
     std::unique_ptr<Fleet::DeploymentSource> m_deployment;
     Holding::HolderTable m_holders;
+    Accounts::AllowanceExchange m_allowances;
     Fleet::Feed<Fleet::ReplicaChanges> m_replicaFeed;
     Fleet::Feed<Fleet::ConfigurationChanges> m_configurationFeed;
     Fleet::Feed<Platform::FeedResult> m_holderFeed;
--- /dev/null
+++ b/Libraries/LibGateway/GatewayAccounts.cpp
@@ -0,0 +1,128 @@
+// The client accounts of requests: their keys, and what they take from the allowances.
+#include <LibGateway/Gateway.h>
+
+#include <LibCore/HttpStatus.h>
+#include <LibGateway/Refusal.h>
+#include <LibLog/Log.h>
+#include <algorithm>
+
+namespace Gateway {
+
+namespace {
+
+// Left of the revocation bound for clocks that run at different rates.
+constexpr auto RevocationMargin = std::chrono::milliseconds(300);
+// By then the configuration has probably been read again.
+constexpr auto RetryAfterUnproven = std::chrono::milliseconds(500);
+constexpr auto MinRetryAfterAllowance = std::chrono::milliseconds(100);
+
+}
+
+std::optional<RequestAccount> Gateway::identifyAccount(Net::Exchange &exchange, const CallerRequest &request,
+                                                       const Routes::MatchedRoute &route)
+{
+    if (!route.configuration->accounts.has_value()) {
+        return RequestAccount {};
+    }
+    if (route.route->isPublic) {
+        return RequestAccount {.name = ""};
+    }
+    const auto bound = m_options.revocationBound;
+    const bool isProven = bound == Core::Duration::zero()
+        || m_configurationProof.isWithin(bound - RevocationMargin, m_dependencies.scheduler.now());
+    if (!isProven) {
+        refuseAccount(exchange, request, Core::HttpStatus::ServiceUnavailable,
+                      "this host can't verify that the key is still valid", RetryAfterUnproven, {});
+        return std::nullopt;
+    }
+    const auto *account = m_routes.findAccount(request.accountKey);
+    if (account == nullptr) {
+        refuseAccount(exchange, request, Core::HttpStatus::Unauthorized,
+                      "the request has no key, or one that belongs to no account", std::nullopt, {});
+        return std::nullopt;
+    }
+    return RequestAccount {.name = account->name,
+                           .priority = account->priority,
+                           .cost = account->ratePerSecond > 0 ? account->costOf(request.statedTokens) : 0};
+}
+
+void Gateway::takeAllowance(const std::shared_ptr<Net::Exchange> &exchange, CallerRequest request,
+                            Routes::MatchedRoute route, RequestAccount account)
+{
+    if (account.cost == 0) {
+        forward(exchange, std::move(request), std::move(route), std::move(account));
+        return;
+    }
+    using Decision = Accounts::AllowanceExchange::Decision;
+    const auto name = *account.name;
+    const auto cost = static_cast<double>(account.cost);
+    m_allowances.take(name, cost,
+                      [this, exchange, request = std::move(request), route = std::move(route),
+                       account = std::move(account)](Decision decision, Core::Duration retryAfter) mutable {
+                          if (decision == Decision::Allowed) {
+                              forward(exchange, std::move(request), std::move(route), std::move(account));
+                              return;
+                          }
+                          const bool isRefused = decision == Decision::Refused;
+                          refuseAccount(*exchange, request,
+                                        isRefused ? Core::HttpStatus::TooManyRequests
+                                                  : Core::HttpStatus::ServiceUnavailable,
+                                        isRefused ? "the account has used its allowance"
+                                                  : "this host can't verify the allowance of the account",
+                                        std::max<Core::Duration>(retryAfter, MinRetryAfterAllowance), *account.name);
+                      });
+}
+
+void Gateway::refuseAccount(Net::Exchange &exchange, const CallerRequest &request, unsigned status,
+                            std::string_view reason, std::optional<Core::Duration> retryAfter,
+                            const std::string &account)
+{
+    m_dependencies.metrics.count("currantbay_account_refusals_total{status=\"" + std::to_string(status) + "\"}");
+    Log::write(Log::Event::AccountRefused,
+               {{"request", request.attemptId},
+                {"account", account},
+                {"configuration", std::to_string(m_routes.current()->version)},
+                {"status", std::to_string(status)},
+                {"retryAfterMs", retryAfter.has_value() ? std::to_string(Core::toMilliseconds(*retryAfter)) : ""},
+                {"reason", std::string(reason)}});
+    refuse(exchange, status, reason, retryAfter);
+}
+
+const Accounts::AllowanceCounts &Gateway::allowanceCounts() const
+{
+    return m_allowances.counts();
+}
+
+bool Gateway::isKeyValid(const std::string &key, const std::string &account) const
+{
+    if (!m_routes.current()->accounts.has_value()) {
+        return true;
+    }
+    const auto *holder = m_routes.findAccount(key);
+    return holder != nullptr && holder->name == account;
+}
+
+void Gateway::updateAllowances()
+{
+    std::vector<Accounts::AllowanceTerms> terms;
+    if (const auto &accounts = m_routes.current()->accounts; accounts.has_value()) {
+        for (const auto &account : *accounts) {
+            if (account.ratePerSecond > 0) {
+                terms.push_back(
+                    {.account = account.name, .ratePerSecond = account.ratePerSecond, .burst = account.burst});
+            }
+        }
+    }
+    m_allowances.setTerms(std::move(terms));
+}
+
+std::vector<Accounts::LenderCandidate> Gateway::lenderCandidates() const
+{
+    std::vector<Accounts::LenderCandidate> candidates;
+    for (const auto &host : m_holders.liveHosts()) {
+        candidates.push_back({.host = host.host, .weight = host.weight});
+    }
+    return candidates;
+}
+
+}
--- a/Libraries/LibSettings/GatewaySettings.cpp
+++ b/Libraries/LibSettings/GatewaySettings.cpp
@@ -17,6 +17,8 @@
 constexpr long long DefaultApplyMilliseconds = 2000;
 constexpr long long LeastApplyMilliseconds = 100;
 constexpr long long LongestApplyMilliseconds = 600000;
+// A host that isn't cut off knows that its configuration is at most some two seconds old.
+constexpr long long LeastRevokeMilliseconds = 3000;
 constexpr long long DefaultGapMilliseconds = 3000;
 constexpr long long LongestGapMilliseconds = 60000;
 constexpr long long DefaultWindowSeconds = 10;
@@ -83,6 +85,10 @@
     settings.drainTime = std::chrono::milliseconds(changes.number("drainMilliseconds", DefaultApplyMilliseconds,
                                                                   LeastApplyMilliseconds, LongestApplyMilliseconds));
     changes.finish();
+    auto accounts = root.object("accounts");
+    settings.revocationBound = std::chrono::milliseconds(
+        accounts.number("revokeMilliseconds", 0, LeastRevokeMilliseconds, LongestApplyMilliseconds));
+    accounts.finish();
     auto orders = root.object("orders");
     settings.orderGap = std::chrono::milliseconds(
         orders.number("gapMilliseconds", DefaultGapMilliseconds, 0, LongestGapMilliseconds));
--- a/Libraries/LibSettings/GatewaySettings.h
+++ b/Libraries/LibSettings/GatewaySettings.h
@@ -24,6 +24,8 @@
     Core::Duration stopGrace {}; // The platform kills the process so long after SIGTERM.
     Core::Duration changeApplyTime {}; // Within which an operator's change must be in force on every host.
     Core::Duration drainTime {}; // Within which a replica that is leaving must get no more requests.
+    // After which a revoked key opens nothing on any host, whatever it can reach; zero for no such bound.
+    Core::Duration revocationBound {};
     Core::Duration orderGap {}; // Between the orders of two holders of a replica.
     double retryRatio = 0; // Repeats for each request, over all hosts together.
     double retryExtra = 0; // Repeats in a window whatever the number of requests, over all hosts together.
--- a/Services/currantbayd/GatewayDaemon.cpp
+++ b/Services/currantbayd/GatewayDaemon.cpp
@@ -75,7 +75,8 @@
     return {.holding = holding,
             .retryBudget = retryOptions(settings),
             .peerKey = settings.peerKey,
-            .changes = {.apply = settings.changeApplyTime, .drain = settings.drainTime}};
+            .changes = {.apply = settings.changeApplyTime, .drain = settings.drainTime},
+            .revocationBound = settings.revocationBound};
 }
 
 }
@@ -133,6 +134,12 @@
     m_metrics.gauge("currantbay_reclaimed_buffers", [this] {
         return static_cast<double>(m_budget.reclaimed());
     });
+    m_metrics.gauge("currantbay_allowance_loans_asked", [this] {
+        return static_cast<double>(m_gateway.allowanceCounts().asked);
+    });
+    m_metrics.gauge("currantbay_allowance_taken_without_lender", [this] {
+        return static_cast<double>(m_gateway.allowanceCounts().takenWithoutLender);
+    });
     m_metrics.gauge("currantbay_ambiguous_requests", [this] {
         return static_cast<double>(m_callerServer.ambiguousRequests());
     });
