--- a/Libraries/LibAccounts/AllowanceExchange.cpp
+++ b/Libraries/LibAccounts/AllowanceExchange.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCore/Rendezvous.h>
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace Accounts {
@@ -10,7 +11,8 @@
 
 // Hosts with less than this part of the largest weight don't lend.
 constexpr double MinLenderShare = 0.5;
-constexpr std::size_t LendersPerAccount = 2;
+// The store may be out of reach for the large hosts of two zones at a time.
+constexpr std::size_t LendersPerAccount = 3;
 constexpr std::uint64_t PhaseSteps = 1024;
 
 AllowanceExchangeOptions withPhase(AllowanceExchangeOptions options, const Core::HostId &self)
@@ -74,11 +76,16 @@
         }
     }
     std::vector<Core::HostId> hosts;
-    for (auto &name : Core::rankByRendezvous(account, eligible)) {
-        if (hosts.size() < LendersPerAccount) {
-            hosts.push_back({std::move(name)});
-        }
+    std::vector<Core::HostId> others;
+    std::set<Core::ZoneId> zones;
+    for (const auto &name : Core::rankByRendezvous(account, eligible)) {
+        const auto candidate = std::ranges::find(candidates, name, [](const auto &entry) {
+            return entry.host.value;
+        });
+        (zones.insert(candidate->zone).second ? hosts : others).push_back(candidate->host);
     }
+    hosts.insert(hosts.end(), others.begin(), others.end());
+    hosts.resize(std::min(hosts.size(), LendersPerAccount));
     return hosts;
 }
 
@@ -150,20 +157,23 @@
                                       const std::function<void(const AllowanceReply &)> &reply)
 {
     const auto lenders = lendersOf(request.account);
-    if (ownPosition(lenders) == 1 && m_role.shouldProbe(request.account, m_scheduler.now())) {
-        probeFirst(request.account, lenders.front());
+    if (const auto position = ownPosition(lenders);
+        position > 0 && m_role.shouldProbe(request.account, m_scheduler.now())) {
+        probeBetter(request.account, std::span(lenders).first(*position));
     }
     reply(lend(from, request));
 }
 
-void AllowanceExchange::probeFirst(const std::string &account, const Core::HostId &first)
+void AllowanceExchange::probeBetter(const std::string &account, std::span<const Core::HostId> better)
 {
-    m_router.call<AllowanceReply>(first, AllowanceRequest {.account = account}, m_options.replyTimeout,
-                                  [this, account](const std::optional<AllowanceReply> &reply) {
-                                      if (reply.has_value() && reply->isLender) {
-                                          m_role.recordLending(account);
-                                      }
-                                  });
+    for (const auto &host : better) {
+        m_router.call<AllowanceReply>(host, AllowanceRequest {.account = account}, m_options.replyTimeout,
+                                      [this, account](const std::optional<AllowanceReply> &reply) {
+                                          if (reply.has_value() && reply->isLender) {
+                                              m_role.recordLending(account);
+                                          }
+                                      });
+    }
 }
 
 void AllowanceExchange::take(const std::string &account, double cost, DecisionFunction done)
--- a/Libraries/LibAccounts/AllowanceExchange.h
+++ b/Libraries/LibAccounts/AllowanceExchange.h
@@ -14,6 +14,7 @@
 // A live host and its share of the work relative to the others.
 struct LenderCandidate {
     Core::HostId host;
+    Core::ZoneId zone;
     double weight = 1;
 };
 
@@ -62,8 +63,9 @@
     // Returns the cost of a request that was allowed and didn't run.
     void giveBack(const std::string &account, double cost);
     [[nodiscard]] const AllowanceCounts &counts() const;
-    // The hosts that may lend for an account, in order of preference. Small hosts don't lend while there are large
-    // ones, since the lender of a busy account receives messages from every host.
+    // The hosts that may lend for an account, in order of preference, each in another availability zone as far as there
+    // are that many. Small hosts don't lend while there are large ones, since the lender of a busy account receives
+    // messages from every host.
     [[nodiscard]] static std::vector<Core::HostId> lenders(std::string_view account,
                                                            std::span<const LenderCandidate> candidates);
 
@@ -80,7 +82,8 @@
     bool updateRole(const AllowanceTerms &terms);
     void handleRequest(const Core::HostId &from, const AllowanceRequest &request,
                        const std::function<void(const AllowanceReply &)> &reply);
-    void probeFirst(const std::string &account, const Core::HostId &first);
+    // Checks whether the hosts before this one in the order of lenders lend.
+    void probeBetter(const std::string &account, std::span<const Core::HostId> better);
     [[nodiscard]] AllowanceReply lend(const Core::HostId &borrower, const AllowanceRequest &request);
     // Serves the requests that wait for the account, and asks for a loan if it is needed for the next one.
     void serveWaiting(const std::string &account);
--- a/Libraries/LibAccounts/LenderRole.cpp
+++ b/Libraries/LibAccounts/LenderRole.cpp
@@ -30,7 +30,7 @@
     if (state.firstUntil != Core::TimePoint {} && now - state.firstUntil < m_options.handover) {
         return true;
     }
-    return position == 1 && state.silentSince.has_value() && now - *state.silentSince >= m_options.silence;
+    return position.has_value() && state.silentSince.has_value() && now - *state.silentSince >= m_options.silence;
 }
 
 bool LenderRole::shouldProbe(const std::string &account, Core::TimePoint now)
--- a/Libraries/LibAccounts/LenderRole.h
+++ b/Libraries/LibAccounts/LenderRole.h
@@ -13,8 +13,8 @@
     // for a little less. Hosts learn of each other with a delay of about a second.
     Core::Duration takeover = std::chrono::milliseconds(2500);
     Core::Duration handover = std::chrono::milliseconds(2000);
-    // A second host lends when it hasn't heard from the first for this long, which is longer than the proof lasts with
-    // which the first may lend while it is cut off.
+    // A further host lends when none of those before it has answered that it lends for this long, which is longer than
+    // the proof lasts with which a host may lend while it is cut off.
     Core::Duration silence = std::chrono::milliseconds(3500);
 };
 
@@ -26,18 +26,18 @@
     explicit LenderRole(LenderRoleOptions options = {});
 
     // Whether this host lends, given its position among the hosts that may: 0 for the first, no value if it is none of
-    // the first two. To be called regularly, so that changes of the position are noticed.
+    // them. To be called regularly, so that changes of the position are noticed.
     [[nodiscard]] bool mayLend(const std::string &account, std::optional<std::size_t> position, Core::TimePoint now);
-    // Whether the second host, which is asked for a loan, should check now whether the first one lends.
+    // Whether a further host, which is asked for a loan, should check now whether one before it lends.
     [[nodiscard]] bool shouldProbe(const std::string &account, Core::TimePoint now);
-    // The first host has answered that it lends.
+    // A host before this one has answered that it lends.
     void recordLending(const std::string &account);
 
 private:
     struct Position {
         std::optional<Core::TimePoint> firstSince; // When this host became the first.
         Core::TimePoint firstUntil {}; // When it was last the first, and lent.
-        std::optional<Core::TimePoint> silentSince; // The first hasn't answered since, when this host is the second.
+        std::optional<Core::TimePoint> silentSince; // None before this host has lent since then.
         Core::TimePoint probedAt {};
     };
 
--- a/Libraries/LibAccounts/Tests/AllowanceExchangeTest.cpp
+++ b/Libraries/LibAccounts/Tests/AllowanceExchangeTest.cpp
@@ -49,7 +49,7 @@
     {
         std::vector<Accounts::LenderCandidate> all;
         for (const auto &[name, host] : hosts) {
-            all.push_back({.host = {name}, .weight = name.size() % 2 == 0 ? 0.5 : 0.12});
+            all.push_back({.host = {name}, .zone = {zoneOf(name)}, .weight = name.size() % 2 == 0 ? 0.5 : 0.12});
         }
         return all;
     }
--- a/Libraries/LibGateway/GatewayAccounts.cpp
+++ b/Libraries/LibGateway/GatewayAccounts.cpp
@@ -120,7 +120,7 @@
 {
     std::vector<Accounts::LenderCandidate> candidates;
     for (const auto &host : m_holders.liveHosts()) {
-        candidates.push_back({.host = host.host, .weight = host.weight});
+        candidates.push_back({.host = host.host, .zone = host.zone, .weight = host.weight});
     }
     return candidates;
 }
