LibPlacement: Keep the queue of an overloaded plain service short

A host now sends a smaller share of its requests to a server whose responses become late or which has no room, and refuses the rest at once as not run.

--- a/Libraries/LibGateway/FleetView.cpp
+++ b/Libraries/LibGateway/FleetView.cpp
@@ -110,6 +110,7 @@
             view.loadUpdatedAt = {};
             view.noticeNumber = 0;
             view.limit = Placement::RequestLimit();
+            view.admission = Placement::AdmissionShare();
         }
         if (now - view.loadUpdatedAt >= HolderNoticeLifetime) {
             view.otherHostsActive = 0;
@@ -343,7 +344,7 @@
     std::vector<const Fleet::Replica *> usable;
     std::vector<Placement::Candidate> candidates;
     for (const auto *replica : servingReplicas(request, service)) {
-        if (!excluded.contains(replica->id) && acceptsRequests(*replica, now)) {
+        if (!excluded.contains(replica->id) && acceptsRequests(*replica, now) && admits(*replica, request, now)) {
             usable.push_back(replica);
             candidates.push_back(candidate(*replica, adapter, newest, now));
         }
@@ -387,6 +388,27 @@
     }
 }
 
+bool FleetView::admits(const Fleet::Replica &replica, const CallerRequest &request, Core::TimePoint now) const
+{
+    const auto view = m_views.find(replica.id);
+    return !request.model.empty() || view == m_views.end() || view->second.admission.admits(request.attemptId, now);
+}
+
+void FleetView::recordResponseTime(const Core::TargetId &replica, const CallerRequest &request, Core::Duration time,
+                                   Core::Duration objective, Core::TimePoint now)
+{
+    if (request.model.empty()) {
+        m_views[replica].admission.recordResponse(time, objective, now);
+    }
+}
+
+void FleetView::recordNoRoom(const Core::TargetId &replica, const CallerRequest &request, Core::TimePoint now)
+{
+    if (request.model.empty()) {
+        m_views[replica].admission.recordRejection(now);
+    }
+}
+
 std::vector<Holding::ReplicaUse> FleetView::collectUse(Core::TimePoint now)
 {
     std::vector<Holding::ReplicaUse> uses;
--- a/Libraries/LibGateway/FleetView.h
+++ b/Libraries/LibGateway/FleetView.h
@@ -5,6 +5,7 @@
 #include <LibGateway/CallerRequest.h>
 #include <LibHolding/HoldingMessages.h>
 #include <LibPlacement/AdapterDemand.h>
+#include <LibPlacement/AdmissionShare.h>
 #include <LibPlacement/ReplicaChooser.h>
 #include <LibPlacement/ReplicaHealth.h>
 #include <LibPlacement/ReplicaPauses.h>
@@ -83,6 +84,11 @@
     // Records that the response has started.
     void recordResponseStarted(const Core::TargetId &replica, const CallerRequest &request);
     void recordAttemptEnded(const Core::TargetId &replica, const CallerRequest &request, bool hasResponded);
+    // Records how long a plain service took to answer a request, of a route with the given latency objective, or that
+    // it had no room for it. A plain service whose responses become late gets a smaller share of the requests.
+    void recordResponseTime(const Core::TargetId &replica, const CallerRequest &request, Core::Duration time,
+                            Core::Duration objective, Core::TimePoint now);
+    void recordNoRoom(const Core::TargetId &replica, const CallerRequest &request, Core::TimePoint now);
     // This host's use of each replica that has changed since the last call, or wasn't returned for some time.
     [[nodiscard]] std::vector<Holding::ReplicaUse> collectUse(Core::TimePoint now);
 
@@ -109,6 +115,7 @@
         unsigned otherHostsActive = 0; // Running requests of other hosts.
         std::uint64_t otherHostsWaitingTokens = 0;
         Placement::RequestLimit limit;
+        Placement::AdmissionShare admission; // Of a plain service.
         unsigned active = 0; // Running requests of this host.
         std::uint64_t waitingTokens = 0;
         std::map<std::string, unsigned> running; // Running requests of this host, by "model/adapter".
@@ -131,6 +138,8 @@
     // Whether the replica is neither paused nor at its limit. Requests that were held off by a pause fill its free
     // slots only, as they would otherwise all arrive at once.
     [[nodiscard]] bool acceptsRequests(const Fleet::Replica &replica, Core::TimePoint now) const;
+    // Whether the replica, of a plain service, has room for the request.
+    [[nodiscard]] bool admits(const Fleet::Replica &replica, const CallerRequest &request, Core::TimePoint now) const;
     // What is known of the other hosts that share the limit of the replica.
     [[nodiscard]] Placement::LimitSharing sharing(const Core::TargetId &replica) const;
     // The adapter name is empty for requests that need no adapter.
--- a/Libraries/LibGateway/ForwardedRequestResponses.cpp
+++ b/Libraries/LibGateway/ForwardedRequestResponses.cpp
@@ -277,6 +277,10 @@
                 {"reason", "rejected with status " + std::to_string(result.status)}});
     const auto name = FleetView::adapterName(m_request);
     const bool isMisdirected = result.status == Core::HttpStatus::MisdirectedRequest;
+    // A pause keeps requests away by itself.
+    if (result.status == Core::HttpStatus::ServiceUnavailable && !m_head.pause.has_value()) {
+        m_dependencies.fleet.recordNoRoom(m_replica.id, m_request, m_dependencies.scheduler.now());
+    }
     if (!m_dependencies.fleet.isAvailable(m_replica, m_dependencies.scheduler.now())) {
         // Its rejection says nothing about its adapters.
         m_excluded.insert(m_replica.id);
@@ -346,6 +350,9 @@
     ++m_possibleRuns;
     const bool isFailure = m_head.status >= Core::HttpStatus::InternalServerError;
     recordOutcome(isFailure ? Placement::AttemptOutcome::Failed : Placement::AttemptOutcome::Served);
+    if (const auto now = m_dependencies.scheduler.now(); !isFailure) {
+        m_dependencies.fleet.recordResponseTime(m_replica.id, m_request, now - m_sentAt, m_route.route->objective, now);
+    }
     // A crash can't be told from the end of a response without framing.
     if (m_head.status == Core::HttpStatus::Ok && m_head.isFramed) {
         recordHarmless();
