--- a/Libraries/LibGateway/Tests/ForwardingFixture.h
+++ b/Libraries/LibGateway/Tests/ForwardingFixture.h
@@ -156,8 +156,17 @@
                                              .hostCount =
                                                  [] {
                                                      return std::size_t(1);
+                                                 },
+                                             .isKeyValid =
+                                                 [this](const std::string &key, const std::string &account) {
+                                                     return m_validKeys.contains({key, account});
+                                                 },
+                                             .giveBack =
+                                                 [this](const Gateway::RequestAccount &account) {
+                                                     m_givenBack += account.cost;
                                                  }},
-            m_exchange, std::move(request), Routes::MatchedRoute {.configuration = configuration, .route = matched});
+            m_exchange, std::move(request), Routes::MatchedRoute {.configuration = configuration, .route = matched},
+            m_account);
         m_forwarded->start();
     }
 
@@ -202,6 +211,9 @@
     }
 
     unsigned m_requests = 0;
+    Gateway::RequestAccount m_account; // Of the requests that are started.
+    std::set<std::pair<std::string, std::string>> m_validKeys; // With their accounts.
+    std::uint64_t m_givenBack = 0; // Returned to the allowance.
     std::shared_ptr<Gateway::ForwardedRequest> m_forwarded; // The last one.
     Core::VirtualScheduler m_scheduler;
     FakeTransport m_transport;
--- a/Libraries/LibRoutes/Tests/RouteTableTest.cpp
+++ b/Libraries/LibRoutes/Tests/RouteTableTest.cpp
@@ -9,6 +9,7 @@
     CPPUNIT_TEST(olderConfigurationIsRejected);
     CPPUNIT_TEST(matchKeepsItsConfigurationAfterReplacement);
     CPPUNIT_TEST(attemptsAreDividedByServiceWeight);
+    CPPUNIT_TEST(accountIsFoundByItsKeysOnly);
     CPPUNIT_TEST_SUITE_END();
 
     static Routes::RouteConfiguration configuration(std::uint64_t version, const std::vector<std::string> &prefixes)
@@ -30,6 +31,27 @@
         CPPUNIT_ASSERT(table.find("b.example", "/x/").route == nullptr);
     }
 
+    // Guards against keys of a former configuration, and against an empty key that finds an account.
+    void accountIsFoundByItsKeysOnly()
+    {
+        Routes::RouteTable table;
+        auto first = configuration(1, {"/"});
+        first.accounts = std::vector<Routes::ClientAccount> {{.name = "a", .keys = {"k1", "k2", ""}},
+                                                             {.name = "b", .keys = {"k3"}}};
+        CPPUNIT_ASSERT(table.replace(std::move(first)));
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), table.findAccount("k2")->name);
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), table.findAccount("k3")->name);
+        for (const auto *key : {"", "k", "k11", "K1"}) {
+            CPPUNIT_ASSERT(table.findAccount(key) == nullptr);
+        }
+        auto second = configuration(2, {"/"});
+        second.accounts = std::vector<Routes::ClientAccount> {{.name = "a", .keys = {"k2"}}};
+        CPPUNIT_ASSERT(table.replace(std::move(second)));
+        CPPUNIT_ASSERT(table.findAccount("k1") == nullptr);
+        CPPUNIT_ASSERT(table.replace(configuration(3, {"/"})));
+        CPPUNIT_ASSERT(table.findAccount("k2") == nullptr);
+    }
+
     void olderConfigurationIsRejected()
     {
         Routes::RouteTable table;
