LibCore, platform: Bear text that isn't UTF-8

Cause: nlohmann's dump() throws for strings that aren't UTF-8, and names of callers, keys of other hosts and reasons were dumped in orders, transactions and refusals; an exception that leaves a callback ends the process.

Change: a gateway refuses a name that isn't UTF-8 with 400 at the head of the request and as holder; Core::toExactText gives no text where a program would act on replaced bytes, and such an order or transaction isn't sent; Core::toDisplayText is for refusals.

Ruled out by reading: rows of hosts, holders and owners, tickets, the ledger and the log, whose strings are UTF-8 or replaced already.

--- a/Libraries/LibGateway/ForwardedRequest.cpp
+++ b/Libraries/LibGateway/ForwardedRequest.cpp
@@ -1,12 +1,12 @@
 #include <LibGateway/ForwardedRequest.h>
 
 #include <LibCore/HttpStatus.h>
+#include <LibCore/JsonText.h>
 #include <LibCore/Rendezvous.h>
 #include <LibGateway/ForwardingLimits.h>
 #include <LibGateway/Refusal.h>
 #include <LibLog/Log.h>
 #include <algorithm>
-#include <nlohmann/json.hpp>
 
 namespace Gateway {
 
@@ -332,7 +332,7 @@
     }
     const nlohmann::json body {
         {"error", {{"message", "it isn't known whether the request ran: " + std::string(reason)}}}};
-    m_exchange->respond({.status = status}, body.dump());
+    m_exchange->respond({.status = status}, Core::toDisplayText(body));
     end(status, reason);
 }
 
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -1,6 +1,7 @@
 #include <LibGateway/Gateway.h>
 
 #include <LibCore/HttpStatus.h>
+#include <LibCore/JsonText.h>
 #include <LibCore/Rendezvous.h>
 #include <LibFleet/AdapterName.h>
 #include <LibGateway/Refusal.h>
@@ -215,6 +216,10 @@
         return;
     }
     auto request = m_dependencies.protocol.readRequest(exchange->request());
+    if (!Core::isUtf8(request.model) || !Core::isUtf8(request.adapter)) {
+        refuse(*exchange, Core::HttpStatus::BadRequest, "the name of its model or adapter isn't UTF-8", std::nullopt);
+        return;
+    }
     auto route = m_routes.find(request.host, request.target);
     if (route.route == nullptr) {
         refuse(*exchange, Core::HttpStatus::NotFound, "no route matches the host and path of the request",
--- a/Libraries/LibGateway/GatewayOrders.cpp
+++ b/Libraries/LibGateway/GatewayOrders.cpp
@@ -1,6 +1,7 @@
 // Control of the replicas that this host holds: their controllers, and the notices exchanged between hosts and holders.
 #include <LibGateway/Gateway.h>
 
+#include <LibCore/JsonText.h>
 #include <algorithm>
 
 namespace Gateway {
@@ -165,7 +166,9 @@
 void Gateway::handleAdapterRequest(const Holding::AdapterRequest &request,
                                    const std::function<void(const Holding::AdapterReply &)> &reply)
 {
-    if (const auto controller = m_controllers.find(request.replica); controller != m_controllers.end()) {
+    const auto controller = m_controllers.find(request.replica);
+    // Another host may run a release that doesn't refuse names of other bytes.
+    if (controller != m_controllers.end() && Core::isUtf8(request.model) && Core::isUtf8(request.adapter)) {
         controller->second->request(request, reply);
         return;
     }
--- a/Libraries/LibGateway/Refusal.cpp
+++ b/Libraries/LibGateway/Refusal.cpp
@@ -1,6 +1,6 @@
 #include <LibGateway/Refusal.h>
 
-#include <nlohmann/json.hpp>
+#include <LibCore/JsonText.h>
 
 namespace Gateway {
 
@@ -11,7 +11,7 @@
     if (retryAfter.has_value()) {
         head.headers.emplace_back("Retry-After", std::to_string(std::chrono::duration<double>(*retryAfter).count()));
     }
-    exchange.respond(std::move(head), body.dump());
+    exchange.respond(std::move(head), Core::toDisplayText(body));
 }
 
 }
--- a/Libraries/LibNet/EventLoop.h
+++ b/Libraries/LibNet/EventLoop.h
@@ -36,7 +36,8 @@
     // A signal that was recorded before counts too (see Signals.h).
     void watchSignal(int signalNumber, Task handler);
 
-    // Processes events until stop() is called.
+    // Processes events until stop() is called. An exception that leaves a handler or task leaves run(), which ends the
+    // process: the state that the handler was changing isn't known any more (docs/incidents/name-that-is-not-utf8.md).
     void run();
     void stop();
 
--- a/Libraries/LibPlatform/HttpPlatform.cpp
+++ b/Libraries/LibPlatform/HttpPlatform.cpp
@@ -1,6 +1,7 @@
 #include <LibPlatform/HttpPlatform.h>
 
 #include <LibCore/HttpStatus.h>
+#include <LibCore/JsonText.h>
 #include <LibNet/PercentEncoding.h>
 #include <LibPlatform/PlatformJson.h>
 
@@ -23,7 +24,14 @@
 void HttpPlatform::transact(Transaction transaction, TransactionFunction done)
 {
     auto outgoing = request("POST", "/v1/transact");
-    outgoing.body = toJson(transaction).dump();
+    if (auto body = Core::toExactText(toJson(transaction)); body.has_value()) {
+        outgoing.body = std::move(*body);
+    } else {
+        // The transport reports that nothing was sent.
+        outgoing.isStillPermitted = [] {
+            return false;
+        };
+    }
     m_client.start(std::move(outgoing), [done = std::move(done)](const Net::HttpResult &result) {
         if (result.isComplete() && result.status == Core::HttpStatus::Ok) {
             done({.outcome = TransactionOutcome::Committed});
@@ -50,11 +58,13 @@
                            done({.error = result.describeFailure()});
                            return;
                        }
+                       ReadResult read;
                        try {
-                           done({.isAvailable = true, .row = rowFromJson(json)});
+                           read = {.isAvailable = true, .row = rowFromJson(json)};
                        } catch (const nlohmann::json::exception &error) {
-                           done({.error = error.what()});
+                           read = {.error = error.what()};
                        }
+                       done(std::move(read));
                    });
 }
 
