LibHolding, LibMembership: Remove a host's row only if this process wrote it

Cause: HolderTable::leave removed the row of the host without a condition on its version, so that the store could do it late and take away the row of the next process. Other hosts took the missing row for the end of its lease and claimed what it held. HostLeases::release did the same.

Change: both removals have the version of this process's row as condition.

Ruled out: the releases in the same transaction, which have the fence as condition.

--- a/Libraries/LibHolding/HolderTable.cpp
+++ b/Libraries/LibHolding/HolderTable.cpp
@@ -70,21 +70,32 @@
         isHostKey(row.key) ? applyHost(row) : applyHolder(row);
     }
     if (isFull) {
-        std::erase_if(m_hosts, [&keys](const auto &host) {
-            return !keys.contains(hostKey(host.first));
+        eraseHosts([&keys](const Core::HostId &host) {
+            return !keys.contains(hostKey(host));
         });
         std::erase_if(m_holders, [&keys](const auto &holder) {
             return !keys.contains(holderKey(holder.first));
         });
     }
-    m_hasRows = true;
+    m_rowsSince = m_rowsSince.value_or(m_scheduler.now());
+}
+
+void HolderTable::eraseHosts(const std::function<bool(const Core::HostId &)> &isErased)
+{
+    std::erase_if(m_hosts, [this, &isErased](const auto &host) {
+        const bool isMissing = isErased(host.first);
+        if (isMissing) {
+            m_missingSince[host.first] = m_scheduler.now();
+        }
+        return isMissing;
+    });
 }
 
 void HolderTable::applyHost(const Platform::ChangedRow &row)
 {
     if (row.isRemoved) {
-        std::erase_if(m_hosts, [&row](const auto &host) {
-            return hostKey(host.first) == row.key;
+        eraseHosts([&row](const Core::HostId &host) {
+            return hostKey(host) == row.key;
         });
         return;
     }
@@ -93,6 +104,7 @@
         Log::write(Log::Event::EntryUnreadable, {{"table", std::string(Table)}, {"key", row.key}});
         return;
     }
+    m_missingSince.erase(host->host);
     auto &seen = m_hosts[host->host];
     if (row.version > seen.version) {
         seen = {.row = std::move(*host), .version = row.version, .changedAt = m_scheduler.now()};
@@ -177,7 +189,7 @@
 
 void HolderTable::claimDueReplicas()
 {
-    if (!m_hasRows || m_scheduler.now() >= m_leaseExpiresAt) {
+    if (!m_rowsSince.has_value() || m_scheduler.now() >= m_leaseExpiresAt) {
         return;
     }
     auto due = replicasToClaim();
@@ -209,7 +221,7 @@
     }
     std::vector<Core::TargetId> toClaim;
     for (const auto &[replica, zone] : replicas) {
-        if (holderOf(replica).has_value()) {
+        if (mayHaveHolder(replica)) {
             continue;
         }
         if (isLastHolder(replica)) {
@@ -255,6 +267,26 @@
     return m_scheduler.now() - host.changedAt < m_options.term + m_options.expiryMargin;
 }
 
+bool HolderTable::mayHoldLease(const SeenHolder &holder) const
+{
+    const auto host = m_hosts.find(holder.row.holder);
+    if (host != m_hosts.end()) {
+        return isLive(host->second);
+    }
+    // Each renewal writes the row anew, so that no lease is valid once the row has been missing for the whole term.
+    const auto missing = m_missingSince.find(holder.row.holder);
+    const auto missingSince = missing == m_missingSince.end() ? m_rowsSince.value_or(m_startedAt) : missing->second;
+    return m_scheduler.now() - std::max(missingSince, holder.changedAt) < m_options.term + m_options.expiryMargin;
+}
+
+bool HolderTable::mayHaveHolder(const Core::TargetId &replica) const
+{
+    const auto found = m_holders.find(replica);
+    const bool isOfOther = found != m_holders.end() && !found->second.row.holder.isEmpty()
+        && found->second.row.holder != m_options.self.host;
+    return m_holds.contains(replica) || (isOfOther && mayHoldLease(found->second));
+}
+
 bool HolderTable::isClaimable(const Core::TargetId &replica, std::vector<Platform::RowCondition> &conditions) const
 {
     const auto found = m_holders.find(replica);
@@ -277,7 +309,7 @@
     conditions.push_back({.table = std::string(Table),
                           .key = hostKey(holder),
                           .version = host == m_hosts.end() ? 0 : host->second.version});
-    return host == m_hosts.end() || !isLive(host->second);
+    return !mayHoldLease(found->second);
 }
 
 void HolderTable::claim(const Core::TargetId &replica)
@@ -320,10 +352,49 @@
             {.table = std::string(Table), .key = holderKey(replica), .version = held.fence});
         transaction.puts.push_back({.table = std::string(Table), .key = holderKey(replica), .value = toText(row)});
     }
-    transaction.deletions.push_back({.table = std::string(Table), .key = hostKey(m_options.self.host)});
     m_holds.clear();
-    m_table.transact(std::move(transaction), [done = std::move(done)](const Platform::TransactionResult &) {
-        done();
+    const auto pending = std::make_shared<int>(2);
+    const auto end = [pending, done = std::move(done)] {
+        if (--*pending == 0) {
+            done();
+        }
+    };
+    // Two transactions, so that a renewal which changes the version of the host's row doesn't keep the replicas.
+    m_table.transact(std::move(transaction), [end](const Platform::TransactionResult &) {
+        end();
+    });
+    const auto own = m_hosts.find(m_options.self.host);
+    const bool isSeen = own != m_hosts.end() && own->second.row.incarnation == m_options.self.incarnation;
+    removeOwnRow(isSeen ? own->second.version : 0, [this, end](const Platform::TransactionResult &result) {
+        if (result.outcome == Platform::TransactionOutcome::Conflicted) {
+            // The last renewal has not been seen yet.
+            readAndRemoveOwnRow(end);
+        } else {
+            end();
+        }
+    });
+}
+
+void HolderTable::removeOwnRow(std::uint64_t version, Platform::TableService::TransactionFunction done)
+{
+    // The store may do this seconds later, when the next process of this host has written the row.
+    const auto key = hostKey(m_options.self.host);
+    m_table.transact({.conditions = {{.table = std::string(Table), .key = key, .version = version}},
+                      .deletions = {{.table = std::string(Table), .key = key}}},
+                     std::move(done));
+}
+
+void HolderTable::readAndRemoveOwnRow(std::function<void()> done)
+{
+    m_table.read(Table, hostKey(m_options.self.host), [this, done = std::move(done)](const Platform::ReadResult &read) {
+        const auto host = read.row.has_value() ? hostRowFromText(read.row->value) : std::nullopt;
+        if (!host.has_value() || host->incarnation != m_options.self.incarnation) {
+            done();
+            return;
+        }
+        removeOwnRow(read.row->version, [done](const Platform::TransactionResult &) {
+            done();
+        });
     });
 }
 
--- a/Libraries/LibHolding/HolderTable.h
+++ b/Libraries/LibHolding/HolderTable.h
@@ -6,6 +6,7 @@
 #include <LibPlatform/TableService.h>
 #include <functional>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace Holding {
@@ -56,8 +57,8 @@
     void start();
     // Applies rows of the table: all of them if isFull, otherwise those that changed.
     void apply(const Platform::FeedResult &rows, bool isFull);
-    // Releases all replicas and deletes the row of this host. The function runs when the transaction has ended, with or
-    // without success.
+    // Releases all replicas and deletes the row of this host, unless another process of the host or a late renewal has
+    // written it meanwhile. The function runs when both transactions have ended, with or without success.
     void leave(std::function<void()> done);
 
     // The fencing token for orders to the replica; no value if this host may not send any at present.
@@ -104,6 +105,16 @@
     // Claims replicas without a live holder, and the held ones that were claimed before the lease last expired.
     void claimDueReplicas();
     [[nodiscard]] bool isLive(const SeenHost &host) const;
+    // Whether the host that the row names may still hold its lease. A missing row of the host is no proof that the
+    // lease has ended: it may have been removed by a late write of an earlier process.
+    [[nodiscard]] bool mayHoldLease(const SeenHolder &holder) const;
+    // Whether this host holds the replica, or another one may do so.
+    [[nodiscard]] bool mayHaveHolder(const Core::TargetId &replica) const;
+    void eraseHosts(const std::function<bool(const Core::HostId &)> &isErased);
+    // Removes the row of this host if it still has the version; with version zero, if there is none.
+    void removeOwnRow(std::uint64_t version, Platform::TableService::TransactionFunction done);
+    // Removes the row of this host if this process has written it.
+    void readAndRemoveOwnRow(std::function<void()> done);
     [[nodiscard]] bool isClaimable(const Core::TargetId &replica,
                                    std::vector<Platform::RowCondition> &conditions) const;
     [[nodiscard]] bool isOwn(const HolderRow &row) const;
@@ -126,7 +137,8 @@
     Core::TimePoint m_startedAt {};
     Core::TimePoint m_leaseExpiresAt {};
     std::uint64_t m_leaseSession = 0; // Increases each time the lease is renewed after it had expired.
-    bool m_hasRows = false;
+    std::map<Core::HostId, Core::TimePoint> m_missingSince; // Hosts whose row was seen and has been removed.
+    std::optional<Core::TimePoint> m_rowsSince; // When rows were applied for the first time.
     bool m_isLeaving = false;
 };
 
--- a/Libraries/LibHolding/Tests/HolderTableTest.cpp
+++ b/Libraries/LibHolding/Tests/HolderTableTest.cpp
@@ -12,6 +12,8 @@
 constexpr auto HandoverGap = 3500ms;
 // Upper bound for detecting a released replica, claiming it and reading the claim back.
 constexpr auto TakeoverTime = 4000ms;
+// When the store does a removal late.
+constexpr auto RemovalDelay = 5200ms;
 
 // The connection of one process to the store; drops transactions after the process has ended or while it is cut off.
 class ProcessRows final : public Platform::TableService
@@ -24,7 +26,11 @@
     }
     void transact(Platform::Transaction transaction, TransactionFunction done) override
     {
-        if (isCutOff) {
+        if (isRemovalLate && !transaction.deletions.empty()) {
+            m_scheduler.runAfter(RemovalDelay, [this, transaction = std::move(transaction)]() mutable {
+                m_rows.transact(std::move(transaction), [](const auto &) {});
+            });
+        } else if (isCutOff) {
             m_scheduler.runAfter(300ms, [done = std::move(done)] {
                 done({.outcome = Platform::TransactionOutcome::NotSent});
             });
@@ -43,6 +49,7 @@
 
     bool isEnded = false;
     bool isCutOff = false;
+    bool isRemovalLate = false; // Transactions that remove rows get no answer and are done late.
 
 private:
     Core::VirtualScheduler &m_scheduler;
@@ -110,6 +117,9 @@
     CPPUNIT_TEST(returningHolderNeedsNoHandoverGap);
     CPPUNIT_TEST(replicasAreDistributedEvenly);
     CPPUNIT_TEST(claimWithLostResponseIsReadBack);
+    CPPUNIT_TEST(lateRemovalLeavesRowOfNextProcess);
+    CPPUNIT_TEST(missingRowDoesNotEndLease);
+    CPPUNIT_TEST(stoppedHostLeavesNoRow);
     CPPUNIT_TEST_SUITE_END();
 
     Core::VirtualScheduler m_scheduler;
@@ -264,6 +274,81 @@
         m_scheduler.advance(2s);
         CPPUNIT_ASSERT(only->table.orderFence({"r9"}).has_value());
     }
+
+    [[nodiscard]] bool hasRow(const std::string &key)
+    {
+        bool isPresent = false;
+        m_rows.readTable(Holding::HolderTable::Table, [&isPresent, &key](const auto &feed) {
+            isPresent = std::ranges::any_of(feed.rows, [&key](const auto &row) {
+                return row.key == key;
+            });
+        });
+        m_scheduler.advance(10ms);
+        return isPresent;
+    }
+
+    // Such a removal took away the row of the host's next process, so that another host claimed what that one holds.
+    // The first process holds no replica, so that no condition on a replica's row keeps the removal.
+    void lateRemovalLeavesRowOfNextProcess()
+    {
+        m_replicas.clear();
+        const auto first = host("h1", 1);
+        const auto other = host("h2");
+        m_scheduler.advance(4500ms);
+        first->process.isRemovalLate = true;
+        first->table.leave([] {});
+        first->process.isEnded = true;
+        const auto next = host("h1", 2);
+        m_scheduler.advance(1s);
+        for (int i = 0; i < 6; ++i) {
+            m_replicas.push_back({.replica = {"r" + std::to_string(i)}, .zone = {"a"}});
+        }
+        m_scheduler.advance(3s);
+        const auto held = next->table.held();
+        CPPUNIT_ASSERT(!held.empty() && held.size() < m_replicas.size());
+        for (int i = 0; i < 100; ++i) {
+            m_scheduler.advance(100ms);
+            CPPUNIT_ASSERT(hasRow("host/h1"));
+            CPPUNIT_ASSERT(next->table.held() == held);
+            CPPUNIT_ASSERT_EQUAL(m_replicas.size() - held.size(), other->table.held().size());
+        }
+    }
+
+    // A process of an earlier release may still remove the row without a condition. Hosts that saw the row and a host
+    // that starts while it is missing have to wait for the lease to end.
+    void missingRowDoesNotEndLease()
+    {
+        const auto holder = host("h1");
+        m_scheduler.advance(3s);
+        CPPUNIT_ASSERT(holder->table.orderFence({"r1"}).has_value());
+        const auto other = host("h2");
+        m_scheduler.advance(1s);
+        holder->process.isCutOff = true;
+        holder->isFeedCutOff = true;
+        m_rows.remove(std::string(Holding::HolderTable::Table), "host/h1");
+        const auto started = host("h3");
+        for (int i = 0; i < 300; ++i) {
+            m_scheduler.advance(100ms);
+            CPPUNIT_ASSERT(holders({holder.get(), other.get(), started.get()}, {"r1"}) <= 1);
+            const auto isHeld = !other->table.held().empty() || !started->table.held().empty();
+            CPPUNIT_ASSERT(!isHeld || !holder->table.orderFence({"r1"}).has_value());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), holders({other.get(), started.get()}, {"r1"}));
+    }
+
+    void stoppedHostLeavesNoRow()
+    {
+        const auto only = host("h1");
+        m_scheduler.advance(3500ms);
+        int ends = 0;
+        only->table.leave([&ends] {
+            ++ends;
+        });
+        m_scheduler.advance(100ms);
+        CPPUNIT_ASSERT_EQUAL(1, ends);
+        CPPUNIT_ASSERT(!hasRow("host/h1"));
+        CPPUNIT_ASSERT(hasRow("holder/r1"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HolderTableTest);
--- a/Libraries/LibMembership/HostLeases.cpp
+++ b/Libraries/LibMembership/HostLeases.cpp
@@ -54,10 +54,28 @@
 {
     m_isReleased = true;
     m_leaseHeldUntil = {};
-    m_table.transact({.deletions = {{.table = std::string(HostTable), .key = ownKey()}}},
-                     [done = std::move(done)](const auto &) {
-                         done();
-                     });
+    m_table.read(HostTable, ownKey(), [this, done = std::move(done)](const Platform::ReadResult &read) {
+        if (!read.row.has_value() || !isOwnRow(*read.row)) {
+            done();
+            return;
+        }
+        // The service may do this seconds later, when the next process of this host has written the row.
+        m_table.transact(
+            {.conditions = {{.table = std::string(HostTable), .key = ownKey(), .version = read.row->version}},
+             .deletions = {{.table = std::string(HostTable), .key = ownKey()}}},
+            [done](const auto &) {
+                done();
+            });
+    });
+}
+
+bool HostLeases::isOwnRow(const Platform::Row &row) const
+{
+    try {
+        return hostRecordFromText(row.value).incarnation == m_self.incarnation;
+    } catch (const nlohmann::json::exception &) {
+        return false;
+    }
 }
 
 const HostRecord &HostLeases::self() const
--- a/Libraries/LibMembership/HostLeases.h
+++ b/Libraries/LibMembership/HostLeases.h
@@ -32,8 +32,8 @@
     void start();
     // Changes this host's record and writes it to the table at once; later renewals carry the change too.
     void update(const std::function<void(HostRecord &)> &change);
-    // Releases the lease: deletes the row and stops renewing it. The function runs when the service has responded or
-    // the request has failed.
+    // Releases the lease: stops renewing the row, and deletes it if it still is that of this process. The function runs
+    // when the service has responded or the request has failed.
     void release(std::function<void()> done);
 
     // Sets the ticket sequence in force at this host, which the next renewal publishes.
@@ -82,6 +82,8 @@
                   std::function<void()> done);
     void applyRow(const Platform::Row &row);
     void removeDeletedHosts(const std::set<Core::HostId> &found);
+    // Whether this process has written the row of this host.
+    [[nodiscard]] bool isOwnRow(const Platform::Row &row) const;
     [[nodiscard]] std::string ownKey() const;
     [[nodiscard]] bool isExpired(const ObservedHost &observed) const;
 
--- a/Libraries/LibMembership/Tests/HostLeasesTest.cpp
+++ b/Libraries/LibMembership/Tests/HostLeasesTest.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+// When the table does a removal late.
+constexpr auto RemovalDelay = 5200ms;
+
 // A table whose responses to transactions are delayed or lost. Every transaction takes effect at once.
 class SlowTable final : public Platform::TableService
 {
@@ -17,7 +20,11 @@
     }
     void transact(Platform::Transaction transaction, TransactionFunction done) override
     {
-        if (!isDown) {
+        if (!isDown && isRemovalLate && !transaction.deletions.empty()) {
+            m_scheduler.runAfter(RemovalDelay, [this, transaction] {
+                rows.transact(transaction);
+            });
+        } else if (!isDown) {
             rows.transact(transaction);
         }
         const auto outcome = isLosingResponses || isDown ? Platform::TransactionOutcome::Unknown
@@ -26,8 +33,11 @@
             done({.outcome = outcome});
         });
     }
-    void read(std::string_view /*table*/, std::string_view /*key*/, ReadFunction /*done*/) override
+    void read(std::string_view table, std::string_view key, ReadFunction done) override
     {
+        m_scheduler.runAfter(1ms, [this, table = std::string(table), key = std::string(key), done = std::move(done)] {
+            done({.isAvailable = !isDown, .row = isDown ? std::nullopt : rows.read(table, key)});
+        });
     }
     void scan(std::string_view table, std::string_view afterKey, std::size_t limit, ScanFunction done) override
     {
@@ -43,6 +53,7 @@
     bool isLosingResponses = false;
     bool isDown = false;
     bool isScanDown = false;
+    bool isRemovalLate = false;
 
 private:
     Core::Scheduler &m_scheduler;
@@ -56,6 +67,7 @@
     CPPUNIT_TEST(leaseTermStartsWhenRenewalIsSent);
     CPPUNIT_TEST(renewalWithLostResponseCountsOnceReadBack);
     CPPUNIT_TEST(leaseExpiresForHolderBeforeOtherHosts);
+    CPPUNIT_TEST(lateRemovalLeavesRowOfNextProcess);
     CPPUNIT_TEST_SUITE_END();
 
     Core::VirtualScheduler m_clock;
@@ -111,6 +123,25 @@
         }
         CPPUNIT_ASSERT(!restarted.isLeaseHeld() && m_observer.isExpired(Core::HostId {"h"}));
     }
+
+    // Other hosts took the missing row for the end of the lease that the next process held.
+    void lateRemovalLeavesRowOfNextProcess()
+    {
+        m_observer.start();
+        m_holder.start();
+        m_clock.advance(10s);
+        m_table.isRemovalLate = true;
+        m_holder.release([] {});
+        m_clock.advance(1s);
+        Membership::HostLeases restarted(m_clock, m_table, {.id = {"h"}, .zone = {"a"}, .incarnation = 3}, {});
+        restarted.start();
+        for (int i = 0; i < 100; ++i) {
+            m_clock.advance(100ms);
+            CPPUNIT_ASSERT(!m_observer.isReleased({"h"}));
+            CPPUNIT_ASSERT(m_table.rows.read("hosts", "a/h").has_value());
+        }
+        CPPUNIT_ASSERT(restarted.isLeaseHeld());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HostLeasesTest);
