LibHolding: Free a place only if it is known which order was accepted

Cause: a report with a higher count settled all orders without an answer that expected a lower one, though only one of those with the same count can have been accepted. The adapters in the report told them apart, except for unloads while a replacement was taken to wait for running requests: these were both freed at the next successful order.

Change: ReplicaController::proofsOf states what a report proves about which order. Where one of several was accepted, the adapters in the report decide for unloads too.

Measured: oneOfSeveralUnansweredUnloadsFreesNoOtherSlot (either unload late) fails before the change with one adapter more than fit; with it LibHoldingTests OK (44).

--- a/Libraries/LibHolding/ReplicaController.h
+++ b/Libraries/LibHolding/ReplicaController.h
@@ -81,6 +81,11 @@
 
 private:
     enum class SlotState { Resident, Loading, Replacing, Unloading };
+    // What a report proves about an order without an answer.
+    enum class Proof {
+        Accepted, // The replica has accepted the order.
+        OneOfSeveral, // The replica has accepted this order or another one; the adapters in the report show which.
+    };
     // The state of one adapter that occupies memory of the replica.
     struct Slot {
         std::uint64_t version = 0;
@@ -151,6 +156,9 @@
     void handleRefusalWhileWaiting(const std::string &name, bool isConfirmation);
     void readReport();
     void applyReport(const Fleet::ReplicaReport &report, Core::TimePoint askedAt);
+    // What the report proves about the orders without an answer, by the name of the adapter. Orders of which it proves
+    // nothing are left out.
+    [[nodiscard]] std::map<std::string, Proof> proofsOf(const Fleet::ReplicaReport &report) const;
     // Repeats the order of a load that should be complete, to check whether it is. Returns true if an order was sent.
     [[nodiscard]] bool confirmLoad();
     [[nodiscard]] bool loadMissingModel();
--- a/Libraries/LibHolding/ReplicaControllerReports.cpp
+++ b/Libraries/LibHolding/ReplicaControllerReports.cpp
@@ -38,6 +38,30 @@
     });
 }
 
+// What proves the outcome of an order without an answer:
+// - A report with a higher count than the order expects proves that one order that expects this count was accepted, and
+//   that no other one will be. With a single candidate it is that order: it has been executed or waits for running
+//   requests. With several candidates, or if an earlier holder may have sent one, only the adapters in the same report
+//   tell them apart: what is listed keeps its place, also if its unload was accepted and waits, until a later report
+//   doesn't list it.
+// - A report with the expected count proves nothing, since the order may still be on its way.
+// - An accepted order proves that no other order that expects the same count will be executed (resolveUncertain).
+// - A refused repetition proves that the order itself was accepted, if it is the only candidate (recordExecuted).
+// A slot is freed only by an answered unload or by a report that doesn't list the adapter.
+std::map<std::string, ReplicaController::Proof> ReplicaController::proofsOf(const Fleet::ReplicaReport &report) const
+{
+    std::map<std::string, Proof> proofs;
+    const auto candidates = std::ranges::count_if(m_slots, [](const auto &slot) {
+        return slot.second.uncertainOrderCount.has_value();
+    });
+    for (const auto &[name, slot] : m_slots) {
+        if (slot.uncertainOrderCount.has_value() && report.orderCount > *slot.uncertainOrderCount) {
+            proofs[name] = candidates > 1 || !isOnlySender() ? Proof::OneOfSeveral : Proof::Accepted;
+        }
+    }
+    return proofs;
+}
+
 void ReplicaController::applyReport(const Fleet::ReplicaReport &report, Core::TimePoint askedAt)
 {
     if (report.startedAt != 0 && m_replica.startedAt != 0 && report.startedAt != m_replica.startedAt) {
@@ -66,20 +90,19 @@
     if (m_waitingForRequestsSince.has_value() && *m_waitingForRequestsSince < reportedUntil && !isStillThere) {
         endWaitForRequests();
     }
-    const auto uncertain = std::ranges::count_if(m_slots, [](const auto &slot) {
-        return slot.second.uncertainOrderCount.has_value();
-    });
+    const auto proofs = proofsOf(report);
     for (auto slot = m_slots.begin(); slot != m_slots.end();) {
         auto &state = slot->second;
         const auto found = reported.find(slot->first);
-        const bool isResolved = state.uncertainOrderCount.has_value() && report.orderCount > *state.uncertainOrderCount;
-        if (isResolved) {
+        const auto proof = proofs.find(slot->first);
+        const bool isResolvedByAdapters = proof != proofs.end() && proof->second == Proof::OneOfSeveral;
+        if (proof != proofs.end()) {
             state.uncertainOrderCount.reset();
         }
-        // This order was executed, or one of an earlier holder, or another one of this holder that expected the same
-        // count; the adapters in the report show which.
-        const bool isResolvedByAdapters = isResolved && (!isOnlySender() || uncertain > 1);
-        const bool isUnloadWaiting = state.state == SlotState::Unloading && isWaitingForRequests();
+        // An unload that the replica has accepted goes on waiting for running requests, while the adapter is listed.
+        // That one of several was accepted doesn't say that it was this one.
+        const bool isUnloadWaiting
+            = state.state == SlotState::Unloading && isWaitingForRequests() && !isResolvedByAdapters;
         const bool isCoveredByReport = (state.changedAt < reportedUntil || isResolvedByAdapters)
             && !state.uncertainOrderCount.has_value() && !isUnloadWaiting;
         if (isCoveredByReport && found != reported.end()) {
--- a/Libraries/LibHolding/Tests/ReplicaControllerTest.cpp
+++ b/Libraries/LibHolding/Tests/ReplicaControllerTest.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(loadsContinueWhenResponsesAreLost);
     CPPUNIT_TEST(lateOrderOfPreviousHolderTakesNoSlotTwice);
     CPPUNIT_TEST(oneOfSeveralUnansweredOrdersFreesNoOtherSlot);
+    CPPUNIT_TEST(oneOfSeveralUnansweredUnloadsFreesNoOtherSlot);
     CPPUNIT_TEST(missingAdapterIsNotLoadedBeyondCapacity);
     CPPUNIT_TEST(restartedReplicaIsUsableOnceItsEntryShowsModel);
     CPPUNIT_TEST(requestsFailEarlyWhenReplicaIsUnreachable);
@@ -515,6 +516,43 @@
         CPPUNIT_ASSERT_EQUAL(Slots, m_fake.maxAdapters);
     }
 
+    // Two unloads without an answer expected the same count, and one of them was done late. While a replacement was
+    // taken to wait for running requests, both places were filled, and the replica crashed.
+    void oneOfSeveralUnansweredUnloadsFreesNoOtherSlot()
+    {
+        for (const auto lateUnload : {0, 1}) {
+            m_fake.adapters.clear();
+            m_fake.count = 0;
+            m_fake.maxAdapters = 0;
+            m_fake.delayedOrders = 0;
+            const auto replicaController = controller();
+            fillSlots(*replicaController, 1500ms);
+            m_fake.adapters["a0"].activeRequests = 1;
+            m_releases.apply({.model = "m", .adapter = "a0", .version = static_cast<std::uint64_t>(lateUnload) + 2});
+            run(*replicaController, 300ms);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), m_fake.delayedOrders);
+            m_fake.adapters["a0"].activeRequests = 0;
+            std::vector<Result> results(8);
+            m_fake.isDroppingResponses = true;
+            for (int unload = 0; unload < 2; ++unload) {
+                const Core::Duration late = unload == 0 ? 4500ms : 2000ms;
+                m_fake.executionDelay = unload == lateUnload ? late : Core::Duration(10min);
+                const auto index = static_cast<std::size_t>(unload);
+                ask(*replicaController, request("b" + std::to_string(unload)), results[index]);
+                run(*replicaController, 2500ms);
+            }
+            m_fake.isDroppingResponses = false;
+            run(*replicaController, 1200ms);
+            for (std::size_t i = 2; i < results.size(); ++i) {
+                ask(*replicaController, request("b" + std::to_string(i)), results[i]);
+                run(*replicaController, 100ms);
+            }
+            run(*replicaController, 4s);
+            CPPUNIT_ASSERT(std::any_of(results.begin() + 2, results.end(), &isReady));
+            CPPUNIT_ASSERT(m_fake.maxAdapters <= Slots);
+        }
+    }
+
     // The holder's list of adapters is older than the last orders of the previous holder. A request reports an adapter
     // as missing, whose place another adapter has taken.
     void missingAdapterIsNotLoadedBeyondCapacity()
