LibSettings: Accept fractions in durations of a gateway

Cause: stopGraceSeconds and the other durations of a gateway's settings were read as whole numbers, though a deployment derives them from bounds that may be fractions; 7.5 ended the process with exit code 2.

Change: all six durations are read as numbers. Ranges are unchanged. bodyBytes and connections stay whole numbers, as they count things.

Measured: durationsMayBeFractions fails before the change; with it LibSettingsTests OK (5).

--- a/Libraries/LibSettings/GatewaySettings.cpp
+++ b/Libraries/LibSettings/GatewaySettings.cpp
@@ -12,23 +12,33 @@
 constexpr double LeastMemoryMegabytes = 16;
 constexpr double MostMemoryMegabytes = 1 << 20;
 constexpr double BytesPerMegabyte = 1 << 20;
-constexpr long long DefaultGraceSeconds = 8;
-constexpr long long LongestGraceSeconds = 3600;
-constexpr long long DefaultApplyMilliseconds = 2000;
-constexpr long long LeastApplyMilliseconds = 100;
-constexpr long long LongestApplyMilliseconds = 600000;
+constexpr double DefaultGraceSeconds = 8;
+constexpr double LongestGraceSeconds = 3600;
+constexpr double DefaultApplyMilliseconds = 2000;
+constexpr double LeastApplyMilliseconds = 100;
+constexpr double LongestApplyMilliseconds = 600000;
 // A host that isn't cut off knows that its configuration is at most some two seconds old.
-constexpr long long LeastRevokeMilliseconds = 3000;
-constexpr long long DefaultGapMilliseconds = 3000;
-constexpr long long LongestGapMilliseconds = 60000;
-constexpr long long DefaultWindowSeconds = 10;
-constexpr long long LongestWindowSeconds = 3600;
+constexpr double LeastRevokeMilliseconds = 3000;
+constexpr double DefaultGapMilliseconds = 3000;
+constexpr double LongestGapMilliseconds = 60000;
+constexpr double DefaultWindowSeconds = 10;
+constexpr double LongestWindowSeconds = 3600;
 constexpr double LeastWeight = 0.01;
 constexpr double MostWeight = 1000;
 constexpr double DefaultRetryRatio = 0.2;
 constexpr double DefaultRetryExtra = 50;
 constexpr double MostRetryExtra = 1000000;
 
+using Seconds = std::chrono::duration<double>;
+using Milliseconds = std::chrono::duration<double, std::milli>;
+
+// Deployments derive these settings from their bounds, which may be fractions.
+template<typename Unit>
+Core::Duration readDuration(SettingsReader &reader, const char *name, double fallback, double least, double most)
+{
+    return std::chrono::duration_cast<Core::Duration>(Unit(reader.fraction(name, fallback, least, most)));
+}
+
 nlohmann::json parseJson(std::string_view text)
 {
     try {
@@ -76,28 +86,27 @@
     settings.memoryBytes = static_cast<std::size_t>(
         limits.fraction("memoryMegabytes", DefaultMemoryMegabytes, LeastMemoryMegabytes, MostMemoryMegabytes)
         * BytesPerMegabyte);
-    settings.stopGrace
-        = std::chrono::seconds(limits.number("stopGraceSeconds", DefaultGraceSeconds, 1, LongestGraceSeconds));
+    settings.stopGrace = readDuration<Seconds>(limits, "stopGraceSeconds", DefaultGraceSeconds, 1, LongestGraceSeconds);
     limits.finish();
     auto changes = root.object("changes");
-    settings.changeApplyTime = std::chrono::milliseconds(changes.number(
-        "applyMilliseconds", DefaultApplyMilliseconds, LeastApplyMilliseconds, LongestApplyMilliseconds));
-    settings.drainTime = std::chrono::milliseconds(changes.number("drainMilliseconds", DefaultApplyMilliseconds,
-                                                                  LeastApplyMilliseconds, LongestApplyMilliseconds));
+    settings.changeApplyTime = readDuration<Milliseconds>(changes, "applyMilliseconds", DefaultApplyMilliseconds,
+                                                          LeastApplyMilliseconds, LongestApplyMilliseconds);
+    settings.drainTime = readDuration<Milliseconds>(changes, "drainMilliseconds", DefaultApplyMilliseconds,
+                                                    LeastApplyMilliseconds, LongestApplyMilliseconds);
     changes.finish();
     auto accounts = root.object("accounts");
-    settings.revocationBound = std::chrono::milliseconds(
-        accounts.number("revokeMilliseconds", 0, LeastRevokeMilliseconds, LongestApplyMilliseconds));
+    settings.revocationBound = readDuration<Milliseconds>(accounts, "revokeMilliseconds", 0, LeastRevokeMilliseconds,
+                                                          LongestApplyMilliseconds);
     accounts.finish();
     auto orders = root.object("orders");
-    settings.orderGap = std::chrono::milliseconds(
-        orders.number("gapMilliseconds", DefaultGapMilliseconds, 0, LongestGapMilliseconds));
+    settings.orderGap
+        = readDuration<Milliseconds>(orders, "gapMilliseconds", DefaultGapMilliseconds, 0, LongestGapMilliseconds);
     orders.finish();
     auto retries = root.object("retries");
     settings.retryRatio = retries.fraction("ratio", DefaultRetryRatio, 0, 1);
     settings.retryExtra = retries.fraction("extra", DefaultRetryExtra, 0, MostRetryExtra);
     settings.retryWindow
-        = std::chrono::seconds(retries.number("windowSeconds", DefaultWindowSeconds, 1, LongestWindowSeconds));
+        = readDuration<Seconds>(retries, "windowSeconds", DefaultWindowSeconds, 1, LongestWindowSeconds);
     retries.finish();
     root.finish();
     if (!mistakes.empty()) {
