LibPeer: Number the calls of each process from a number of its own

Cause: calls were numbered from 1 in each process, so that a late reply to an earlier process of a host matched a call of its successor.

Change: the first number follows from the incarnation of the process.

Measured: replyToEarlierProcessIsIgnored fails before the change; with it LibPeerTests OK (6).

--- a/Libraries/LibPeer/PeerRouter.cpp
+++ b/Libraries/LibPeer/PeerRouter.cpp
@@ -1,6 +1,8 @@
 #include <LibPeer/PeerRouter.h>
 
 #include <LibCore/ConstantTime.h>
+#include <LibCore/Rendezvous.h>
+#include <algorithm>
 
 namespace Peer {
 
@@ -8,6 +10,7 @@
     : m_scheduler(scheduler)
     , m_transport(transport)
     , m_options(std::move(options))
+    , m_lastCorrelation(Core::stableHash("call", m_options.incarnation))
 {
 }
 
@@ -80,7 +83,9 @@
 void PeerRouter::startCall(const Core::HostId &to, MessageKind kind, std::string body, Core::Duration timeout,
                            BodyFunction done)
 {
-    const auto correlation = ++m_lastCorrelation;
+    // Zero means that no reply is expected.
+    m_lastCorrelation = std::max<std::uint64_t>(m_lastCorrelation + 1, 1);
+    const auto correlation = m_lastCorrelation;
     const auto timer = m_scheduler.runAfter(timeout, [this, correlation] {
         handleTimeout(correlation);
     });
--- a/Libraries/LibPeer/PeerRouter.h
+++ b/Libraries/LibPeer/PeerRouter.h
@@ -98,7 +98,9 @@
     Core::Scheduler &m_scheduler;
     PeerTransport &m_transport;
     PeerRouterOptions m_options;
-    std::uint64_t m_lastCorrelation = 0;
+    // Starts at a number of its own in each incarnation, so that a late reply to an earlier process of this host
+    // matches no call of its successor.
+    std::uint64_t m_lastCorrelation;
     std::uint64_t m_refusedMessages = 0;
     std::uint64_t m_sentMessages = 0;
     std::uint64_t m_sentBytes = 0;
--- a/Libraries/LibPeer/Tests/PeerRouterTest.cpp
+++ b/Libraries/LibPeer/Tests/PeerRouterTest.cpp
@@ -64,6 +64,7 @@
 {
     CPPUNIT_TEST_SUITE(PeerRouterTest);
     CPPUNIT_TEST(duplicateReplyIsIgnored);
+    CPPUNIT_TEST(replyToEarlierProcessIsIgnored);
     CPPUNIT_TEST(callTimesOutAndReconnects);
     CPPUNIT_TEST(messageWithWrongKeyIsRefused);
     CPPUNIT_TEST(malformedMessagesAreHandledSafely);
@@ -82,6 +83,29 @@
         CPPUNIT_ASSERT(replies == std::vector<std::string> {"hello!"});
     }
 
+    // The first calls of two processes of a host had the same number, so that the successor took the reply for its own.
+    void replyToEarlierProcessIsIgnored()
+    {
+        RouterPair pair;
+        pair.a.call<EchoReply>({"b"}, EchoRequest {"earlier"}, 1s, [](const auto &) {});
+        const auto lateReply = pair.toA.lastSent;
+        DirectTransport toB;
+        toB.isDropping = true;
+        for (const std::uint64_t incarnation : {1, 2, 3}) {
+            Peer::PeerRouter successor(pair.scheduler, toB,
+                                       {.self = {"a"}, .incarnation = incarnation, .key = "secret"});
+            int replies = 0;
+            for (int call = 0; call < 10; ++call) {
+                successor.call<EchoReply>({"b"}, EchoRequest {"next"}, 1s, [&replies](const auto &reply) {
+                    replies += reply.has_value() ? 1 : 0;
+                });
+            }
+            successor.receive(lateReply);
+            pair.scheduler.advance(2s);
+            CPPUNIT_ASSERT_EQUAL(0, replies);
+        }
+    }
+
     void callTimesOutAndReconnects()
     {
         RouterPair pair;
