LibPlacement: Choose replicas by their learned speed and free memory

Cause: the chooser assumed one speed for all engines and counted slots only. Engines at 0.6 times the usual speed got as many requests as those at 1.6, and long requests could fill the memory of an engine with free slots.

The chooser divides the costs by time by the speed, and counts tokens in use against the memory like slots.

--- a/Libraries/LibPlacement/ReplicaChooser.cpp
+++ b/Libraries/LibPlacement/ReplicaChooser.cpp
@@ -32,14 +32,20 @@
 {
     using Milliseconds = std::chrono::duration<double, std::milli>;
     const Milliseconds prefillTime(static_cast<double>(candidate.waitingTokens) / m_options.promptTokensPerMillisecond);
-    auto cost = std::chrono::duration_cast<Core::Duration>(prefillTime) + candidate.penalty
-        + m_options.costPerActive * static_cast<int>(candidate.active) + m_options.costPerRank * static_cast<int>(rank);
+    const Milliseconds activeCost = m_options.costPerActive * static_cast<int>(candidate.active);
+    auto cost = std::chrono::duration_cast<Core::Duration>((prefillTime + activeCost) / candidate.speed)
+        + slownessCost(placement, candidate) + candidate.penalty + m_options.costPerRank * static_cast<int>(rank);
     if (candidate.zone != m_options.ownZone) {
         cost += placement.isStream ? m_options.crossZoneStreamCost : m_options.crossZoneCost;
     }
+    int queued = 0;
     if (candidate.slots > 0 && candidate.active >= candidate.slots) {
-        cost += m_options.costPerQueued * static_cast<int>(candidate.active - candidate.slots + 1);
+        queued = static_cast<int>(candidate.active - candidate.slots + 1);
+    } else if (candidate.memoryTokens > 0 && candidate.usedTokens + placement.totalTokens > candidate.memoryTokens) {
+        queued = 1;
     }
+    cost
+        += std::chrono::duration_cast<Core::Duration>(Milliseconds(m_options.costPerQueued) * queued / candidate.speed);
     cost += crowdingCost(placement, candidate);
     if (candidate.residency == Residency::Absent && candidate.isCached) {
         cost += m_options.cachedLoadCost + candidate.loadDelay;
@@ -56,10 +62,21 @@
     return cost;
 }
 
+Core::Duration ReplicaChooser::slownessCost(const PlacementRequest &placement, const Candidate &candidate) const
+{
+    using Milliseconds = std::chrono::duration<double, std::milli>;
+    const Milliseconds prefillTime(static_cast<double>(placement.promptTokens) / m_options.promptTokensPerMillisecond);
+    return std::chrono::duration_cast<Core::Duration>((prefillTime + candidate.usualResponse)
+                                                      * (1 / candidate.speed - 1));
+}
+
 Core::Duration ReplicaChooser::crowdingCost(const PlacementRequest &placement, const Candidate &candidate) const
 {
     const auto usedSlots = candidate.slots == 0 ? 0 : static_cast<double>(candidate.active) / candidate.slots;
-    const auto usedShare = std::max(usedSlots, candidate.usedLimit);
+    const auto usedMemory = candidate.memoryTokens == 0
+        ? 0
+        : static_cast<double>(candidate.usedTokens) / static_cast<double>(candidate.memoryTokens);
+    const auto usedShare = std::max({usedSlots, usedMemory, candidate.usedLimit});
     const std::chrono::duration<double, std::milli> fullCost = m_options.fullCost;
     auto cost = fullCost * std::max(0.0, 2 * usedShare - 1);
     if (candidate.residency == Residency::Resident) {
--- a/Libraries/LibPlacement/ReplicaChooser.h
+++ b/Libraries/LibPlacement/ReplicaChooser.h
@@ -34,6 +34,10 @@
     Core::Duration loadDelay {}; // Time until a load could start.
     Core::Duration penalty {}; // For recent failures.
     bool isBlocked = false; // To be chosen only if there is no other replica.
+    double speed = 1; // Compared to the other replicas of the service; 1 is usual.
+    Core::Duration usualResponse {}; // Usual response time of the service, if it runs no models.
+    std::uint64_t usedTokens = 0; // Prompts and expected outputs of the running requests, from all hosts.
+    std::uint64_t memoryTokens = 0; // Capacity for such tokens; zero if it isn't known.
 };
 
 // A request for which a replica is to be chosen.
@@ -42,6 +46,8 @@
     std::string_view request; // Unique identifier of the request.
     double demand = 0; // Estimated requests per second for the adapter, over all hosts.
     bool isStream = true; // The response is streamed, which takes seconds.
+    std::uint64_t promptTokens = 0;
+    std::uint64_t totalTokens = 0; // The prompt and the expected output.
 };
 
 // Costs are expected delays of the response; the replica with the lowest sum is chosen.
@@ -63,8 +69,8 @@
     double additionalCopyDemand = 4;
     Core::Duration costPerRank = std::chrono::microseconds(50); // Breaks ties between replicas of equal cost.
     Core::Duration costPerActive = std::chrono::milliseconds(1); // Delay of a response by each running request.
-    // Cost of a replica all of whose slots, or whose whole request limit, are in use; from half of them on, each
-    // request adds an equal part. A replica that fills up before its load is known everywhere interrupts its less
+    // Cost of a replica all of whose slots or memory, or whose whole request limit, are in use; from half of them on,
+    // each request adds an equal part. A replica that fills up before its load is known everywhere interrupts its less
     // urgent requests.
     Core::Duration fullCost = std::chrono::milliseconds(160);
     // Hosts that know the same loads, which are some hundred milliseconds old, choose differently within this span, of
@@ -93,6 +99,9 @@
     [[nodiscard]] Core::Duration additionalCopyCost(double demand) const;
     [[nodiscard]] Core::Duration cost(const PlacementRequest &placement, const Candidate &candidate, std::size_t rank,
                                       Core::Duration copyCost) const;
+    // How much longer than at a replica of the usual speed the request itself takes until its response; negative at a
+    // fast replica.
+    [[nodiscard]] Core::Duration slownessCost(const PlacementRequest &placement, const Candidate &candidate) const;
     // Cost of adding a request to those that run on the replica, with a part that differs by request.
     [[nodiscard]] Core::Duration crowdingCost(const PlacementRequest &placement, const Candidate &candidate) const;
     // Which candidates are compared. The load caused by other hosts is known with a delay of a few hundred
