LibHolding: Combine the speed and the memory use that hosts report

Cause: one of 64 hosts sees too few responses of an engine to tell its speed, and only its own tokens in its memory.

Change: ReplicaUse carries measured times and the tokens in use, the holder combines them, and ReplicaLoad passes the result on. The members are at the end, so that hosts of the former version ignore them. A time that changes by a tenth is worth a notice.

--- a/Libraries/LibHolding/HoldingMessages.h
+++ b/Libraries/LibHolding/HoldingMessages.h
@@ -49,8 +49,17 @@
     std::vector<std::string> adapters; // As "model/adapter", used by requests at any time since the last notice.
     std::uint32_t recentlySent = 0; // Requests within the last seconds, the window of request limits.
     bool isLimited = false; // The host knows that the replica has a request limit.
-
-    MSGPACK_DEFINE(replica, active, waitingTokens, adapters, recentlySent, isLimited)
+    std::uint64_t usedTokens = 0; // Prompts and expected outputs of the active requests.
+    // Measured since the last notice: microseconds between two events of a stream, and to the first event for each
+    // thousand prompt tokens. Without samples, they have no meaning.
+    std::uint32_t eventMicroseconds = 0;
+    std::uint32_t eventSamples = 0;
+    std::uint32_t prefillMicroseconds = 0;
+    std::uint32_t prefillSamples = 0;
+
+    // New members are added at the end, where hosts of an earlier version ignore them.
+    MSGPACK_DEFINE(replica, active, waitingTokens, adapters, recentlySent, isLimited, usedTokens, eventMicroseconds,
+                   eventSamples, prefillMicroseconds, prefillSamples)
 };
 
 // Sent by a host to the holders of the replicas that it uses, for as long as it uses them.
@@ -77,8 +86,16 @@
     std::uint32_t loadDelayMilliseconds = 0; // Time until the load of another adapter could start.
     std::uint32_t recentlySent = 0; // Requests within the last seconds, from all hosts.
     std::uint32_t limitedSenders = 0; // Hosts that have sent such and know that the replica has a request limit.
-
-    MSGPACK_DEFINE(replica, active, waitingTokens, loadDelayMilliseconds, recentlySent, limitedSenders)
+    std::uint64_t usedTokens = 0; // Prompts and expected outputs of the active requests.
+    // What the holder has learned from all hosts, as in ReplicaUse. The samples are those that still count.
+    std::uint32_t eventMicroseconds = 0;
+    std::uint32_t eventSamples = 0;
+    std::uint32_t prefillMicroseconds = 0;
+    std::uint32_t prefillSamples = 0;
+
+    // New members are added at the end, where hosts of an earlier version ignore them.
+    MSGPACK_DEFINE(replica, active, waitingTokens, loadDelayMilliseconds, recentlySent, limitedSenders, usedTokens,
+                   eventMicroseconds, eventSamples, prefillMicroseconds, prefillSamples)
 };
 
 // The load of a replica and the adapters in its memory, or those that have changed since the last notice.
--- a/Libraries/LibHolding/NoticeSeries.cpp
+++ b/Libraries/LibHolding/NoticeSeries.cpp
@@ -7,13 +7,23 @@
 
 namespace {
 
+// Smaller changes of the time between events wait for the next notice, as they change no decision.
+constexpr double MinEventTimeChange = 1.1;
+
+bool isEventTimeEqual(const ReplicaLoad &left, const ReplicaLoad &right)
+{
+    const auto [shorter, longer] = std::minmax(left.eventMicroseconds, right.eventMicroseconds);
+    return longer <= shorter * MinEventTimeChange;
+}
+
 bool isEqual(const ReplicaLoad &left, const ReplicaLoad &right)
 {
     // Without a limit, what was sent isn't worth a notice of its own.
     const bool isSentEqual = left.limitedSenders == right.limitedSenders
         && (left.limitedSenders == 0 || left.recentlySent == right.recentlySent);
     return left.active == right.active && left.waitingTokens == right.waitingTokens
-        && left.loadDelayMilliseconds == right.loadDelayMilliseconds && isSentEqual;
+        && left.loadDelayMilliseconds == right.loadDelayMilliseconds && left.usedTokens == right.usedTokens
+        && isEventTimeEqual(left, right) && isSentEqual;
 }
 
 bool contains(const std::vector<ResidentAdapter> &adapters, const ResidentAdapter &wanted)
--- a/Libraries/LibHolding/ReplicaController.cpp
+++ b/Libraries/LibHolding/ReplicaController.cpp
@@ -43,6 +43,8 @@
         m_orderCount.reset();
         m_acceptedOrders = 0;
         m_waitingForRequestsSince.reset();
+        m_eventTimes = Placement::ResponseTimes();
+        m_prefillTimes = Placement::ResponseTimes();
         m_nextReport = m_scheduler.now();
     }
     m_replica = replica;
@@ -100,6 +102,8 @@
 {
     const auto now = m_scheduler.now();
     m_uses[host] = {.use = use, .at = now};
+    m_eventTimes.record(use.eventMicroseconds, use.eventSamples, now);
+    m_prefillTimes.record(use.prefillMicroseconds, use.prefillSamples, now);
     for (const auto &name : use.adapters) {
         if (const auto slot = m_slots.find(name); slot != m_slots.end()) {
             slot->second.lastUsed = now;
@@ -317,7 +321,14 @@
         load.waitingTokens += use.use.waitingTokens;
         load.recentlySent += use.use.recentlySent;
         load.limitedSenders += use.use.isLimited && use.use.recentlySent > 0 ? 1 : 0;
+        load.usedTokens += use.use.usedTokens;
     }
+    const auto eventTime = m_eventTimes.learned(m_scheduler.now());
+    load.eventMicroseconds = static_cast<std::uint32_t>(eventTime.time);
+    load.eventSamples = static_cast<std::uint32_t>(eventTime.samples);
+    const auto prefillTime = m_prefillTimes.learned(m_scheduler.now());
+    load.prefillMicroseconds = static_cast<std::uint32_t>(prefillTime.time);
+    load.prefillSamples = static_cast<std::uint32_t>(prefillTime.samples);
     return load;
 }
 
--- a/Libraries/LibHolding/ReplicaController.h
+++ b/Libraries/LibHolding/ReplicaController.h
@@ -5,6 +5,7 @@
 #include <LibFleet/ReleaseTable.h>
 #include <LibHolding/HoldingMessages.h>
 #include <LibHolding/LoadTimeEstimate.h>
+#include <LibPlacement/ResponseTimes.h>
 #include <LibRoutes/RouteConfiguration.h>
 #include <deque>
 #include <functional>
@@ -180,6 +181,8 @@
     std::set<std::string> m_cachedAdapters; // Adapters that load quickly, as "model/adapter@version".
     std::deque<Waiter> m_waiters;
     std::map<Core::HostId, HostUse> m_uses;
+    Placement::ResponseTimes m_eventTimes; // Microseconds, from the reports of all hosts.
+    Placement::ResponseTimes m_prefillTimes; // Microseconds for each thousand tokens.
     std::optional<std::uint64_t> m_orderCount; // Orders accepted by the replica; unknown before the first report.
     Core::TimePoint m_countAsOf {};
     Core::TimePoint m_nextOrderAt {};
