LibGateway: Measure the speed of replicas and use what is learned

Cause: no component learned the speed of a replica from its responses.

Change: ForwardedRequest measures the time to the first event, the times between events, and the times of plain responses, but nothing where an adapter had to be loaded. FleetView reports them to the holders with the notices of use, at once if they differ from what the holder has said by half, and passes speeds and memory use to the chooser. Two gauges count slow and fast replicas.

No deployment with real processes was run.

--- a/Libraries/LibGateway/FleetView.cpp
+++ b/Libraries/LibGateway/FleetView.cpp
@@ -18,9 +18,6 @@
 constexpr auto UnloadableDuration = std::chrono::milliseconds(300);
 // For this long, this host's own observation of an adapter counts as newer than a notice or an entry of the list.
 constexpr auto LocalObservationLifetime = std::chrono::milliseconds(500);
-// How often an unchanged use of a replica is reported to its holder. Holders and their notices expire after 1.5
-// seconds.
-constexpr auto UseRefreshPeriod = std::chrono::milliseconds(450);
 // Adapters that a replica keeps in host memory for each one in the memory of its engine.
 constexpr std::size_t CachedPerResident = 5;
 
@@ -81,13 +78,6 @@
     }
 }
 
-void FleetView::recordDemand(const CallerRequest &request, Core::TimePoint now)
-{
-    if (!request.adapter.empty()) {
-        m_demand.recordRequest(adapterName(request), now);
-    }
-}
-
 void FleetView::refresh(Core::TimePoint now)
 {
     m_demand.prune(now);
@@ -97,6 +87,7 @@
             return false;
         }
         m_health.forget(view.first);
+        m_speed.forget(view.first);
         return true;
     });
     for (const auto &[id, replica] : m_replicas.all()) {
@@ -110,10 +101,13 @@
             view.loadUpdatedAt = {};
             view.noticeNumber = 0;
             view.limit = Placement::RequestLimit();
+            view.knownEventMicroseconds = 0;
+            m_speed.forget(id);
         }
         if (now - view.loadUpdatedAt >= HolderNoticeLifetime) {
             view.otherHostsActive = 0;
             view.otherHostsWaitingTokens = 0;
+            view.otherHostsUsedTokens = 0;
             view.loadDelay = {};
         }
         if (now - view.holderNoticeAt < HolderNoticeLifetime) {
@@ -138,6 +132,8 @@
     view.otherHostsWaitingTokens = load.waitingTokens - std::min(load.waitingTokens, view.reported.waitingTokens);
     view.limit.recordOthers(load.recentlySent - std::min(load.recentlySent, view.reported.recentlySent),
                             load.limitedSenders, now);
+    view.otherHostsUsedTokens = load.usedTokens - std::min(load.usedTokens, view.reported.usedTokens);
+    applySpeed(view, load, now);
 }
 
 void FleetView::applyExchangedLoad(const Holding::ReplicaLoad &load, Core::TimePoint now)
@@ -318,7 +314,9 @@
                                     .waitingTokens = view.waitingTokens + view.otherHostsWaitingTokens,
                                     .loadDelay = view.loadDelay,
                                     .penalty = m_health.penalty(replica.id, now),
-                                    .isBlocked = m_health.isBlocked(replica.id, replica.zone, now)};
+                                    .isBlocked = m_health.isBlocked(replica.id, replica.zone, now),
+                                    .speed = m_speed.speed(replica.id, now),
+                                    .usedTokens = view.usedTokens + view.otherHostsUsedTokens};
     if (!adapter.empty() && !residentVersion(view, adapter, newest).has_value()) {
         candidate.residency = now < view.unloadableUntil || !m_isHeld(replica.id) ? Placement::Residency::Unloadable
                                                                                   : Placement::Residency::Absent;
@@ -328,13 +326,6 @@
     return candidate;
 }
 
-double FleetView::demandFor(const std::string &adapter, Core::TimePoint now) const
-{
-    // Every host receives about an equal share of the requests. The request being placed is no evidence of others.
-    const auto others = m_demand.count(adapter, now) - 1;
-    return others <= 0 ? 0 : Placement::AdapterDemand::rateOf(others) * static_cast<double>(m_hostCount());
-}
-
 const Fleet::Replica *FleetView::choose(const CallerRequest &request, const std::string &service,
                                         const std::set<Core::TargetId> &excluded, Core::TimePoint now) const
 {
@@ -342,16 +333,22 @@
     const auto newest = m_releases.newestVersion(adapter);
     std::vector<const Fleet::Replica *> usable;
     std::vector<Placement::Candidate> candidates;
+    const auto memoryTokens = m_memory ? m_memory(service) : 0;
+    const auto usualResponse = m_speed.usualResponse(service);
     for (const auto *replica : servingReplicas(request, service)) {
         if (!excluded.contains(replica->id) && acceptsRequests(*replica, now)) {
             usable.push_back(replica);
             candidates.push_back(candidate(*replica, adapter, newest, now));
+            candidates.back().memoryTokens = memoryTokens;
+            candidates.back().usualResponse = usualResponse;
         }
     }
     const auto best = m_chooser.choose({.key = adapter.empty() ? request.attemptId : adapter,
                                         .request = request.attemptId,
                                         .demand = demandFor(adapter, now),
-                                        .isStream = !request.model.empty()},
+                                        .isStream = !request.model.empty(),
+                                        .promptTokens = request.promptTokens,
+                                        .totalTokens = request.promptTokens + request.outputTokens},
                                        candidates);
     return best.has_value() ? usable[*best] : nullptr;
 }
@@ -362,6 +359,7 @@
     ++view.active;
     view.limit.recordSend(now);
     view.waitingTokens += request.promptTokens;
+    view.usedTokens += request.promptTokens + request.outputTokens;
     if (!request.adapter.empty()) {
         ++view.running[adapterName(request)];
     }
@@ -380,6 +378,7 @@
     }
     auto &view = m_views[replica];
     view.active -= std::min(view.active, 1U);
+    view.usedTokens -= std::min(view.usedTokens, request.promptTokens + request.outputTokens);
     const auto name = adapterName(request);
     if (const auto running = view.running.find(name); running != view.running.end() && --running->second == 0) {
         view.running.erase(running);
@@ -387,35 +386,6 @@
     }
 }
 
-std::vector<Holding::ReplicaUse> FleetView::collectUse(Core::TimePoint now)
-{
-    std::vector<Holding::ReplicaUse> uses;
-    for (auto &[id, view] : m_views) {
-        Holding::ReplicaUse use {.replica = id,
-                                 .active = view.active,
-                                 .waitingTokens = view.waitingTokens,
-                                 .adapters = {},
-                                 .recentlySent = view.limit.recent(now),
-                                 .isLimited = view.limit.isSet()};
-        for (const auto &[name, count] : view.running) {
-            use.adapters.push_back(name);
-        }
-        use.adapters.insert(use.adapters.end(), view.recentlyUsed.begin(), view.recentlyUsed.end());
-        view.recentlyUsed.clear();
-        const bool isUsed = use.active > 0 || !use.adapters.empty() || (use.isLimited && use.recentlySent > 0);
-        const bool isDue = isUsed && now - view.reportedAt >= UseRefreshPeriod;
-        const bool isChanged = use.active != view.reported.active || use.waitingTokens != view.reported.waitingTokens
-            || use.adapters != view.reported.adapters
-            || (use.isLimited && use.recentlySent != view.reported.recentlySent);
-        if (isDue || isChanged) {
-            view.reported = use;
-            view.reportedAt = now;
-            uses.push_back(std::move(use));
-        }
-    }
-    return uses;
-}
-
 Placement::ReplicaHealth &FleetView::health()
 {
     return m_health;
--- a/Libraries/LibGateway/FleetView.h
+++ b/Libraries/LibGateway/FleetView.h
@@ -8,7 +8,9 @@
 #include <LibPlacement/ReplicaChooser.h>
 #include <LibPlacement/ReplicaHealth.h>
 #include <LibPlacement/ReplicaPauses.h>
+#include <LibPlacement/ReplicaSpeed.h>
 #include <LibPlacement/RequestLimit.h>
+#include <array>
 #include <functional>
 #include <map>
 #include <set>
@@ -26,6 +28,9 @@
     // Returns the number of live hosts, including this one.
     using HostCountFunction = std::function<std::size_t()>;
 
+    // Returns the tokens that each replica of the service has memory for; zero if it isn't known.
+    using MemoryFunction = std::function<std::uint64_t(const std::string &service)>;
+
     // Called after a replica was found to leave.
     using LeavingFunction = std::function<void()>;
 
@@ -61,6 +66,19 @@
     Placement::RequestLimit::Change recordLimit(const Fleet::Replica &replica, std::optional<double> perSecond,
                                                 Core::TimePoint sentAt, Core::TimePoint now);
 
+    void setMemory(MemoryFunction memory);
+    // Prompt tokens that an engine has to process before a request just sent to it gets its first event. Zero if the
+    // request waits for other reasons too, so that its first event doesn't show the speed of the engine.
+    [[nodiscard]] std::uint64_t tokensUntilFirstEvent(const Fleet::Replica &replica) const;
+    // Records the time that an engine took for so many prompt tokens.
+    void recordPrefill(const Core::TargetId &replica, std::uint64_t tokens, Core::Duration time);
+    // Records the time between two events of a stream.
+    void recordEventTime(const Core::TargetId &replica, Core::Duration time);
+    // Records the time that a replica of a plain service took for a response.
+    void recordResponseTime(const Fleet::Replica &replica, const std::string &route, Core::Duration time,
+                            Core::TimePoint now);
+    [[nodiscard]] const Placement::ReplicaSpeed &speed() const;
+
     // Counts a caller's request towards the demand for its adapter.
     void recordDemand(const CallerRequest &request, Core::TimePoint now);
 
@@ -92,6 +110,17 @@
     [[nodiscard]] static std::string adapterName(const CallerRequest &request);
 
 private:
+    // Times in microseconds that this host has measured since its last notice to the holder. The shorter of the last
+    // two is reported: a longer one may be due to the load, and an older one may be from before a stall.
+    struct MeasuredTimes {
+        std::array<double, 2> last {};
+        std::uint32_t samples = 0;
+
+        void record(double microseconds);
+        // Zero without samples.
+        [[nodiscard]] double shortest() const;
+    };
+
     // What this host knows about one replica.
     struct ReplicaView {
         std::map<std::string, std::uint64_t> resident; // Versions of adapters in memory, by "model/adapter".
@@ -108,9 +137,14 @@
         std::uint64_t startedAt = 0;
         unsigned otherHostsActive = 0; // Running requests of other hosts.
         std::uint64_t otherHostsWaitingTokens = 0;
+        std::uint64_t otherHostsUsedTokens = 0;
         Placement::RequestLimit limit;
         unsigned active = 0; // Running requests of this host.
         std::uint64_t waitingTokens = 0;
+        std::uint64_t usedTokens = 0;
+        MeasuredTimes eventTimes;
+        MeasuredTimes prefillTimes;
+        std::uint32_t knownEventMicroseconds = 0; // As last learned by the holder; zero if it isn't known.
         std::map<std::string, unsigned> running; // Running requests of this host, by "model/adapter".
         std::set<std::string> recentlyUsed; // Adapters whose last request has ended since the last notice.
         Holding::ReplicaUse reported; // The last notice to the holder.
@@ -120,7 +154,11 @@
 
     static void recordCached(ReplicaView &view, const std::string &name, std::uint64_t version);
     [[nodiscard]] static std::uint64_t cacheKey(const std::string &name, std::uint64_t version);
-    static void applyLoad(ReplicaView &view, const Holding::ReplicaLoad &load, Core::TimePoint now);
+    void applyLoad(ReplicaView &view, const Holding::ReplicaLoad &load, Core::TimePoint now);
+    // Records what the holder has learned about the speed of the replica.
+    void applySpeed(ReplicaView &view, const Holding::ReplicaLoad &load, Core::TimePoint now);
+    // Whether the measured times show a stall or the end of one that the holder should learn of at once.
+    [[nodiscard]] static bool hasNewSpeed(const ReplicaView &view, Core::TimePoint now);
     // Estimated requests per second for the adapter, over all hosts.
     [[nodiscard]] double demandFor(const std::string &adapter, Core::TimePoint now) const;
     static void replaceResident(ReplicaView &view, const std::map<std::string, std::uint64_t> &resident,
@@ -149,6 +187,8 @@
     Placement::ReplicaHealth m_health;
     Placement::ReplicaPauses m_pauses;
     Placement::AdapterDemand m_demand;
+    Placement::ReplicaSpeed m_speed;
+    MemoryFunction m_memory;
     std::map<Core::TargetId, ReplicaView> m_views;
 };
 
--- a/Libraries/LibGateway/ForwardedRequest.cpp
+++ b/Libraries/LibGateway/ForwardedRequest.cpp
@@ -246,6 +246,7 @@
     m_discardedBytes = 0;
     dropBuffer();
     m_dependencies.fleet.recordAttemptStarted(m_replica.id, m_request, m_sentAt);
+    startMeasuring();
     auto outgoing = m_dependencies.protocol.writeRequest(
         m_request,
         {.replica = m_replica.id,
@@ -336,18 +337,6 @@
     end(status, reason);
 }
 
-void ForwardedRequest::handleDeadline()
-{
-    if (m_stage == Stage::Ended) {
-        return;
-    }
-    // A body that goes on beyond the deadline has no end, as far as this host can know.
-    if (m_stage == Stage::Sending && (!m_hasHead || !isEventStream())) {
-        recordOutcome(Placement::AttemptOutcome::Failed);
-    }
-    endUnanswered("the deadline has passed");
-}
-
 void ForwardedRequest::stop()
 {
     if (m_stage != Stage::Ended) {
--- a/Libraries/LibGateway/ForwardedRequest.h
+++ b/Libraries/LibGateway/ForwardedRequest.h
@@ -12,6 +12,7 @@
 #include <LibNet/BufferBudget.h>
 #include <LibNet/HttpServer.h>
 #include <LibNet/HttpTransport.h>
+#include <LibPlacement/EventSpans.h>
 #include <LibRoutes/RouteTable.h>
 #include <memory>
 
@@ -88,6 +89,12 @@
     void dropBuffer();
     // Ends the attempt because the replica sends something that is no response, or more than the host can hold.
     void breakOff(std::string_view reason);
+    // Starts to measure the replica's speed by the attempt that is about to be sent.
+    void startMeasuring();
+    // Records the time of so many events that have just arrived.
+    void measureEvents(std::uint64_t events);
+    // Records the time of a complete response of a plain service.
+    void measureResponse();
     void handleEnd(const Net::HttpResult &result);
     // Handles an attempt that the replica has broken off, by which it may have crashed.
     void handleBreak(const Net::HttpResult &result);
@@ -181,6 +188,10 @@
     bool m_hasResponseBody = false; // The first byte of the response body has arrived.
     std::optional<Core::TimePoint> m_answeringSince; // When the first event of the attempt arrived.
     bool m_isHarmless = false; // The replica has answered without crashing.
+    // The events of the response show the speed of the replica. Those of a request whose adapter was just loaded don't.
+    bool m_isMeasured = false;
+    std::uint64_t m_tokensUntilFirstEvent = 0; // Zero if the time of the first event isn't measured.
+    Placement::EventSpans m_eventSpans;
     std::string m_body; // Of a response that isn't an event stream.
     std::size_t m_discardedBytes = 0;
     Net::BufferBudget::Reservation m_buffer; // The body, or the incomplete event of a stream.
--- a/Libraries/LibGateway/ForwardedRequestContinuation.cpp
+++ b/Libraries/LibGateway/ForwardedRequestContinuation.cpp
@@ -1,4 +1,5 @@
-// The part of ForwardedRequest that waits: for a load, for a silent replica, and for a chance to continue a response.
+// The part of ForwardedRequest that waits: for a load, for a silent replica, for a chance to continue a response, and
+// until its deadline.
 #include <LibGateway/ForwardedRequest.h>
 
 #include <LibGateway/ForwardingLimits.h>
@@ -103,6 +104,18 @@
     }
 }
 
+void ForwardedRequest::handleDeadline()
+{
+    if (m_stage == Stage::Ended) {
+        return;
+    }
+    // A body that goes on beyond the deadline has no end, as far as this host can know.
+    if (m_stage == Stage::Sending && (!m_hasHead || !isEventStream())) {
+        recordOutcome(Placement::AttemptOutcome::Failed);
+    }
+    endUnanswered("the deadline has passed");
+}
+
 void ForwardedRequest::abandonSilentAttempt()
 {
     m_dependencies.client.cancel(m_transfer);
--- a/Libraries/LibGateway/ForwardedRequestResponses.cpp
+++ b/Libraries/LibGateway/ForwardedRequestResponses.cpp
@@ -173,8 +173,11 @@
 void ForwardedRequest::forwardEvents(std::string_view bytes)
 {
     std::string events;
+    const auto previousId = m_events.lastId();
     const auto sequence = m_events.split(bytes, events);
     if (!events.empty()) {
+        const auto lastId = m_events.lastId().value_or(0);
+        measureEvents(lastId > previousId.value_or(lastId) ? lastId - *previousId : 1);
         m_lastProgressAt = m_dependencies.scheduler.now();
         m_answeringSince = m_answeringSince.value_or(m_lastProgressAt);
         if (!isUnproven()) {
@@ -350,6 +353,7 @@
     if (m_head.status == Core::HttpStatus::Ok && m_head.isFramed) {
         recordHarmless();
     }
+    measureResponse();
     endAttempt();
     if (isFailure && !m_isStreaming && mayRunAgain() && remaining() > MinRemainingTime && m_sends < MaxSends) {
         m_excluded.insert(m_replica.id);
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -119,6 +119,9 @@
               m_holders.apply(changes, extent == decltype(m_holderFeed)::Extent::Full);
           })
 {
+    m_fleet.setMemory([this](const std::string &service) {
+        return memoryTokensOf(service);
+    });
     m_fleet.onLeaving([this] {
         updateControllers();
     });
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -76,6 +76,8 @@
     [[nodiscard]] Peer::PeerRouter &router();
     [[nodiscard]] const Holding::HolderTable &holders() const;
     [[nodiscard]] const Accounts::AllowanceCounts &allowanceCounts() const;
+    // Replicas whose learned speed isn't the usual one of their service.
+    [[nodiscard]] Placement::ReplicaSpeed::Counts unusualReplicas() const;
 
 private:
     // Forwards a request whose caller may use the route.
@@ -106,6 +108,8 @@
     [[nodiscard]] std::optional<std::uint64_t> orderFence(const Core::TargetId &replica) const;
     // The engine settings of the replica's service, or null if the service runs no models or there is no configuration.
     [[nodiscard]] const Routes::EngineSettings *engineOf(const Fleet::Replica &replica) const;
+    // The tokens that a replica of the service has memory for; zero if the service runs no models.
+    [[nodiscard]] std::uint64_t memoryTokensOf(const std::string &service) const;
     void sendNotices();
     void loadAdapter(const Holding::AdapterRequest &request, std::function<void(const Holding::AdapterReply &)> done);
     void handleAdapterRequest(const Holding::AdapterRequest &request,
--- a/Libraries/LibGateway/GatewayOrders.cpp
+++ b/Libraries/LibGateway/GatewayOrders.cpp
@@ -43,6 +43,18 @@
     return isPaused ? std::nullopt : m_holders.orderFence(replica);
 }
 
+std::uint64_t Gateway::memoryTokensOf(const std::string &service) const
+{
+    const auto &configuration = m_routes.current();
+    const auto *settings = configuration == nullptr ? nullptr : configuration->findService(service);
+    return settings == nullptr || !settings->engine.has_value() ? 0 : settings->engine->memoryTokens;
+}
+
+Placement::ReplicaSpeed::Counts Gateway::unusualReplicas() const
+{
+    return m_fleet.speed().unusualReplicas(m_dependencies.scheduler.now());
+}
+
 void Gateway::updateControllers()
 {
     synchronizeControllers();
--- a/Services/currantbayd/GatewayDaemon.cpp
+++ b/Services/currantbayd/GatewayDaemon.cpp
@@ -140,6 +140,12 @@
     m_metrics.gauge("currantbay_allowance_taken_without_lender", [this] {
         return static_cast<double>(m_gateway.allowanceCounts().takenWithoutLender);
     });
+    m_metrics.gauge("currantbay_slow_replicas", [this] {
+        return static_cast<double>(m_gateway.unusualReplicas().slow);
+    });
+    m_metrics.gauge("currantbay_fast_replicas", [this] {
+        return static_cast<double>(m_gateway.unusualReplicas().fast);
+    });
     m_metrics.gauge("currantbay_ambiguous_requests", [this] {
         return static_cast<double>(m_callerServer.ambiguousRequests());
     });
