LibHolding: Pass on what hosts see of a returned replica

Cause: a host sees the responses to its own requests only. Sixty hosts with one response each learn too little of a replica that has returned.

Change: ReplicaUse and ReplicaLoad carry ReturnSigns, counts within the last second of usual responses, late ones and requests wanted. The holder adds them up, and a change of them is worth a notice. They are zero for all other replicas, whose notices are as before but for the zeros.

--- a/Libraries/LibHolding/HoldingMessages.h
+++ b/Libraries/LibHolding/HoldingMessages.h
@@ -41,6 +41,17 @@
     MSGPACK_DEFINE(outcome, version, delayMilliseconds)
 };
 
+// What hosts have seen within the last second of a replica that has returned, for Placement::ReturnPace. All numbers
+// are zero for other replicas.
+struct ReturnSigns {
+    std::uint32_t usual = 0; // Responses in the usual time.
+    std::uint32_t late = 0; // Late and failed responses.
+    std::uint32_t wanted = 0; // Requests that were sent to it, or would have been without its limit.
+
+    bool operator==(const ReturnSigns &) const = default;
+    MSGPACK_DEFINE(usual, late, wanted)
+};
+
 // The requests of one host that run on one replica.
 struct ReplicaUse {
     Core::TargetId replica;
@@ -49,8 +60,9 @@
     std::vector<std::string> adapters; // As "model/adapter", used by requests at any time since the last notice.
     std::uint32_t recentlySent = 0; // Requests within the last seconds, the window of request limits.
     bool isLimited = false; // The host knows that the replica has a request limit.
+    ReturnSigns returnSigns;
 
-    MSGPACK_DEFINE(replica, active, waitingTokens, adapters, recentlySent, isLimited)
+    MSGPACK_DEFINE(replica, active, waitingTokens, adapters, recentlySent, isLimited, returnSigns)
 };
 
 // Sent by a host to the holders of the replicas that it uses, for as long as it uses them.
@@ -77,8 +89,9 @@
     std::uint32_t loadDelayMilliseconds = 0; // Time until the load of another adapter could start.
     std::uint32_t recentlySent = 0; // Requests within the last seconds, from all hosts.
     std::uint32_t limitedSenders = 0; // Hosts that have sent such and know that the replica has a request limit.
+    ReturnSigns returnSigns; // Sum over all hosts, including the receiver.
 
-    MSGPACK_DEFINE(replica, active, waitingTokens, loadDelayMilliseconds, recentlySent, limitedSenders)
+    MSGPACK_DEFINE(replica, active, waitingTokens, loadDelayMilliseconds, recentlySent, limitedSenders, returnSigns)
 };
 
 // The load of a replica and the adapters in its memory, or those that have changed since the last notice.
--- a/Libraries/LibHolding/NoticeSeries.cpp
+++ b/Libraries/LibHolding/NoticeSeries.cpp
@@ -13,7 +13,8 @@
     const bool isSentEqual = left.limitedSenders == right.limitedSenders
         && (left.limitedSenders == 0 || left.recentlySent == right.recentlySent);
     return left.active == right.active && left.waitingTokens == right.waitingTokens
-        && left.loadDelayMilliseconds == right.loadDelayMilliseconds && isSentEqual;
+        && left.loadDelayMilliseconds == right.loadDelayMilliseconds && isSentEqual
+        && left.returnSigns == right.returnSigns;
 }
 
 bool contains(const std::vector<ResidentAdapter> &adapters, const ResidentAdapter &wanted)
--- a/Libraries/LibHolding/ReplicaController.cpp
+++ b/Libraries/LibHolding/ReplicaController.cpp
@@ -317,6 +317,9 @@
         load.waitingTokens += use.use.waitingTokens;
         load.recentlySent += use.use.recentlySent;
         load.limitedSenders += use.use.isLimited && use.use.recentlySent > 0 ? 1 : 0;
+        load.returnSigns.usual += use.use.returnSigns.usual;
+        load.returnSigns.late += use.use.returnSigns.late;
+        load.returnSigns.wanted += use.use.returnSigns.wanted;
     }
     return load;
 }
