LibGateway: Limit replicas that have returned

Cause: nothing joined the start, the restart and the end of the avoidance of a replica to the requests that it gets.

Change: ReplicaReturns recognises a return by the list and by failed connections, and keeps a ReturnPace for each. A replica at its limit costs more, and is passed over if another one can serve the request as well. The limit alone refuses no request: acceptsRequests() doesn't know of it. Responses are compared with those of the service's other replicas; a late one whose adapter was loaded doesn't count.

--- a/Libraries/LibGateway/FleetView.cpp
+++ b/Libraries/LibGateway/FleetView.cpp
@@ -92,6 +92,7 @@
 {
     m_demand.prune(now);
     m_pauses.prune(now);
+    m_returns.refresh(m_replicas.all(), now);
     std::erase_if(m_views, [this](const auto &view) {
         if (m_replicas.find(view.first) != nullptr || view.second.active > 0) {
             return false;
@@ -138,6 +139,7 @@
     view.otherHostsWaitingTokens = load.waitingTokens - std::min(load.waitingTokens, view.reported.waitingTokens);
     view.limit.recordOthers(load.recentlySent - std::min(load.recentlySent, view.reported.recentlySent),
                             load.limitedSenders, now);
+    view.othersSigns = signsOfOthers(load.returnSigns, view.reported.returnSigns);
 }
 
 void FleetView::applyExchangedLoad(const Holding::ReplicaLoad &load, Core::TimePoint now)
@@ -145,6 +147,7 @@
     const auto found = m_views.find(load.replica);
     if (found != m_views.end() && now - found->second.holderNoticeAt >= ExchangedLoadAge) {
         applyLoad(found->second, load, now);
+        updateReturnLoad(load.replica, now);
     }
 }
 
@@ -152,6 +155,7 @@
 {
     auto &view = m_views[notice.load.replica];
     applyLoad(view, notice.load, now);
+    updateReturnLoad(notice.load.replica, now);
     const bool isNext = view.noticeNumber != 0 && notice.number - view.noticeNumber <= 1;
     if (!notice.isComplete && !isNext) {
         return; // A notice is missing. A complete one follows.
@@ -303,6 +307,11 @@
     return view == m_views.end() ? std::nullopt : residentVersion(view->second, name, m_releases.newestVersion(name));
 }
 
+bool FleetView::isLoadKnown(const ReplicaView &view, Core::TimePoint now)
+{
+    return view.loadUpdatedAt != Core::TimePoint {} && now - view.loadUpdatedAt < HolderNoticeLifetime;
+}
+
 Placement::Candidate FleetView::candidate(const Fleet::Replica &replica, const std::string &adapter,
                                           std::uint64_t newest, Core::TimePoint now) const
 {
@@ -314,7 +323,7 @@
                                     .zone = replica.zone,
                                     .slots = replica.slots,
                                     .active = view.active + view.otherHostsActive,
-                                    .usedLimit = view.limit.usedShare(now),
+                                    .usedLimit = std::max(view.limit.usedShare(now), usedReturnLimit(replica, now)),
                                     .waitingTokens = view.waitingTokens + view.otherHostsWaitingTokens,
                                     .loadDelay = view.loadDelay,
                                     .penalty = m_health.penalty(replica.id, now),
@@ -336,7 +345,7 @@
 }
 
 const Fleet::Replica *FleetView::choose(const CallerRequest &request, const std::string &service,
-                                        const std::set<Core::TargetId> &excluded, Core::TimePoint now) const
+                                        const std::set<Core::TargetId> &excluded, Core::TimePoint now)
 {
     const auto adapter = adapterName(request);
     const auto newest = m_releases.newestVersion(adapter);
@@ -348,11 +357,11 @@
             candidates.push_back(candidate(*replica, adapter, newest, now));
         }
     }
-    const auto best = m_chooser.choose({.key = adapter.empty() ? request.attemptId : adapter,
-                                        .request = request.attemptId,
-                                        .demand = demandFor(adapter, now),
-                                        .isStream = !request.model.empty()},
-                                       candidates);
+    const auto best = chooseWithinLimits({.key = adapter.empty() ? request.attemptId : adapter,
+                                          .request = request.attemptId,
+                                          .demand = demandFor(adapter, now),
+                                          .isStream = !request.model.empty()},
+                                         usable, candidates, now);
     return best.has_value() ? usable[*best] : nullptr;
 }
 
@@ -361,6 +370,7 @@
     auto &view = m_views[replica];
     ++view.active;
     view.limit.recordSend(now);
+    m_returns.recordSend(replica, now);
     view.waitingTokens += request.promptTokens;
     if (!request.adapter.empty()) {
         ++view.running[adapterName(request)];
@@ -396,17 +406,20 @@
                                  .waitingTokens = view.waitingTokens,
                                  .adapters = {},
                                  .recentlySent = view.limit.recent(now),
-                                 .isLimited = view.limit.isSet()};
+                                 .isLimited = view.limit.isSet(),
+                                 .returnSigns = m_returns.signs(id, now)};
         for (const auto &[name, count] : view.running) {
             use.adapters.push_back(name);
         }
         use.adapters.insert(use.adapters.end(), view.recentlyUsed.begin(), view.recentlyUsed.end());
         view.recentlyUsed.clear();
-        const bool isUsed = use.active > 0 || !use.adapters.empty() || (use.isLimited && use.recentlySent > 0);
+        const bool isUsed = use.active > 0 || !use.adapters.empty() || (use.isLimited && use.recentlySent > 0)
+            || use.returnSigns != Holding::ReturnSigns {};
         const bool isDue = isUsed && now - view.reportedAt >= UseRefreshPeriod;
         const bool isChanged = use.active != view.reported.active || use.waitingTokens != view.reported.waitingTokens
             || use.adapters != view.reported.adapters
-            || (use.isLimited && use.recentlySent != view.reported.recentlySent);
+            || (use.isLimited && use.recentlySent != view.reported.recentlySent)
+            || use.returnSigns != view.reported.returnSigns;
         if (isDue || isChanged) {
             view.reported = use;
             view.reportedAt = now;
--- a/Libraries/LibGateway/FleetView.h
+++ b/Libraries/LibGateway/FleetView.h
@@ -3,6 +3,7 @@
 #include <LibFleet/ReleaseTable.h>
 #include <LibFleet/ReplicaSet.h>
 #include <LibGateway/CallerRequest.h>
+#include <LibGateway/ReplicaReturns.h>
 #include <LibHolding/HoldingMessages.h>
 #include <LibPlacement/AdapterDemand.h>
 #include <LibPlacement/ReplicaChooser.h>
@@ -12,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <set>
+#include <span>
 
 namespace Gateway {
 
@@ -66,7 +68,7 @@
 
     // The best replica of the service for the request that isn't excluded, or null.
     [[nodiscard]] const Fleet::Replica *choose(const CallerRequest &request, const std::string &service,
-                                               const std::set<Core::TargetId> &excluded, Core::TimePoint now) const;
+                                               const std::set<Core::TargetId> &excluded, Core::TimePoint now);
     // Whether the same incarnation of the replica is still listed, isn't draining and accepts requests from this host.
     [[nodiscard]] bool isAvailable(const Fleet::Replica &replica, Core::TimePoint now) const;
     // When the first replica of the service that could serve the request accepts requests again. Empty unless all of
@@ -86,6 +88,13 @@
     // This host's use of each replica that has changed since the last call, or wasn't returned for some time.
     [[nodiscard]] std::vector<Holding::ReplicaUse> collectUse(Core::TimePoint now);
 
+    // Records the start of a stream, or a complete response.
+    void recordResponse(const Fleet::Replica &replica, const ReturnSample &sample, Core::TimePoint now);
+    // Records the outcome of an attempt. Returns true if the replica is avoided from now on.
+    bool recordOutcome(const Fleet::Replica &replica, Placement::AttemptOutcome outcome, Core::TimePoint sentAt,
+                       Core::TimePoint now);
+    void registerMetrics(Metrics::Registry &metrics) const;
+
     [[nodiscard]] Placement::ReplicaHealth &health();
 
     // The request's adapter as "model/adapter", or empty if it needs none.
@@ -113,6 +122,7 @@
         std::uint64_t waitingTokens = 0;
         std::map<std::string, unsigned> running; // Running requests of this host, by "model/adapter".
         std::set<std::string> recentlyUsed; // Adapters whose last request has ended since the last notice.
+        Placement::ReturnSigns othersSigns; // What the other hosts have seen of a replica that has returned.
         Holding::ReplicaUse reported; // The last notice to the holder.
         Core::TimePoint reportedAt {};
         std::uint64_t noticeNumber = 0; // Of the last notice of the holder; zero if a complete one is needed.
@@ -133,6 +143,24 @@
     [[nodiscard]] bool acceptsRequests(const Fleet::Replica &replica, Core::TimePoint now) const;
     // What is known of the other hosts that share the limit of the replica.
     [[nodiscard]] Placement::LimitSharing sharing(const Core::TargetId &replica) const;
+    // What this host knows of the load of the replica and of the hosts that share it.
+    [[nodiscard]] SharedLoad sharedLoad(const Fleet::Replica &replica, Core::TimePoint now) const;
+    // The signs in a load without those that this host has reported.
+    [[nodiscard]] static Placement::ReturnSigns signsOfOthers(const Holding::ReturnSigns &all,
+                                                              const Holding::ReturnSigns &reported);
+    // Tells the limit of a replica that has returned what is known of its load.
+    void updateReturnLoad(const Core::TargetId &replica, Core::TimePoint now);
+    [[nodiscard]] static bool isLoadKnown(const ReplicaView &view, Core::TimePoint now);
+    // The part of the limit of a replica that has returned that is in use; zero for other replicas.
+    [[nodiscard]] double usedReturnLimit(const Fleet::Replica &replica, Core::TimePoint now) const;
+    // Whether the replica hasn't returned, or this host may send it a request within its limit.
+    [[nodiscard]] bool hasReturnRoom(const Fleet::Replica &replica, Core::TimePoint now) const;
+    // The index of the best candidate. A replica that has returned is passed over while it is at its limit, if another
+    // one can serve the request as well.
+    [[nodiscard]] std::optional<std::size_t> chooseWithinLimits(const Placement::PlacementRequest &placement,
+                                                                std::span<const Fleet::Replica *const> usable,
+                                                                std::span<const Placement::Candidate> candidates,
+                                                                Core::TimePoint now);
     // The adapter name is empty for requests that need no adapter.
     [[nodiscard]] Placement::Candidate candidate(const Fleet::Replica &replica, const std::string &adapter,
                                                  std::uint64_t newest, Core::TimePoint now) const;
@@ -148,6 +176,7 @@
     LeavingFunction m_leaving;
     Placement::ReplicaHealth m_health;
     Placement::ReplicaPauses m_pauses;
+    ReplicaReturns m_returns;
     Placement::AdapterDemand m_demand;
     std::map<Core::TargetId, ReplicaView> m_views;
 };
--- a/Libraries/LibGateway/ForwardedRequest.h
+++ b/Libraries/LibGateway/ForwardedRequest.h
@@ -110,6 +110,8 @@
     void prepareMove();
     void moveAttempt(const Fleet::Replica &replica, std::uint64_t version);
     void recordOutcome(Placement::AttemptOutcome outcome);
+    // Records how long the replica took until its stream began or its response was complete.
+    void recordResponse();
     // Whether the request, or a part of its prompt, crashes replicas.
     [[nodiscard]] bool isQuarantined() const;
     // Refuses the request and returns true if it or a part of its prompt crashes replicas.
--- a/Libraries/LibGateway/ForwardedRequestResponses.cpp
+++ b/Libraries/LibGateway/ForwardedRequestResponses.cpp
@@ -176,7 +176,10 @@
     const auto sequence = m_events.split(bytes, events);
     if (!events.empty()) {
         m_lastProgressAt = m_dependencies.scheduler.now();
-        m_answeringSince = m_answeringSince.value_or(m_lastProgressAt);
+        if (!m_answeringSince.has_value()) {
+            m_answeringSince = m_lastProgressAt;
+            recordResponse();
+        }
         if (!isUnproven()) {
             recordHarmless();
         }
@@ -254,13 +257,19 @@
 
 void ForwardedRequest::recordOutcome(Placement::AttemptOutcome outcome)
 {
-    if (m_dependencies.fleet.health().recordOutcome(m_replica.id, m_replica.zone, outcome,
-                                                    m_dependencies.scheduler.now())) {
+    if (m_dependencies.fleet.recordOutcome(m_replica, outcome, m_sentAt, m_dependencies.scheduler.now())) {
         Log::write(Log::Event::ReplicaAvoided,
                    {{"request", m_request.attemptId}, {"replica", m_replica.id.value}, {"zone", m_replica.zone.value}});
     }
 }
 
+void ForwardedRequest::recordResponse()
+{
+    m_dependencies.fleet.recordResponse(
+        m_replica, {.promptTokens = m_request.promptTokens, .sentAt = m_sentAt, .isAfterLoad = m_loadRequests > 0},
+        m_dependencies.scheduler.now());
+}
+
 void ForwardedRequest::endAttempt()
 {
     m_dependencies.scheduler.cancel(m_idleTimer);
@@ -346,6 +355,9 @@
     ++m_possibleRuns;
     const bool isFailure = m_head.status >= Core::HttpStatus::InternalServerError;
     recordOutcome(isFailure ? Placement::AttemptOutcome::Failed : Placement::AttemptOutcome::Served);
+    if (!isFailure && !isEventStream()) {
+        recordResponse();
+    }
     // A crash can't be told from the end of a response without framing.
     if (m_head.status == Core::HttpStatus::Ok && m_head.isFramed) {
         recordHarmless();
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -119,6 +119,7 @@
               m_holders.apply(changes, extent == decltype(m_holderFeed)::Extent::Full);
           })
 {
+    m_fleet.registerMetrics(m_dependencies.metrics);
     m_fleet.onLeaving([this] {
         updateControllers();
     });
