--- a/Libraries/LibGateway/FleetView.cpp
+++ b/Libraries/LibGateway/FleetView.cpp
@@ -82,6 +82,7 @@
 {
     m_demand.prune(now);
     m_pauses.prune(now);
+    m_returns.refresh(m_replicas.all(), now);
     std::erase_if(m_views, [this](const auto &view) {
         if (m_replicas.find(view.first) != nullptr || view.second.active > 0) {
             return false;
@@ -135,6 +136,7 @@
                             load.limitedSenders, now);
     view.otherHostsUsedTokens = load.usedTokens - std::min(load.usedTokens, view.reported.usedTokens);
     applySpeed(view, load, now);
+    view.othersSigns = signsOfOthers(load.returnSigns, view.reported.returnSigns);
 }
 
 void FleetView::applyExchangedLoad(const Holding::ReplicaLoad &load, Core::TimePoint now)
@@ -142,6 +144,7 @@
     const auto found = m_views.find(load.replica);
     if (found != m_views.end() && now - found->second.holderNoticeAt >= ExchangedLoadAge) {
         applyLoad(found->second, load, now);
+        updateReturnLoad(load.replica, now);
     }
 }
 
@@ -149,6 +152,7 @@
 {
     auto &view = m_views[notice.load.replica];
     applyLoad(view, notice.load, now);
+    updateReturnLoad(notice.load.replica, now);
     const bool isNext = view.noticeNumber != 0 && notice.number - view.noticeNumber <= 1;
     if (!notice.isComplete && !isNext) {
         return; // A notice is missing. A complete one follows.
@@ -300,6 +304,11 @@
     return view == m_views.end() ? std::nullopt : residentVersion(view->second, name, m_releases.newestVersion(name));
 }
 
+bool FleetView::isLoadKnown(const ReplicaView &view, Core::TimePoint now)
+{
+    return view.loadUpdatedAt != Core::TimePoint {} && now - view.loadUpdatedAt < HolderNoticeLifetime;
+}
+
 Placement::Candidate FleetView::candidate(const Fleet::Replica &replica, const std::string &adapter,
                                           std::uint64_t newest, Core::TimePoint now) const
 {
@@ -311,7 +320,7 @@
                                     .zone = replica.zone,
                                     .slots = replica.slots,
                                     .active = view.active + view.otherHostsActive,
-                                    .usedLimit = view.limit.usedShare(now),
+                                    .usedLimit = std::max(view.limit.usedShare(now), usedReturnLimit(replica, now)),
                                     .waitingTokens = view.waitingTokens + view.otherHostsWaitingTokens,
                                     .loadDelay = view.loadDelay,
                                     .penalty = m_health.penalty(replica.id, now),
@@ -328,7 +337,7 @@
 }
 
 const Fleet::Replica *FleetView::choose(const CallerRequest &request, const std::string &service,
-                                        const std::set<Core::TargetId> &excluded, Core::TimePoint now) const
+                                        const std::set<Core::TargetId> &excluded, Core::TimePoint now)
 {
     const auto adapter = adapterName(request);
     const auto newest = m_releases.newestVersion(adapter);
@@ -344,13 +353,13 @@
             candidates.back().usualResponse = usualResponse;
         }
     }
-    const auto best = m_chooser.choose({.key = adapter.empty() ? request.attemptId : adapter,
-                                        .request = request.attemptId,
-                                        .demand = demandFor(adapter, now),
-                                        .isStream = !request.model.empty(),
-                                        .promptTokens = request.promptTokens,
-                                        .totalTokens = request.promptTokens + request.outputTokens},
-                                       candidates);
+    const auto best = chooseWithinLimits({.key = adapter.empty() ? request.attemptId : adapter,
+                                          .request = request.attemptId,
+                                          .demand = demandFor(adapter, now),
+                                          .isStream = !request.model.empty(),
+                                          .promptTokens = request.promptTokens,
+                                          .totalTokens = request.promptTokens + request.outputTokens},
+                                         usable, candidates, now);
     return best.has_value() ? usable[*best] : nullptr;
 }
 
@@ -359,6 +368,7 @@
     auto &view = m_views[replica];
     ++view.active;
     view.limit.recordSend(now);
+    m_returns.recordSend(replica, now);
     view.waitingTokens += request.promptTokens;
     view.usedTokens += request.promptTokens + request.outputTokens;
     if (!request.adapter.empty()) {
--- a/Libraries/LibGateway/FleetViewUse.cpp
+++ b/Libraries/LibGateway/FleetViewUse.cpp
@@ -122,17 +122,20 @@
                                  .eventMicroseconds = static_cast<std::uint32_t>(view.eventTimes.shortest()),
                                  .eventSamples = view.eventTimes.samples,
                                  .prefillMicroseconds = static_cast<std::uint32_t>(view.prefillTimes.shortest()),
-                                 .prefillSamples = view.prefillTimes.samples};
+                                 .prefillSamples = view.prefillTimes.samples,
+                                 .returnSigns = m_returns.signs(id, now)};
         for (const auto &[name, count] : view.running) {
             use.adapters.push_back(name);
         }
         use.adapters.insert(use.adapters.end(), view.recentlyUsed.begin(), view.recentlyUsed.end());
         view.recentlyUsed.clear();
-        const bool isUsed = use.active > 0 || !use.adapters.empty() || (use.isLimited && use.recentlySent > 0);
+        const bool isUsed = use.active > 0 || !use.adapters.empty() || (use.isLimited && use.recentlySent > 0)
+            || use.returnSigns != Holding::ReturnSigns {};
         const bool isDue = isUsed && now - view.reportedAt >= UseRefreshPeriod;
         const bool isChanged = use.active != view.reported.active || use.waitingTokens != view.reported.waitingTokens
             || use.adapters != view.reported.adapters
-            || (use.isLimited && use.recentlySent != view.reported.recentlySent);
+            || (use.isLimited && use.recentlySent != view.reported.recentlySent)
+            || use.returnSigns != view.reported.returnSigns;
         if (isDue || isChanged || hasNewSpeed(view, now)) {
             view.eventTimes = {};
             view.prefillTimes = {};
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -123,6 +123,7 @@
     m_fleet.setMemory([this](const std::string &service) {
         return memoryTokensOf(service);
     });
+    m_fleet.registerMetrics(m_dependencies.metrics);
     m_fleet.onLeaving([this] {
         updateControllers();
     });
--- a/Libraries/LibHolding/HoldingMessages.h
+++ b/Libraries/LibHolding/HoldingMessages.h
@@ -41,6 +41,17 @@
     MSGPACK_DEFINE(outcome, version, delayMilliseconds)
 };
 
+// What hosts have seen within the last second of a replica that has returned, for Placement::ReturnPace. All numbers
+// are zero for other replicas.
+struct ReturnSigns {
+    std::uint32_t usual = 0; // Responses in the usual time.
+    std::uint32_t late = 0; // Late and failed responses.
+    std::uint32_t wanted = 0; // Requests that were sent to it, or would have been without its limit.
+
+    bool operator==(const ReturnSigns &) const = default;
+    MSGPACK_DEFINE(usual, late, wanted)
+};
+
 // The requests of one host that run on one replica.
 struct ReplicaUse {
     Core::TargetId replica;
@@ -56,10 +67,11 @@
     std::uint32_t eventSamples = 0;
     std::uint32_t prefillMicroseconds = 0;
     std::uint32_t prefillSamples = 0;
+    ReturnSigns returnSigns;
 
     // New members are added at the end, where hosts of an earlier version ignore them.
     MSGPACK_DEFINE(replica, active, waitingTokens, adapters, recentlySent, isLimited, usedTokens, eventMicroseconds,
-                   eventSamples, prefillMicroseconds, prefillSamples)
+                   eventSamples, prefillMicroseconds, prefillSamples, returnSigns)
 };
 
 // Sent by a host to the holders of the replicas that it uses, for as long as it uses them.
@@ -92,10 +104,11 @@
     std::uint32_t eventSamples = 0;
     std::uint32_t prefillMicroseconds = 0;
     std::uint32_t prefillSamples = 0;
+    ReturnSigns returnSigns; // Sum over all hosts, including the receiver.
 
     // New members are added at the end, where hosts of an earlier version ignore them.
     MSGPACK_DEFINE(replica, active, waitingTokens, loadDelayMilliseconds, recentlySent, limitedSenders, usedTokens,
-                   eventMicroseconds, eventSamples, prefillMicroseconds, prefillSamples)
+                   eventMicroseconds, eventSamples, prefillMicroseconds, prefillSamples, returnSigns)
 };
 
 // The load of a replica and the adapters in its memory, or those that have changed since the last notice.
--- a/Libraries/LibHolding/NoticeSeries.cpp
+++ b/Libraries/LibHolding/NoticeSeries.cpp
@@ -23,7 +23,7 @@
         && (left.limitedSenders == 0 || left.recentlySent == right.recentlySent);
     return left.active == right.active && left.waitingTokens == right.waitingTokens
         && left.loadDelayMilliseconds == right.loadDelayMilliseconds && left.usedTokens == right.usedTokens
-        && isEventTimeEqual(left, right) && isSentEqual;
+        && isEventTimeEqual(left, right) && isSentEqual && left.returnSigns == right.returnSigns;
 }
 
 bool contains(const std::vector<ResidentAdapter> &adapters, const ResidentAdapter &wanted)
--- a/Libraries/LibHolding/ReplicaController.cpp
+++ b/Libraries/LibHolding/ReplicaController.cpp
@@ -322,6 +322,9 @@
         load.recentlySent += use.use.recentlySent;
         load.limitedSenders += use.use.isLimited && use.use.recentlySent > 0 ? 1 : 0;
         load.usedTokens += use.use.usedTokens;
+        load.returnSigns.usual += use.use.returnSigns.usual;
+        load.returnSigns.late += use.use.returnSigns.late;
+        load.returnSigns.wanted += use.use.returnSigns.wanted;
     }
     const auto eventTime = m_eventTimes.learned(m_scheduler.now());
     load.eventMicroseconds = static_cast<std::uint32_t>(eventTime.time);
