LibGateway: Record the end of ramp-ups without traffic

Cause: an end by the passing of time was recorded with the next response or change of the list only, so that the gauge and event 236 could lag for hours. By the same rarity of changes, what was known of an address was pruned as its entry was removed.

Change: collectUse() records the ends, and the age of what is known of an address counts from the removal of its entry.

Two new tests.

--- a/Libraries/LibGateway/FleetView.cpp
+++ b/Libraries/LibGateway/FleetView.cpp
@@ -399,6 +399,7 @@
 
 std::vector<Holding::ReplicaUse> FleetView::collectUse(Core::TimePoint now)
 {
+    m_returns.settleAll(now);
     std::vector<Holding::ReplicaUse> uses;
     for (auto &[id, view] : m_views) {
         Holding::ReplicaUse use {.replica = id,
--- a/Libraries/LibGateway/ReplicaReturns.cpp
+++ b/Libraries/LibGateway/ReplicaReturns.cpp
@@ -34,18 +34,7 @@
 
 void ReplicaReturns::refresh(const std::map<Core::TargetId, Fleet::Replica> &replicas, Core::TimePoint now)
 {
-    for (auto &[id, listed] : m_listed) {
-        if (!replicas.contains(id)) {
-            listed.pace.end();
-            settle(id, listed, "no longer listed", now);
-        }
-    }
-    std::erase_if(m_listed, [&replicas](const auto &entry) {
-        return !replicas.contains(entry.first);
-    });
-    std::erase_if(m_past, [now](const auto &past) {
-        return now - past.second.listedAt >= PastLifetime;
-    });
+    removeUnlisted(replicas, now);
     std::vector<Core::TargetId> added;
     for (const auto &[id, replica] : replicas) {
         auto &listed = m_listed[id];
@@ -53,6 +42,7 @@
             listed.pace.end();
             settle(id, listed, "started again", now);
             listed.service = replica.service;
+            listed.address = replica.address;
             listed.startedAt = replica.startedAt;
             listed.since = now;
             added.push_back(id);
@@ -66,11 +56,41 @@
         auto &past = m_past[replica.address];
         past.startedAt = replica.startedAt;
         past.listedAt = now;
-        auto &listed = m_listed[id];
+    }
+    endWithoutPeers(now);
+    settleAll(now);
+}
+
+void ReplicaReturns::removeUnlisted(const std::map<Core::TargetId, Fleet::Replica> &replicas, Core::TimePoint now)
+{
+    for (auto &[id, listed] : m_listed) {
+        if (!replicas.contains(id)) {
+            listed.pace.end();
+            settle(id, listed, "no longer listed", now);
+            m_past[listed.address].listedAt = now;
+        }
+    }
+    std::erase_if(m_listed, [&replicas](const auto &entry) {
+        return !replicas.contains(entry.first);
+    });
+    std::erase_if(m_past, [now](const auto &past) {
+        return now - past.second.listedAt >= PastLifetime;
+    });
+}
+
+void ReplicaReturns::endWithoutPeers(Core::TimePoint now)
+{
+    for (auto &[id, listed] : m_listed) {
         if (listed.isLimited && !hasEstablishedPeer(id, listed.service, now)) {
             listed.pace.end();
             settle(id, listed, "no other replica has been listed for long", now);
         }
+    }
+}
+
+void ReplicaReturns::settleAll(Core::TimePoint now)
+{
+    for (auto &[id, listed] : m_listed) {
         settle(id, listed, "lifted", now);
     }
 }
--- a/Libraries/LibGateway/ReplicaReturns.h
+++ b/Libraries/LibGateway/ReplicaReturns.h
@@ -32,6 +32,8 @@
 public:
     // Applies the list's entries after a change.
     void refresh(const std::map<Core::TargetId, Fleet::Replica> &replicas, Core::TimePoint now);
+    // Records the limits that have ended by the passing of time. To be called periodically.
+    void settleAll(Core::TimePoint now);
     // Records that this host avoids the replica for a while. It counts as returned from then on.
     void recordAvoided(const Fleet::Replica &replica, Core::TimePoint now);
     // Records the start of a stream, or a complete response.
@@ -63,6 +65,7 @@
     // A listed replica.
     struct Listed {
         std::string service;
+        std::string address;
         std::uint64_t startedAt = 0;
         bool isDraining = false;
         Core::TimePoint since {}; // When this host first saw the incarnation.
@@ -77,6 +80,9 @@
         Core::TimePoint returnedAt {}; // When a limit last began with an entry of the list.
     };
 
+    void removeUnlisted(const std::map<Core::TargetId, Fleet::Replica> &replicas, Core::TimePoint now);
+    // Ends the limits of replicas whose service has no replica any more that has been listed for some time.
+    void endWithoutPeers(Core::TimePoint now);
     // Begins the limit of a new entry of the list, if another replica of the service isn't new.
     void beginAdded(const Fleet::Replica &replica, Core::TimePoint now);
     void begin(const Core::TargetId &id, Listed &listed, Placement::ReturnPace::Cause cause, unsigned slots,
--- a/Libraries/LibGateway/Tests/ReturningReplicaTest.cpp
+++ b/Libraries/LibGateway/Tests/ReturningReplicaTest.cpp
@@ -16,6 +16,8 @@
     CPPUNIT_TEST(limitAloneRefusesNoRequest);
     CPPUNIT_TEST(fullReplicasAreNoAlternative);
     CPPUNIT_TEST(signsAreReportedToTheHolder);
+    CPPUNIT_TEST(endIsRecordedWithoutTraffic);
+    CPPUNIT_TEST(replicaIsRecognisedAfterALongService);
     CPPUNIT_TEST(lateResponseAfterALoadIsNoSign);
     CPPUNIT_TEST_SUITE_END();
 
@@ -171,6 +173,32 @@
         CPPUNIT_ASSERT_EQUAL(sent, wanted);
     }
 
+    // Without traffic and changes of the list, the metric showed a limit long after its end.
+    void endIsRecordedWithoutTraffic()
+    {
+        listEstablished();
+        m_host.list({Harness::replica("r1", 2), Harness::replica("r2")});
+        m_host.scheduler.advance(10s);
+        (void)m_host.fleet.collectUse(m_host.scheduler.now());
+        CPPUNIT_ASSERT(!isAnyLimited());
+    }
+
+    // The list may not change for hours. What was known of an address was forgotten when its entry was removed, so that
+    // a replica that had served the other hosts all the time was taken for a new one.
+    void replicaIsRecognisedAfterALongService()
+    {
+        listEstablished();
+        m_host.scheduler.advance(1h);
+        m_host.list({Harness::replica("r2")});
+        m_host.list({Harness::replica("r1"), Harness::replica("r2")});
+        CPPUNIT_ASSERT(isAnyLimited());
+        for (int step = 0; step < 15; ++step) {
+            m_host.fleet.applyExchangedLoad({.replica = {"r1"}, .active = 12}, m_host.scheduler.now());
+            m_host.scheduler.advance(200ms);
+        }
+        CPPUNIT_ASSERT(!isAnyLimited());
+    }
+
     // The first requests for each adapter wait for its load, which made a replica that had started look slow.
     void lateResponseAfterALoadIsNoSign()
     {
