--- a/Libraries/LibGateway/FleetViewUse.cpp
+++ b/Libraries/LibGateway/FleetViewUse.cpp
@@ -110,6 +110,7 @@
 std::vector<Holding::ReplicaUse> FleetView::collectUse(Core::TimePoint now)
 {
     m_speed.update(now);
+    m_returns.settleAll(now);
     std::vector<Holding::ReplicaUse> uses;
     for (auto &[id, view] : m_views) {
         Holding::ReplicaUse use {.replica = id,
