LibNet: Pause responses and report callers that read slowly

Cause: a host read a replica's response as fast as it came, and what its caller didn't read stayed in the host, up to 1 MB for each streamed response. Beyond that the caller was disconnected though it went on reading.

Change: HttpTransport has pause() and resume(). During a pause curl keeps what it has received, at most one receive buffer, which is reserved in the budget; it receives nothing more. curl delivers what it keeps inside curl_easy_pause, so HttpClient calls that from the event loop and adds requests that are started meanwhile afterwards. A pause counts toward neither the idle nor the total timeout; as curl's own total timeout doesn't stop, a timer replaces it once a request has been paused. Exchange reports a caller that is behind above 64 KB of unsent bytes and one that has caught up below 32 KB: one comparison for each piece sent.

--- a/Libraries/LibGateway/Tests/ForwardingFixture.h
+++ b/Libraries/LibGateway/Tests/ForwardingFixture.h
@@ -22,6 +22,7 @@
         DataFunction data;
         HeadFunction head;
         bool isCancelled = false;
+        bool isPaused = false;
     };
 
     Net::HttpRequestId start(Net::HttpRequest request, DoneFunction done, DataFunction data, HeadFunction head) override
@@ -34,6 +35,14 @@
     {
         transfers.at(static_cast<std::size_t>(id) - 1).isCancelled = true;
     }
+    void pause(Net::HttpRequestId id) override
+    {
+        transfers.at(static_cast<std::size_t>(id) - 1).isPaused = true;
+    }
+    void resume(Net::HttpRequestId id) override
+    {
+        transfers.at(static_cast<std::size_t>(id) - 1).isPaused = false;
+    }
 
     std::vector<Transfer> transfers;
 };
@@ -70,6 +79,10 @@
     {
         callerLeaves = std::move(closed);
     }
+    void onReaderState(ReaderFunction changed) override
+    {
+        changeReader = std::move(changed);
+    }
 
     unsigned status = 0;
     std::vector<std::pair<std::string, std::string>> headers;
@@ -77,6 +90,7 @@
     bool isEnded = false;
     bool isAborted = false;
     ClosedFunction callerLeaves;
+    ReaderFunction changeReader;
 };
 
 // Reads the headers "Attempt", "Not-Run", "Stream" and "Framed".
--- a/Libraries/LibGateway/Tests/ForwardingHarness.h
+++ b/Libraries/LibGateway/Tests/ForwardingHarness.h
@@ -39,6 +39,12 @@
     {
         transfers.at(static_cast<std::size_t>(id) - 1).isOpen = false;
     }
+    void pause(Net::HttpRequestId /*id*/) override
+    {
+    }
+    void resume(Net::HttpRequestId /*id*/) override
+    {
+    }
 
     std::vector<Transfer> transfers;
 
--- a/Libraries/LibNet/Exchange.cpp
+++ b/Libraries/LibNet/Exchange.cpp
@@ -56,7 +56,8 @@
     if (m_connection == nullptr || m_isClosing) {
         return;
     }
-    if (m_pending.size() - m_pendingOffset + piece.size() > m_server->m_options.maxUnsentBytes) {
+    const auto unsent = m_pending.size() - m_pendingOffset + piece.size();
+    if (unsent > m_server->m_options.maxUnsentBytes) {
         closeConnection();
         return;
     }
@@ -67,6 +68,10 @@
     }
     m_pending += piece;
     resume();
+    if (unsent > m_server->m_options.highWaterBytes && !m_isReaderBehind && m_onReaderState) {
+        m_isReaderBehind = true;
+        m_onReaderState(ReaderState::Behind);
+    }
 }
 
 void Exchange::endStream()
@@ -86,6 +91,21 @@
     m_onClosed = std::move(closed);
 }
 
+void Exchange::onReaderState(ReaderFunction changed)
+{
+    m_onReaderState = std::move(changed);
+}
+
+void Exchange::reportCaughtUp()
+{
+    const bool isDrained = m_pending.size() - m_pendingOffset <= m_server->m_options.lowWaterBytes;
+    if (m_connection == nullptr || m_isClosing || !m_isReaderBehind || !isDrained) {
+        return;
+    }
+    m_isReaderBehind = false;
+    m_onReaderState(ReaderState::CaughtUp);
+}
+
 void Exchange::resume()
 {
     if (m_connection == nullptr || !m_isSuspended) {
--- a/Libraries/LibNet/Exchange.h
+++ b/Libraries/LibNet/Exchange.h
@@ -38,12 +38,16 @@
     std::vector<std::pair<std::string, std::string>> headers;
 };
 
+// Whether the caller of a streamed response reads slowly, so that no more should be sent for now.
+enum class ReaderState { Behind, CaughtUp };
+
 // A request and its response. The response can be sent at any time after the request has arrived, and only once.
 // Calls after the connection has closed have no effect.
 class Exchange
 {
 public:
     using ClosedFunction = std::function<void()>;
+    using ReaderFunction = std::function<void(ReaderState)>;
 
     virtual ~Exchange() = default;
     [[nodiscard]] const ServerRequest &request() const;
@@ -60,6 +64,9 @@
     virtual void abortStream();
     // Sets a function that runs if the caller's connection closes before the response has ended.
     virtual void onClosed(ClosedFunction closed);
+    // Sets a function that runs when the unsent bytes of a streamed body exceed highWaterBytes, inside send(), and when
+    // they have fallen to lowWaterBytes after that, outside any call of the exchange. The two take turns.
+    virtual void onReaderState(ReaderFunction changed);
 
 private:
     friend class HttpServer;
@@ -69,6 +76,8 @@
     void resume();
     // Frees the part of the body that has been sent, if it is large enough.
     void dropSentBytes();
+    // Reports that the caller has caught up.
+    void reportCaughtUp();
     // Closes the connection of a caller that has disconnected or reads too slowly.
     void closeConnection();
     // Returns true when the caller has closed its end. libmicrohttpd doesn't detect this while the connection is
@@ -96,7 +105,9 @@
     bool m_isResponseQueued = false;
     bool m_isSuspended = false;
     bool m_isClosing = false;
+    bool m_isReaderBehind = false;
     ClosedFunction m_onClosed;
+    ReaderFunction m_onReaderState;
 };
 
 }
--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -16,9 +16,8 @@
 // A connection that was idle for longer isn't reused, because a NAT or firewall on the path may have dropped its state.
 constexpr long MaxConnectionIdleSeconds = 15;
 
-// 16 KiB is curl's smallest upload buffer. A receive buffer of 16 KiB holds any response head that occurs in practice.
+// curl's smallest upload buffer.
 constexpr long UploadBufferBytes = 16 * 1024;
-constexpr long ReceiveBufferBytes = 16 * 1024;
 
 }
 
@@ -69,6 +68,8 @@
     transfer->head = std::move(head);
     transfer->lastActivity = m_loop.now();
     transfer->bodyBytes.attach(m_budget);
+    transfer->heldBytes.attach(m_budget);
+    transfer->totalDue = transfer->lastActivity + transfer->request.totalTimeout;
     configure(*transfer);
     const auto id = transfer->id;
     auto &added = *m_transfers.emplace(id, std::move(transfer)).first->second;
@@ -99,6 +100,11 @@
     m_isActing = true;
     curl_multi_socket_action(m_multi, socket, events, &running);
     m_isActing = false;
+    addStartedWhileActing();
+}
+
+void HttpClient::addStartedWhileActing()
+{
     for (const auto id : std::exchange(m_startedWhileActing, {})) {
         if (const auto found = m_transfers.find(id); found != m_transfers.end()) {
             add(*found->second);
@@ -181,6 +187,8 @@
     m_transfers.erase(found);
     transfer->isCancelled = true;
     m_loop.cancel(transfer->idleTimer);
+    m_loop.cancel(transfer->totalTimer);
+    transfer->heldBytes.release();
     m_cancelled.insert(transfer);
     m_loop.post([this, isAlive = m_isAlive, transfer] {
         if (*isAlive) {
@@ -190,6 +198,67 @@
     });
 }
 
+void HttpClient::pause(HttpRequestId id)
+{
+    const auto found = m_transfers.find(static_cast<std::uint64_t>(id));
+    if (found == m_transfers.end() || found->second->isPaused) {
+        return;
+    }
+    auto &transfer = *found->second;
+    transfer.isPaused = true;
+    transfer.pausedAt = m_loop.now();
+    m_loop.cancel(transfer.totalTimer);
+    transfer.totalTimer = Core::TimerId::None;
+    curl_easy_setopt(transfer.easy, CURLOPT_TIMEOUT_MS, 0L);
+}
+
+void HttpClient::resume(HttpRequestId id)
+{
+    const auto found = m_transfers.find(static_cast<std::uint64_t>(id));
+    if (found == m_transfers.end() || !found->second->isPaused) {
+        return;
+    }
+    auto &transfer = *found->second;
+    transfer.isPaused = false;
+    transfer.lastActivity = m_loop.now();
+    transfer.totalDue += m_loop.now() - transfer.pausedAt;
+    startTotalTimer(transfer);
+    // curl delivers inside its call what it has kept, so the call is left to the event loop.
+    m_loop.post([this, isAlive = m_isAlive, number = transfer.id] {
+        if (*isAlive) {
+            continueTransfer(number);
+        }
+    });
+}
+
+void HttpClient::continueTransfer(std::uint64_t id)
+{
+    const auto found = m_transfers.find(id);
+    if (found == m_transfers.end() || found->second->isPaused || !found->second->isHeldByCurl) {
+        return;
+    }
+    auto &transfer = *found->second;
+    transfer.isHeldByCurl = false;
+    transfer.heldBytes.release();
+    // The functions of the transfer may pause or cancel it again.
+    m_isActing = true;
+    const auto code = curl_easy_pause(transfer.easy, CURLPAUSE_CONT);
+    m_isActing = false;
+    addStartedWhileActing();
+    if (code != CURLE_OK && m_transfers.contains(id)) {
+        finish(transfer, code);
+    }
+}
+
+void HttpClient::startTotalTimer(Transfer &transfer)
+{
+    if (transfer.request.totalTimeout > Core::Duration::zero()) {
+        transfer.totalTimer = m_loop.runAfter(transfer.totalDue - m_loop.now(), [this, &transfer] {
+            finish(transfer, CURLE_OPERATION_TIMEDOUT);
+        });
+    }
+}
+
 void HttpClient::recordProgress(HttpRequestId id)
 {
     if (const auto found = m_transfers.find(static_cast<std::uint64_t>(id)); found != m_transfers.end()) {
@@ -261,6 +330,7 @@
     const auto owned = std::move(m_transfers.at(transfer.id));
     m_transfers.erase(transfer.id);
     m_loop.cancel(owned->idleTimer);
+    m_loop.cancel(owned->totalTimer);
     release(*owned);
     if (owned->done) {
         owned->done(std::move(result));
@@ -274,6 +344,9 @@
     }
     const auto due = transfer.lastActivity + transfer.request.idleTimeout;
     transfer.idleTimer = m_loop.runAfter(due - m_loop.now(), [this, &transfer] {
+        if (transfer.isPaused) {
+            transfer.lastActivity = m_loop.now();
+        }
         if (m_loop.now() - transfer.lastActivity >= transfer.request.idleTimeout) {
             finish(transfer, CURLE_OPERATION_TIMEDOUT);
             return;
--- a/Libraries/LibNet/HttpClient.h
+++ b/Libraries/LibNet/HttpClient.h
@@ -22,6 +22,8 @@
     HttpRequestId start(HttpRequest request, DoneFunction done, DataFunction data = nullptr,
                         HeadFunction head = nullptr) override;
     void cancel(HttpRequestId id) override;
+    void pause(HttpRequestId id) override;
+    void resume(HttpRequestId id) override;
     // Restarts the idle timeout of a request whose progress is recorded.
     void recordProgress(HttpRequestId id);
 
@@ -35,11 +37,16 @@
     // Lets curl act on a socket or its timeout. Transfers that its callbacks start are added afterwards, as curl adds
     // none while it calls back.
     void act(int socket, int events);
+    void addStartedWhileActing();
     void handleSocketEvents();
     void handleTimeout();
     void finishCompletedTransfers();
     void finish(Transfer &transfer, int curlCode);
     void startIdleTimer(Transfer &transfer);
+    // Replaces curl's total timeout, which doesn't stop during a pause, for a request that has been paused.
+    void startTotalTimer(Transfer &transfer);
+    // Has curl deliver what it holds of a response that is no longer paused, and receive on.
+    void continueTransfer(std::uint64_t id);
     void release(Transfer &transfer);
 
     EventLoop &m_loop;
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -20,6 +20,10 @@
     unsigned idleTimeoutSeconds = 30;
     std::size_t connectionMemory = 32 * 1024; // Bytes for the headers and buffers of one connection.
     std::size_t maxUnsentBytes = 1U << 20U; // Limit on the buffered part of a streamed body.
+    // An exchange reports that its caller reads slowly above the first number of unsent bytes of a streamed body, and
+    // that it has caught up below the second. A usual event has some hundred bytes.
+    std::size_t highWaterBytes = 64 * 1024;
+    std::size_t lowWaterBytes = 32 * 1024;
     Core::Duration disconnectCheckPeriod = std::chrono::milliseconds(500);
     BufferBudget *budget = nullptr; // Of the host; null for no limit. Must outlive the server.
 };
--- a/Libraries/LibNet/HttpTransfer.cpp
+++ b/Libraries/LibNet/HttpTransfer.cpp
@@ -116,6 +116,14 @@
     return length;
 }
 
+bool HttpClient::CurlCallbacks::holdBack(Transfer &transfer)
+{
+    // curl keeps the piece and the rest of what it has received, which is one receive buffer at most. Without room for
+    // that, the data goes on to the data function, whose buffers have limits of their own.
+    transfer.isHeldByCurl = transfer.heldBytes.resize(ReceiveBufferBytes);
+    return transfer.isHeldByCurl;
+}
+
 std::size_t HttpClient::CurlCallbacks::onData(char *bytes, std::size_t size, std::size_t count, void *context)
 {
     auto *transfer = static_cast<Transfer *>(context);
@@ -123,6 +131,9 @@
     if (transfer->isCancelled) {
         return piece.size();
     }
+    if (transfer->isPaused && holdBack(*transfer)) {
+        return CURL_WRITEFUNC_PAUSE;
+    }
     if (transfer->request.idleProgress == IdleProgress::AnyData) {
         transfer->lastActivity = transfer->client->m_loop.now();
     }
--- a/Libraries/LibNet/HttpTransfer.h
+++ b/Libraries/LibNet/HttpTransfer.h
@@ -5,6 +5,9 @@
 
 namespace Net {
 
+// curl's receive buffer. It holds any response head that occurs in practice.
+inline constexpr long ReceiveBufferBytes = 16 * 1024;
+
 struct HttpClient::Transfer {
     HttpClient *client = nullptr;
     std::uint64_t id = 0;
@@ -23,6 +26,12 @@
     BufferBudget::Reservation bodyBytes;
     Core::TimePoint lastActivity {};
     Core::TimerId idleTimer = Core::TimerId::None;
+    bool isPaused = false;
+    bool isHeldByCurl = false; // curl keeps data that arrived during a pause and receives nothing.
+    BufferBudget::Reservation heldBytes; // The data that curl keeps.
+    Core::TimePoint pausedAt {};
+    Core::TimePoint totalDue {}; // When the total timeout expires, if the request has one.
+    Core::TimerId totalTimer = Core::TimerId::None; // After a pause.
     bool isCancelled = false;
 };
 
@@ -40,6 +49,8 @@
     // Supplies the request body to curl. No seek function is set, so curl can't rewind the body to send it again.
     static std::size_t onReadBody(char *bytes, std::size_t size, std::size_t count, void *context);
     static std::size_t onHeader(char *bytes, std::size_t size, std::size_t count, void *context);
+    // Whether curl is to keep the data that arrives during a pause.
+    static bool holdBack(Transfer &transfer);
     static std::size_t onData(char *bytes, std::size_t size, std::size_t count, void *context);
 };
 
--- a/Libraries/LibNet/HttpTransport.h
+++ b/Libraries/LibNet/HttpTransport.h
@@ -25,6 +25,12 @@
         = 0;
     // Aborts a request and closes its connection. None of its functions runs afterwards.
     virtual void cancel(HttpRequestId id) = 0;
+    // Stops reading the response of a request, so that its server can't send on, until resume() is called. The data
+    // function doesn't run in between, unless the memory for received data is used up; the done function does if the
+    // connection breaks. Time spent paused counts toward neither the idle nor the total timeout.
+    virtual void pause(HttpRequestId id) = 0;
+    // Reads on. The data function never runs inside this call.
+    virtual void resume(HttpRequestId id) = 0;
 };
 
 }
--- a/Libraries/LibNet/ServerCallbacks.cpp
+++ b/Libraries/LibNet/ServerCallbacks.cpp
@@ -230,6 +230,9 @@
     const auto count = std::min(available, capacity);
     std::memcpy(buffer, exchange.m_pending.data() + exchange.m_pendingOffset, count);
     exchange.m_pendingOffset += count;
+    if (exchange.m_isReaderBehind && available - count <= exchange.m_server->m_options.lowWaterBytes) {
+        scheduleCaughtUp(*static_cast<std::shared_ptr<Exchange> *>(context));
+    }
     if (exchange.m_pendingOffset == exchange.m_pending.size()) {
         exchange.m_pending.clear();
         exchange.m_pendingOffset = 0;
@@ -238,6 +241,13 @@
     return static_cast<ssize_t>(count);
 }
 
+void ServerCallbacks::scheduleCaughtUp(const std::shared_ptr<Exchange> &exchange)
+{
+    exchange->m_server->m_loop.post([exchange] {
+        exchange->reportCaughtUp();
+    });
+}
+
 void ServerCallbacks::onBodyFreed(void *context)
 {
     delete static_cast<std::shared_ptr<Exchange> *>(context);
@@ -259,6 +269,7 @@
     server->m_openExchanges.erase(exchange);
     auto closed = std::move(exchange->m_onClosed);
     exchange->m_onClosed = nullptr;
+    exchange->m_onReaderState = nullptr;
     if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK && closed) {
         closed();
     }
--- a/Libraries/LibNet/ServerCallbacks.h
+++ b/Libraries/LibNet/ServerCallbacks.h
@@ -30,6 +30,8 @@
     static MHD_Result queueResponse(const std::shared_ptr<Exchange> &exchange);
     // Supplies the next part of a streamed body.
     static ssize_t onReadBody(void *context, std::uint64_t position, char *buffer, std::size_t capacity);
+    // Has the exchange report from the event loop that its caller has caught up.
+    static void scheduleCaughtUp(const std::shared_ptr<Exchange> &exchange);
     static void onBodyFreed(void *context);
 };
 
--- a/Libraries/LibNet/Tests/HttpClientTest.cpp
+++ b/Libraries/LibNet/Tests/HttpClientTest.cpp
@@ -1,9 +1,7 @@
 #include <LibNet/HttpClient.h>
-#include <LibNet/Tests/Loopback.h>
+#include <LibNet/Tests/LoopbackServer.h>
 #include <atomic>
 #include <cppunit/extensions/HelperMacros.h>
-#include <functional>
-#include <thread>
 
 using namespace std::chrono_literals;
 
@@ -11,52 +9,6 @@
 
 enum class CloseMode { Graceful, Reset };
 
-// A listening socket on loopback and a thread that serves its connections one after the other.
-class LoopbackServer
-{
-public:
-    explicit LoopbackServer(std::function<void(int connection)> serve)
-        : m_serve(std::move(serve))
-    {
-        m_listener = socket(AF_INET, SOCK_STREAM, 0);
-        auto address = Net::loopback(0);
-        bind(m_listener, reinterpret_cast<sockaddr *>(&address), sizeof address);
-        listen(m_listener, 8);
-        socklen_t size = sizeof address;
-        getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &size);
-        port = ntohs(address.sin_port);
-        m_thread = std::thread([this] {
-            for (int connection = accept(m_listener, nullptr, nullptr); connection >= 0;
-                 connection = accept(m_listener, nullptr, nullptr)) {
-                m_serve(connection);
-                close(connection);
-            }
-        });
-    }
-
-    ~LoopbackServer()
-    {
-        shutdown(m_listener, SHUT_RDWR);
-        m_thread.join();
-        close(m_listener);
-    }
-
-    LoopbackServer(const LoopbackServer &) = delete;
-    LoopbackServer &operator=(const LoopbackServer &) = delete;
-
-    [[nodiscard]] std::string url() const
-    {
-        return "http://127.0.0.1:" + std::to_string(port) + "/";
-    }
-
-    std::uint16_t port = 0;
-
-private:
-    std::function<void(int connection)> m_serve;
-    int m_listener = -1;
-    std::thread m_thread;
-};
-
 bool readRequest(int connection)
 {
     std::string text;
@@ -78,11 +30,6 @@
     setsockopt(connection, SOL_SOCKET, SO_LINGER, &abort, sizeof abort);
 }
 
-bool writeText(int connection, std::string_view text)
-{
-    return send(connection, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size());
-}
-
 }
 
 class HttpClientTest : public CppUnit::TestFixture
@@ -106,10 +53,10 @@
         // Responds to the first request on a connection, and closes it without a response after reading the second.
         // curl retries a request by default when a reused connection is closed in this way.
         std::atomic<int> receivedRequests = 0;
-        LoopbackServer server([&receivedRequests, closeMode](int connection) {
+        Net::LoopbackServer server([&receivedRequests, closeMode](int connection) {
             if (readRequest(connection)) {
                 ++receivedRequests;
-                writeText(connection, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+                Net::writeText(connection, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
                 receivedRequests += readRequest(connection) ? 1 : 0;
             }
             if (closeMode == CloseMode::Reset) {
@@ -149,11 +96,11 @@
     {
         // Answers the first request of a connection twice, the second time when the next request has arrived.
         std::atomic<int> connections = 0;
-        LoopbackServer server([&connections](int connection) {
+        Net::LoopbackServer server([&connections](int connection) {
             const auto name = std::string("answer ") + std::to_string(++connections);
             const auto response = "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n" + name;
-            if (readRequest(connection) && writeText(connection, response) && readRequest(connection)) {
-                writeText(connection, response);
+            if (readRequest(connection) && Net::writeText(connection, response) && readRequest(connection)) {
+                Net::writeText(connection, response);
             }
         });
         for (const std::string method : {"GET", "POST"}) {
@@ -176,7 +123,7 @@
     void requestThatIsNoLongerPermittedIsNotSent()
     {
         std::atomic<int> receivedRequests = 0;
-        LoopbackServer server([&receivedRequests](int connection) {
+        Net::LoopbackServer server([&receivedRequests](int connection) {
             receivedRequests += readRequest(connection) ? 1 : 0;
         });
         Net::EventLoop loop;
@@ -208,9 +155,9 @@
     {
         constexpr std::size_t MaxSentBytes = 512U << 20U;
         std::atomic<std::size_t> sentBytes = 0;
-        LoopbackServer server([&](int connection) {
-            if (readRequest(connection) && writeText(connection, head)) {
-                while (sentBytes < MaxSentBytes && writeText(connection, repeated)) {
+        Net::LoopbackServer server([&](int connection) {
+            if (readRequest(connection) && Net::writeText(connection, head)) {
+                while (sentBytes < MaxSentBytes && Net::writeText(connection, repeated)) {
                     sentBytes += repeated.size();
                 }
             }
@@ -231,9 +178,9 @@
     // Sends a request to a server that writes the text and closes the connection.
     static Net::HttpResult receive(const std::string &text, CloseMode closeMode = CloseMode::Graceful)
     {
-        LoopbackServer server([&text, closeMode](int connection) {
+        Net::LoopbackServer server([&text, closeMode](int connection) {
             if (readRequest(connection)) {
-                writeText(connection, text);
+                Net::writeText(connection, text);
             }
             if (closeMode == CloseMode::Reset) {
                 resetWhenClosed(connection);
@@ -285,9 +232,9 @@
     void requestStartedWhileAnotherIsReceivedIsSent()
     {
         for (const bool isStartedByHead : {false, true}) {
-            LoopbackServer server([](int connection) {
+            Net::LoopbackServer server([](int connection) {
                 if (readRequest(connection)) {
-                    writeText(connection, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+                    Net::writeText(connection, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
                 }
             });
             Net::EventLoop loop;
