LibGateway: Pause the replica's response while its caller reads slowly

Cause: what a caller didn't read of a stream stayed in the host, up to 1 MB each; beyond that the caller was disconnected though it went on reading.

Change: ForwardedRequest pauses the transfer while the exchange reports its caller behind, and resumes it afterwards. Meanwhile the replica isn't taken for silent and the deadline doesn't pass. A break after a response was unread for a second or more is no failure of the replica; a resumable stream continues elsewhere once its caller reads again.

--- a/Libraries/LibGateway/ForwardedRequest.cpp
+++ b/Libraries/LibGateway/ForwardedRequest.cpp
@@ -63,16 +63,18 @@
             self->handleCallerDisconnect();
         }
     });
-    m_deadlineTimer = m_dependencies.scheduler.runAfter(limit, [self = shared_from_this()] {
-        self->m_deadlineTimer = Core::TimerId::None;
-        self->handleDeadline();
+    m_exchange->onReaderState([weak = weak_from_this()](Net::ReaderState state) {
+        if (const auto self = weak.lock()) {
+            self->handleReaderState(state);
+        }
     });
+    startDeadlineTimer();
     selectReplica();
 }
 
 Core::Duration ForwardedRequest::remaining() const
 {
-    return m_deadline - m_dependencies.scheduler.now();
+    return m_deadline - m_unreadSince.value_or(m_dependencies.scheduler.now());
 }
 
 bool ForwardedRequest::isIdempotent() const
@@ -89,6 +91,10 @@
 void ForwardedRequest::selectReplica()
 {
     m_stage = Stage::Selecting;
+    m_awaitsReader = m_unreadSince.has_value();
+    if (m_awaitsReader) {
+        return;
+    }
     if (remaining() < MinRemainingTime) {
         retryOrFail("too little time is left before the deadline");
         return;
@@ -244,6 +250,7 @@
     m_answeringSince.reset();
     m_isHarmless = false;
     m_discardedBytes = 0;
+    m_unreadTime = {};
     dropBuffer();
     m_dependencies.fleet.recordAttemptStarted(m_replica.id, m_request, m_sentAt);
     auto outgoing = m_dependencies.protocol.writeRequest(
@@ -383,6 +390,7 @@
 void ForwardedRequest::end(unsigned status, std::string_view reason)
 {
     m_stage = Stage::Ended;
+    recordPauseEnded();
     dropBuffer();
     if (m_account.cost > 0 && m_possibleRuns == 0 && m_dependencies.giveBack) {
         m_dependencies.giveBack(m_account);
--- a/Libraries/LibGateway/ForwardedRequest.h
+++ b/Libraries/LibGateway/ForwardedRequest.h
@@ -100,6 +100,18 @@
     void abandonAttempt();
     // Watches for a replica that falls silent, if the request may be continued elsewhere.
     void startIdleTimer();
+    void startDeadlineTimer();
+    // Pauses the response of the replica while the caller reads slowly. Time stands still for the request meanwhile:
+    // neither its deadline nor the silence of its replica counts.
+    void handleReaderState(Net::ReaderState state);
+    void pauseResponse();
+    void resumeResponse();
+    // Counts the pause that is in progress, if any.
+    void recordPauseEnded();
+    // Whether the replica may have broken the response off because it went unread.
+    [[nodiscard]] bool wasUnread() const;
+    // Handles a response that the replica has broken off because it went unread, which is no failure of the replica.
+    void handleUnreadBreak(const Net::HttpResult &result);
     void handleIdleTimer();
     [[nodiscard]] Core::Duration idleTimeout() const;
     // Whether the replica has sent nothing complete for the idle timeout.
@@ -191,6 +203,9 @@
     Core::TimePoint m_firstEventAt {};
     Core::TimePoint m_lastEventAt {};
     Core::Duration m_longestPause {}; // Between two events of the stream.
+    std::optional<Core::TimePoint> m_unreadSince; // When the caller fell behind; none while it reads.
+    Core::Duration m_unreadTime {}; // Of the current attempt, up to when the caller last caught up.
+    bool m_awaitsReader = false; // The response continues elsewhere once the caller reads again.
 };
 
 }
--- a/Libraries/LibGateway/ForwardedRequestContinuation.cpp
+++ b/Libraries/LibGateway/ForwardedRequestContinuation.cpp
@@ -71,7 +71,8 @@
 
 bool ForwardedRequest::isIdle() const
 {
-    return m_stage == Stage::Sending && m_dependencies.scheduler.now() - m_lastProgressAt >= idleTimeout();
+    return m_stage == Stage::Sending && !m_unreadSince.has_value()
+        && m_dependencies.scheduler.now() - m_lastProgressAt >= idleTimeout();
 }
 
 void ForwardedRequest::startIdleTimer()
--- a/Libraries/LibGateway/ForwardedRequestResponses.cpp
+++ b/Libraries/LibGateway/ForwardedRequestResponses.cpp
@@ -232,6 +232,10 @@
 
 void ForwardedRequest::handleBreak(const Net::HttpResult &result)
 {
+    if (wasUnread()) {
+        handleUnreadBreak(result);
+        return;
+    }
     if (result.mayHaveBeenSent && !result.isTimedOut) {
         m_dependencies.crashes.recordBreak(
             m_replica, isUnproven() ? ReplicaCrashes::Role::Suspect : ReplicaCrashes::Role::Bystander, m_fingerprints);
