--- a/Libraries/LibNet/Tests/ReaderStateTest.cpp
+++ b/Libraries/LibNet/Tests/ReaderStateTest.cpp
@@ -65,6 +65,7 @@
 {
     CPPUNIT_TEST_SUITE(ReaderStateTest);
     CPPUNIT_TEST(callerThatPausesGetsTheWholeBodyWithinBoundedMemory);
+    CPPUNIT_TEST(callerThatReadsNothingIsDisconnected);
     CPPUNIT_TEST_SUITE_END();
 
     // Guards against a caller that is never reported to have caught up, whose response would stop, and against unsent
@@ -115,6 +116,35 @@
         CPPUNIT_ASSERT(largest <= 2 * 64 * 1024 + 2 * PieceBytes);
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), budget.used());
     }
+
+    // Guards against a response that is held for ever because nothing is sent to a caller that is behind, so that the
+    // limit on its unsent bytes is never reached.
+    void callerThatReadsNothingIsDisconnected()
+    {
+        Net::EventLoop loop;
+        Net::BufferBudget budget(4U << 20U);
+        std::shared_ptr<PacedBody> body;
+        bool isClosed = false;
+        Net::HttpServer server(loop, {.idleTimeoutSeconds = 1, .budget = &budget}, [&](const auto &exchange) {
+            exchange->onClosed([&] {
+                isClosed = true;
+                loop.stop();
+            });
+            body = std::make_shared<PacedBody>(exchange);
+            body->start();
+        });
+        const int connection = Net::connectTo(server.port());
+        const std::string_view request = "GET / HTTP/1.0\r\n\r\n";
+        send(connection, request.data(), request.size(), MSG_NOSIGNAL);
+        loop.runAfter(6s, [&loop] {
+            loop.stop();
+        });
+        loop.run();
+        close(connection);
+        CPPUNIT_ASSERT(isClosed);
+        CPPUNIT_ASSERT(body->changes % 2 == 1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), budget.used());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ReaderStateTest);
