LibNet: Read the largest use of the budget when a response begins

Cause: RecordingServer read the use of its budget only once a millisecond.

Change: the use is also read right after each response has been handed over. The assertions are as they were.

--- a/Libraries/LibNet/Tests/ServedConnection.h
+++ b/Libraries/LibNet/Tests/ServedConnection.h
@@ -112,24 +112,30 @@
         return false;
     }
 
+    void recordUsed(const Net::HttpServerOptions &options)
+    {
+        if (options.budget != nullptr) {
+            m_largestUsed = std::max(m_largestUsed.load(), options.budget->used());
+        }
+    }
+
     void run(const Net::HttpServerOptions &options)
     {
         Net::EventLoop loop;
-        Net::HttpServer server(loop, options, [this](const auto &exchange) {
+        Net::HttpServer server(loop, options, [this, &options](const auto &exchange) {
             {
                 const std::lock_guard lock(m_mutex);
                 m_served.targets.push_back(exchange->request().target);
                 m_served.bodies.emplace_back(exchange->request().body);
             }
             exchange->respond({}, m_response);
+            recordUsed(options); // A fast response is sent before the next poll.
         });
         std::function<void()> poll = [&] {
             if (m_isStopping) {
                 loop.stop();
             }
-            if (options.budget != nullptr) {
-                m_largestUsed = std::max(m_largestUsed.load(), options.budget->used());
-            }
+            recordUsed(options);
             loop.runAfter(std::chrono::milliseconds(1), poll);
         };
         poll();
