--- a/Libraries/LibAccounts/AllowanceExchange.cpp
+++ b/Libraries/LibAccounts/AllowanceExchange.cpp
@@ -2,6 +2,7 @@
 
 #include <LibCore/Rendezvous.h>
 #include <algorithm>
+#include <memory>
 #include <set>
 #include <utility>
 
@@ -122,6 +123,9 @@
         for (const auto &[name, terms] : m_terms) {
             m_lenders[name] = lenders(name, candidates);
             updateRole(terms);
+            if (ownPosition(m_lenders[name]) == 0 && m_role.shouldAskOthers(name, m_scheduler.now())) {
+                askOthers(name, std::span(m_lenders[name]).subspan(1));
+            }
         }
         m_borrowed.prune(m_scheduler.now());
     }
@@ -157,6 +161,9 @@
                                       const std::function<void(const AllowanceReply &)> &reply)
 {
     const auto lenders = lendersOf(request.account);
+    if (ownPosition(lenders) == 0 && m_role.shouldAskOthers(request.account, m_scheduler.now())) {
+        askOthers(request.account, std::span(lenders).subspan(1));
+    }
     if (const auto position = ownPosition(lenders);
         position > 0 && m_role.shouldProbe(request.account, m_scheduler.now())) {
         probeBetter(request.account, std::span(lenders).first(*position));
@@ -176,6 +183,23 @@
     }
 }
 
+void AllowanceExchange::askOthers(const std::string &account, std::span<const Core::HostId> others)
+{
+    if (others.empty()) {
+        m_role.recordNoneLending(account, m_scheduler.now());
+        return;
+    }
+    const auto missing = std::make_shared<std::size_t>(others.size());
+    for (const auto &host : others) {
+        m_router.call<AllowanceReply>(host, AllowanceRequest {.account = account}, m_options.replyTimeout,
+                                      [this, account, missing](const std::optional<AllowanceReply> &reply) {
+                                          if (reply.has_value() && !reply->isLender && --*missing == 0) {
+                                              m_role.recordNoneLending(account, m_scheduler.now());
+                                          }
+                                      });
+    }
+}
+
 void AllowanceExchange::take(const std::string &account, double cost, DecisionFunction done)
 {
     m_waiting[account].push_back({.cost = cost, .done = std::move(done)});
--- a/Libraries/LibAccounts/AllowanceExchange.h
+++ b/Libraries/LibAccounts/AllowanceExchange.h
@@ -84,6 +84,8 @@
                        const std::function<void(const AllowanceReply &)> &reply);
     // Checks whether the hosts before this one in the order of lenders lend.
     void probeBetter(const std::string &account, std::span<const Core::HostId> better);
+    // Begins to lend without waiting if no other host does. After a restart of all hosts nobody else would.
+    void askOthers(const std::string &account, std::span<const Core::HostId> others);
     [[nodiscard]] AllowanceReply lend(const Core::HostId &borrower, const AllowanceRequest &request);
     // Serves the requests that wait for the account, and asks for a loan if it is needed for the next one.
     void serveWaiting(const std::string &account);
--- a/Libraries/LibAccounts/LenderRole.cpp
+++ b/Libraries/LibAccounts/LenderRole.cpp
@@ -1,10 +1,13 @@
 #include <LibAccounts/LenderRole.h>
 
+#include <algorithm>
+
 namespace Accounts {
 
 namespace {
 
 constexpr auto ProbePeriod = std::chrono::milliseconds(500);
+constexpr auto AskPeriod = std::chrono::milliseconds(200);
 constexpr auto MaxProbeGap = std::chrono::milliseconds(1500);
 
 }
@@ -53,4 +56,22 @@
     m_positions[account].silentSince.reset();
 }
 
+bool LenderRole::shouldAskOthers(const std::string &account, Core::TimePoint now)
+{
+    auto &state = m_positions[account];
+    const bool isWaiting = state.firstSince.has_value() && now - *state.firstSince < m_options.takeover;
+    if (!isWaiting || now - state.probedAt < AskPeriod) {
+        return false;
+    }
+    state.probedAt = now;
+    return true;
+}
+
+void LenderRole::recordNoneLending(const std::string &account, Core::TimePoint now)
+{
+    if (auto &state = m_positions[account]; state.firstSince.has_value()) {
+        state.firstSince = std::min(*state.firstSince, now - m_options.takeover);
+    }
+}
+
 }
--- a/Libraries/LibAccounts/LenderRole.h
+++ b/Libraries/LibAccounts/LenderRole.h
@@ -32,6 +32,10 @@
     [[nodiscard]] bool shouldProbe(const std::string &account, Core::TimePoint now);
     // A host before this one has answered that it lends.
     void recordLending(const std::string &account);
+    // Whether the first host, which waits for its turn, should check now whether another one lends.
+    [[nodiscard]] bool shouldAskOthers(const std::string &account, Core::TimePoint now);
+    // All other hosts that may lend have answered that they don't. The first host needn't wait any longer.
+    void recordNoneLending(const std::string &account, Core::TimePoint now);
 
 private:
     struct Position {
--- a/Libraries/LibAccounts/Tests/AllowanceExchangeTest.cpp
+++ b/Libraries/LibAccounts/Tests/AllowanceExchangeTest.cpp
@@ -33,13 +33,13 @@
     double refused = 0;
     std::uint64_t messages = 0;
 
-    explicit AllowanceNetwork(int count, const Accounts::AllowanceTerms &terms)
+    explicit AllowanceNetwork(int count, const Accounts::AllowanceTerms &terms, Core::Duration uptime = 14s)
     {
         scheduler.advance(1h);
         for (int i = 0; i < count; ++i) {
             add("h" + std::to_string(i), terms);
         }
-        scheduler.advance(14s);
+        scheduler.advance(uptime);
     }
 
     void add(const std::string &name, const Accounts::AllowanceTerms &terms);
@@ -184,6 +184,7 @@
     CPPUNIT_TEST(largeAccountThatSendsManyTimesItsAllowance);
     CPPUNIT_TEST(callersOnOneHostUseTheWholeAllowance);
     CPPUNIT_TEST(lostLenderCostsLittle);
+    CPPUNIT_TEST(restartOfAllHostsCostsLittle);
     CPPUNIT_TEST(cutLenderStopsLending);
     CPPUNIT_TEST(cutZoneKeepsToItsPart);
     CPPUNIT_TEST(refusedDemandCausesFewMessages);
@@ -247,6 +248,16 @@
         CPPUNIT_ASSERT(servedShare(10s) > 0.99);
     }
 
+    // Guards against an account that isn't served for seconds after all hosts have lost power, because each new lender
+    // waits for the one before it.
+    void restartOfAllHostsCostsLittle()
+    {
+        const Accounts::AllowanceTerms terms {.account = "a", .ratePerSecond = 60000, .burst = 60000};
+        AllowanceNetwork network(20, terms, 600ms);
+        play(network, {.perSecond = 30000, .duration = 2s}, m_random);
+        CPPUNIT_ASSERT(network.refused <= 0.1 * network.total());
+    }
+
     // Guards against two lenders that each lend the whole allowance, on the two sides of a cut.
     void cutLenderStopsLending()
     {
