LibGateway: Tell the allowance exchange the zone of this host

Found on reading the change: the option was left empty, so that lenders saw all borrowers in one zone without a name, and noticed a cut zone only by its single hosts. The tests of LibAccounts set it; no test covers this line.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -79,7 +79,7 @@
               }
           })
     , m_allowances(
-          m_dependencies.scheduler, m_router, {},
+          m_dependencies.scheduler, m_router, {.zone = m_options.holding.self.zone},
           [this] {
               return lenderCandidates();
           },
