LibRoutes: Ask in one place whether an account is limited

ClientAccount::isLimited() had no caller, and its condition stood twice more in LibGateway in another form. Behaviour is unchanged: an account without a rate isn't limited.

--- a/Libraries/LibGateway/GatewayAccounts.cpp
+++ b/Libraries/LibGateway/GatewayAccounts.cpp
@@ -43,7 +43,7 @@
     }
     return RequestAccount {.name = account->name,
                            .priority = account->priority,
-                           .cost = account->ratePerSecond > 0 ? account->costOf(request.statedTokens) : 0};
+                           .cost = account->isLimited() ? account->costOf(request.statedTokens) : 0};
 }
 
 void Gateway::takeAllowance(const std::shared_ptr<Net::Exchange> &exchange, CallerRequest request,
@@ -107,7 +107,7 @@
     std::vector<Accounts::AllowanceTerms> terms;
     if (const auto &accounts = m_routes.current()->accounts; accounts.has_value()) {
         for (const auto &account : *accounts) {
-            if (account.ratePerSecond > 0) {
+            if (account.isLimited()) {
                 terms.push_back(
                     {.account = account.name, .ratePerSecond = account.ratePerSecond, .burst = account.burst});
             }
--- a/Libraries/LibRoutes/ClientAccount.cpp
+++ b/Libraries/LibRoutes/ClientAccount.cpp
@@ -4,7 +4,7 @@
 
 bool ClientAccount::isLimited() const
 {
-    return ratePerSecond > 0 || burst > 0;
+    return ratePerSecond > 0;
 }
 
 std::uint64_t ClientAccount::costOf(std::optional<std::uint64_t> statedTokens) const
