LibAccounts: Ask the other lenders where the role is updated

The same check stood in the tick and in the handling of requests, both of which update the role. Now it stands there once. LibAccountsTests: 21 passed, 200 random schedules; Tests/accounts passed.

--- a/Libraries/LibAccounts/AllowanceExchange.cpp
+++ b/Libraries/LibAccounts/AllowanceExchange.cpp
@@ -105,7 +105,8 @@
 bool AllowanceExchange::updateRole(const AllowanceTerms &terms)
 {
     const auto now = m_scheduler.now();
-    const auto position = ownPosition(lendersOf(terms.account));
+    const auto lenders = lendersOf(terms.account);
+    const auto position = ownPosition(lenders);
     const bool isLender = m_role.mayLend(terms.account, position, now);
     // The bucket of the first host fills while it waits for its turn to lend.
     if (isLender || position == 0) {
@@ -113,6 +114,9 @@
     } else {
         m_lent.close(terms.account);
     }
+    if (position == 0 && m_role.shouldAskOthers(terms.account, now)) {
+        askOthers(terms.account, std::span(lenders).subspan(1));
+    }
     return isLender;
 }
 
@@ -123,9 +127,6 @@
         for (const auto &[name, terms] : m_terms) {
             m_lenders[name] = lenders(name, candidates);
             updateRole(terms);
-            if (ownPosition(m_lenders[name]) == 0 && m_role.shouldAskOthers(name, m_scheduler.now())) {
-                askOthers(name, std::span(m_lenders[name]).subspan(1));
-            }
         }
         m_borrowed.prune(m_scheduler.now());
     }
@@ -161,9 +162,6 @@
                                       const std::function<void(const AllowanceReply &)> &reply)
 {
     const auto lenders = lendersOf(request.account);
-    if (ownPosition(lenders) == 0 && m_role.shouldAskOthers(request.account, m_scheduler.now())) {
-        askOthers(request.account, std::span(lenders).subspan(1));
-    }
     if (const auto position = ownPosition(lenders);
         position > 0 && m_role.shouldProbe(request.account, m_scheduler.now())) {
         probeBetter(request.account, std::span(lenders).first(*position));
