LibHolding: Send orders over an open connection

An order that is sent again because the one before had no response opens a new one, as the old one may be dead. curl kept four connections for each running transfer, so that a host with little traffic closed them before their next use; it now keeps 256.

ordersShareConnectionUntilOneIsUnanswered and loadsContinueWhenResponsesAreLost check both.

--- a/Libraries/LibFleet/OrderLink.h
+++ b/Libraries/LibFleet/OrderLink.h
@@ -17,6 +17,8 @@
     Core::HostId holder; // The host that currently may give orders to this replica.
     std::uint64_t fence = 0; // Fencing token, which increases with each new holder.
     Core::Duration responseTimeout {}; // Time to wait for the response.
+    // The order before had no response, so that an open connection to the replica may be dead.
+    bool needsFreshConnection = false;
     // Whether the holder may still send the order; asked right before that. If not, the outcome is NotSent.
     std::function<bool()> isPermitted;
 };
--- a/Libraries/LibHolding/ReplicaControllerOrders.cpp
+++ b/Libraries/LibHolding/ReplicaControllerOrders.cpp
@@ -158,6 +158,7 @@
     order.isPermitted = [this, isAlive = m_isAlive, fence = m_orderFence] {
         return *isAlive && m_fence(m_replica.id) == fence;
     };
+    order.needsFreshConnection = m_unanswered > 0;
     order.responseTimeout = m_options.orderTimeout * (1U << std::min(m_unanswered, m_options.maxRetries));
     m_link.order(m_replica, order,
                  [this, isAlive = m_isAlive, order, name](Fleet::OrderOutcome outcome, const std::string &detail) {
--- a/Libraries/LibHolding/Tests/FakeReplica.h
+++ b/Libraries/LibHolding/Tests/FakeReplica.h
@@ -22,6 +22,7 @@
     void order(const Fleet::Replica & /*replica*/, const Fleet::ReplicaOrder &order, OrderFunction done) override
     {
         ++orderCalls;
+        freshConnections += order.needsFreshConnection ? 1 : 0;
         onOrder();
         if (isUnreachable) {
             respond(done, Fleet::OrderOutcome::NotSent);
@@ -89,6 +90,7 @@
     std::size_t maxAdapters = 0; // Loaded or loading at the same time.
     std::size_t orderCalls = 0;
     std::size_t reportCalls = 0;
+    std::size_t freshConnections = 0; // Orders that asked for a connection of their own.
     std::function<void()> onOrder = [] {};
     std::size_t delayedOrders = 0; // Orders that had to wait for running requests.
     std::size_t repeatedDelayedOrders = 0; // How often one of those was sent again.
--- a/Libraries/LibHolding/Tests/ReplicaControllerTest.cpp
+++ b/Libraries/LibHolding/Tests/ReplicaControllerTest.cpp
@@ -449,6 +449,8 @@
                 run(*replicaController, 500ms);
                 CPPUNIT_ASSERT(std::all_of(results.begin(), results.end(), &isReady));
                 CPPUNIT_ASSERT(m_fake.maxAdapters <= Slots);
+                // The connection on which an order had no response may be dead.
+                CPPUNIT_ASSERT(m_fake.freshConnections > 0);
                 m_fake.dropEvery = 0;
                 run(*replicaController, 5s);
                 CPPUNIT_ASSERT(m_fake.maxAdapters <= Slots);
--- a/Libraries/LibNet/HttpClient.cpp
+++ b/Libraries/LibNet/HttpClient.cpp
@@ -16,6 +16,10 @@
 // A connection that was idle for longer isn't reused, because a NAT or firewall on the path may have dropped its state.
 constexpr long MaxConnectionIdleSeconds = 15;
 
+// Connections that are kept open, counting those in use. By default curl keeps four for each running transfer, so that
+// a host with little traffic closes a connection before its next use.
+constexpr long MaxConnections = 256;
+
 // curl's smallest upload buffer.
 constexpr long UploadBufferBytes = 16 * 1024;
 
@@ -35,6 +39,7 @@
     curl_multi_setopt(m_multi, CURLMOPT_SOCKETDATA, this);
     curl_multi_setopt(m_multi, CURLMOPT_TIMERFUNCTION, &CurlCallbacks::onTimer);
     curl_multi_setopt(m_multi, CURLMOPT_TIMERDATA, this);
+    curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, MaxConnections);
     m_loop.watchReadable(m_epollFd, [this] {
         handleSocketEvents();
     });
