LibHolding: Check loads when they usually end

Each load was checked for its end from 252 ms on, every 25 ms or more. Each check is an order to the replica: three for a load of 288 ms, thirteen for one of 700 ms. The first check now comes at the shortest of the last eight loads, and earlier after a load that had ended by then, so that a store that becomes fast is noticed within a few loads.

--- a/Libraries/LibHolding/LoadTimeEstimate.cpp
+++ b/Libraries/LibHolding/LoadTimeEstimate.cpp
@@ -15,15 +15,24 @@
 LoadTimeEstimate::LoadTimeEstimate(LoadTimeEstimateOptions options)
     : m_options(options)
     , m_average(options.nominalTime)
+    , m_firstCheckTime(options.nominalTime)
 {
 }
 
-void LoadTimeEstimate::recordLoad(Core::Duration duration, Core::TimePoint now)
+void LoadTimeEstimate::recordLoad(Core::Duration duration, LoadCheck check, Core::TimePoint now)
 {
     // The end of a load is noticed up to one period late.
     const auto change = (duration - m_options.minConfirmPeriod - loadTime(now)) * m_options.newestWeight;
     m_average = std::max(m_options.nominalTime, loadTime(now) + std::chrono::duration_cast<Core::Duration>(change));
     m_lastLoadAt = now;
+    m_latest.push_back(duration);
+    if (m_latest.size() > m_options.shortestOf) {
+        m_latest.pop_front();
+    }
+    // Halving what is left above the nominal time finds the time of a store that has become fast within a few loads.
+    m_firstCheckTime = check == LoadCheck::First
+        ? m_options.nominalTime + std::max<Core::Duration>(m_firstCheckTime - m_options.nominalTime, {}) / 2
+        : std::max(m_options.nominalTime, *std::min_element(m_latest.begin(), m_latest.end()));
 }
 
 Core::Duration LoadTimeEstimate::loadTime(Core::TimePoint now) const
@@ -31,9 +40,9 @@
     return m_options.nominalTime + excess(now);
 }
 
-Core::Duration LoadTimeEstimate::nominalTime() const
+Core::Duration LoadTimeEstimate::firstCheckTime() const
 {
-    return m_options.nominalTime;
+    return m_firstCheckTime;
 }
 
 Core::Duration LoadTimeEstimate::excess(Core::TimePoint now) const
--- a/Libraries/LibHolding/ReplicaController.cpp
+++ b/Libraries/LibHolding/ReplicaController.cpp
@@ -179,7 +179,7 @@
 {
     const bool isWarm
         = m_cachedAdapters.contains(name) || m_cachedAdapters.contains(Fleet::versionedName(name, version));
-    return isWarm ? m_options.warmLoadTime : m_coldLoads.nominalTime();
+    return isWarm ? m_options.warmLoadTime : m_coldLoads.firstCheckTime();
 }
 
 bool ReplicaController::isServable(const Waiter &waiter) const
--- a/Libraries/LibHolding/ReplicaController.h
+++ b/Libraries/LibHolding/ReplicaController.h
@@ -100,6 +100,7 @@
         Core::TimePoint readyAt {};
         Core::TimePoint orderedAt {}; // When the load order was sent.
         Core::Duration loadTime {}; // Expected duration of the load.
+        unsigned checks = 0; // Answered checks whether the load has ended.
     };
     struct Waiter {
         AdapterRequest request;
--- a/Libraries/LibHolding/ReplicaControllerOrders.cpp
+++ b/Libraries/LibHolding/ReplicaControllerOrders.cpp
@@ -132,6 +132,7 @@
         slot.readyAt = now + loadTime;
         slot.orderedAt = now;
         slot.loadTime = loadTime;
+        slot.checks = 0;
         if (!isReplacement) {
             slot.version = std::max<std::uint64_t>(version, 1);
         }
@@ -244,6 +245,9 @@
     const bool isUnload = order.verb == Fleet::OrderVerb::Unload;
     const bool isDone = outcome == Fleet::OrderOutcome::Completed;
     const auto slot = m_slots.find(name);
+    if (isConfirmation) {
+        ++slot->second.checks;
+    }
     if (isConfirmation && !isDone) {
         slot->second.readyAt = now + m_coldLoads.confirmPeriod(now);
         return;
@@ -265,7 +269,8 @@
     }
     m_cachedAdapters.insert(Fleet::versionedName(name, order.version));
     if (isDone && slot->second.state == SlotState::Loading && slot->second.loadTime > m_options.warmLoadTime) {
-        m_coldLoads.recordLoad(now - slot->second.orderedAt, now);
+        m_coldLoads.recordLoad(now - slot->second.orderedAt,
+                               slot->second.checks == 1 ? LoadCheck::First : LoadCheck::Later, now);
     }
     if (isDone) {
         slot->second.state = SlotState::Resident;
--- a/Libraries/LibHolding/ReplicaControllerReports.cpp
+++ b/Libraries/LibHolding/ReplicaControllerReports.cpp
@@ -130,7 +130,7 @@
                              .state = SlotState::Loading,
                              .changedAt = m_scheduler.now(),
                              .lastUsed = reportedUntil,
-                             .readyAt = m_scheduler.now() + m_coldLoads.nominalTime()};
+                             .readyAt = m_scheduler.now() + m_coldLoads.firstCheckTime()};
         }
     }
     m_cachedAdapters.insert(report.cachedAdapters.begin(), report.cachedAdapters.end());
