LibPlacement: Keep prompts from interrupting streams of slow engines

An engine processes prompts between the events of its streams. The expected delay of a replica now includes the cost of the pause that a prompt causes, from 0.4 of the route's limit on. It counts only where a fifth of the engines is clearly slow, so that deployments with engines of one speed are served as before; a test compares the choices.

--- a/Libraries/LibGateway/FleetView.cpp
+++ b/Libraries/LibGateway/FleetView.cpp
@@ -345,12 +345,16 @@
     std::vector<Placement::Candidate> candidates;
     const auto memoryTokens = m_memory ? m_memory(service) : 0;
     const auto usualResponse = m_speed.usualResponse(service);
+    const auto eventTime = m_speed.usualEventTime(service);
+    const bool isUneven = m_pauseLimit && m_speed.isUneven(service);
     for (const auto *replica : servingReplicas(request, service)) {
         if (!excluded.contains(replica->id) && acceptsRequests(*replica, now) && admits(*replica, request, now)) {
             usable.push_back(replica);
             candidates.push_back(candidate(*replica, adapter, newest, now));
             candidates.back().memoryTokens = memoryTokens;
             candidates.back().usualResponse = usualResponse;
+            candidates.back().eventTime
+                = std::chrono::duration_cast<Core::Duration>(eventTime / candidates.back().speed);
         }
     }
     const auto best = chooseWithinLimits({.key = adapter.empty() ? request.attemptId : adapter,
@@ -358,7 +362,8 @@
                                           .demand = demandFor(adapter, now),
                                           .isStream = !request.model.empty(),
                                           .promptTokens = request.promptTokens,
-                                          .totalTokens = request.promptTokens + request.outputTokens},
+                                          .totalTokens = request.promptTokens + request.outputTokens,
+                                          .pauseLimit = isUneven ? m_pauseLimit(service) : Core::Duration {}},
                                          usable, candidates, now);
     return best.has_value() ? usable[*best] : nullptr;
 }
--- a/Libraries/LibGateway/FleetView.h
+++ b/Libraries/LibGateway/FleetView.h
@@ -34,6 +34,9 @@
     // Returns the tokens that each replica of the service has memory for; zero if it isn't known.
     using MemoryFunction = std::function<std::uint64_t(const std::string &service)>;
 
+    // Returns the shortest pause limit of the routes to the service; zero if none has one.
+    using PauseLimitFunction = std::function<Core::Duration(const std::string &service)>;
+
     // Called after a replica was found to leave.
     using LeavingFunction = std::function<void()>;
 
@@ -70,6 +73,7 @@
                                                 Core::TimePoint sentAt, Core::TimePoint now);
 
     void setMemory(MemoryFunction memory);
+    void setPauseLimit(PauseLimitFunction pauseLimit);
     // Prompt tokens that an engine has to process before a request just sent to it gets its first event. Zero if the
     // request waits for other reasons too, so that its first event doesn't show the speed of the engine.
     [[nodiscard]] std::uint64_t tokensUntilFirstEvent(const Fleet::Replica &replica) const;
@@ -227,6 +231,7 @@
     Placement::AdapterDemand m_demand;
     Placement::ReplicaSpeed m_speed;
     MemoryFunction m_memory;
+    PauseLimitFunction m_pauseLimit;
     std::map<Core::TargetId, ReplicaView> m_views;
 };
 
--- a/Libraries/LibGateway/FleetViewUse.cpp
+++ b/Libraries/LibGateway/FleetViewUse.cpp
@@ -51,6 +51,11 @@
     m_memory = std::move(memory);
 }
 
+void FleetView::setPauseLimit(PauseLimitFunction pauseLimit)
+{
+    m_pauseLimit = std::move(pauseLimit);
+}
+
 const Placement::ReplicaSpeed &FleetView::speed() const
 {
     return m_speed;
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -123,6 +123,11 @@
     m_fleet.setMemory([this](const std::string &service) {
         return memoryTokensOf(service);
     });
+    m_fleet.setPauseLimit([this](const std::string &service) {
+        const auto &configuration = m_routes.current();
+        const auto *settings = configuration == nullptr ? nullptr : configuration->findService(service);
+        return settings == nullptr ? Core::Duration {} : settings->pauseLimit;
+    });
     m_fleet.registerMetrics(m_dependencies.metrics);
     m_fleet.onLeaving([this] {
         updateControllers();
--- a/Libraries/LibPlacement/ReplicaChooser.cpp
+++ b/Libraries/LibPlacement/ReplicaChooser.cpp
@@ -46,7 +46,7 @@
     }
     cost
         += std::chrono::duration_cast<Core::Duration>(Milliseconds(m_options.costPerQueued) * queued / candidate.speed);
-    cost += crowdingCost(placement, candidate);
+    cost += crowdingCost(placement, candidate) + pauseCost(placement, candidate);
     if (candidate.residency == Residency::Absent && candidate.isCached) {
         cost += m_options.cachedLoadCost + candidate.loadDelay;
     } else if (candidate.residency != Residency::Resident) {
@@ -70,6 +70,22 @@
                                                       * (1 / candidate.speed - 1));
 }
 
+Core::Duration ReplicaChooser::pauseCost(const PlacementRequest &placement, const Candidate &candidate) const
+{
+    using Milliseconds = std::chrono::duration<double, std::milli>;
+    if (placement.pauseLimit <= Core::Duration::zero()) {
+        return {};
+    }
+    const auto prompts = static_cast<double>(candidate.waitingTokens + placement.promptTokens);
+    const Milliseconds pause
+        = candidate.eventTime + Milliseconds(prompts / m_options.promptTokensPerMillisecond / candidate.speed);
+    const auto used = pause / Milliseconds(placement.pauseLimit);
+    // Squared, since a pause that is only near the limit exceeds it only in the few stalls.
+    const auto risk = std::clamp((used - m_options.safePausePart) / (1 - m_options.safePausePart), 0.0, 1.0);
+    const auto streams = static_cast<double>(std::min(candidate.active, std::max(candidate.slots, 1U)));
+    return std::chrono::duration_cast<Core::Duration>(Milliseconds(m_options.latePauseCost) * streams * risk * risk);
+}
+
 Core::Duration ReplicaChooser::crowdingCost(const PlacementRequest &placement, const Candidate &candidate) const
 {
     const auto usedSlots = candidate.slots == 0 ? 0 : static_cast<double>(candidate.active) / candidate.slots;
--- a/Libraries/LibPlacement/ReplicaChooser.h
+++ b/Libraries/LibPlacement/ReplicaChooser.h
@@ -38,6 +38,7 @@
     Core::Duration usualResponse {}; // Usual response time of the service, if it runs no models.
     std::uint64_t usedTokens = 0; // Prompts and expected outputs of the running requests, from all hosts.
     std::uint64_t memoryTokens = 0; // Capacity for such tokens; zero if it isn't known.
+    Core::Duration eventTime {}; // Time between two events of a stream there, without a prompt between them.
 };
 
 // A request for which a replica is to be chosen.
@@ -48,6 +49,9 @@
     bool isStream = true; // The response is streamed, which takes seconds.
     std::uint64_t promptTokens = 0;
     std::uint64_t totalTokens = 0; // The prompt and the expected output.
+    // Longest pause between the events of a stream that is on time. Zero if the pauses of running streams don't matter
+    // for the choice, because there is no limit or because all replicas work at one speed.
+    Core::Duration pauseLimit {};
 };
 
 // Costs are expected delays of the response; the replica with the lowest sum is chosen.
@@ -77,6 +81,12 @@
     // which a replica gets the share of its slots that is in use.
     Core::Duration spread = std::chrono::milliseconds(48);
     Core::Duration costPerQueued = std::chrono::milliseconds(200); // Delay by each request in excess of the slots.
+    // Cost of each running stream that a prompt makes pause for longer than the limit: about a latency objective, as
+    // the whole stream then counts as late.
+    Core::Duration latePauseCost = std::chrono::milliseconds(500);
+    // Up to this part of the limit a pause costs nothing: it stays within the limit if the replica turns two and a half
+    // times slower for a moment, as stalling servers do.
+    double safePausePart = 0.4;
     Core::Duration unloadableCost = std::chrono::seconds(10); // Ranks unloadable replicas behind all others.
     Core::Duration blockedCost = std::chrono::seconds(30); // Ranks blocked replicas last.
 };
@@ -102,6 +112,9 @@
     // How much longer than at a replica of the usual speed the request itself takes until its response; negative at a
     // fast replica.
     [[nodiscard]] Core::Duration slownessCost(const PlacementRequest &placement, const Candidate &candidate) const;
+    // Cost of the pause that the prompt causes in the streams that run on the replica. An engine processes prompts
+    // between the events of its streams, so that a slow one with a few waiting prompts makes all of its streams late.
+    [[nodiscard]] Core::Duration pauseCost(const PlacementRequest &placement, const Candidate &candidate) const;
     // Cost of adding a request to those that run on the replica, with a part that differs by request.
     [[nodiscard]] Core::Duration crowdingCost(const PlacementRequest &placement, const Candidate &candidate) const;
     // Which candidates are compared. The load caused by other hosts is known with a delay of a few hundred
--- a/Libraries/LibPlacement/ReplicaSpeed.cpp
+++ b/Libraries/LibPlacement/ReplicaSpeed.cpp
@@ -96,12 +96,41 @@
     }
     m_usual.clear();
     for (const auto &service : services) {
-        m_usual[service] = {.event = median(service, Quantity::Event, now),
+        const auto event = median(service, Quantity::Event, now);
+        m_usual[service] = {.event = event,
                             .prefill = median(service, Quantity::Prefill, now),
-                            .response = median(service, Quantity::Response, now)};
+                            .response = median(service, Quantity::Response, now),
+                            .isUneven = event > 0 && hasSlowEngines(service, event, now)};
     }
 }
 
+bool ReplicaSpeed::hasSlowEngines(const std::string &service, double usualEvent, Core::TimePoint now) const
+{
+    std::size_t measured = 0;
+    std::size_t slow = 0;
+    for (const auto &[replica, known] : m_known) {
+        const auto event = learned(known, Quantity::Event, now);
+        if (known.service == service && event.time > 0 && event.samples >= m_options.minSamples) {
+            ++measured;
+            slow += event.time >= usualEvent * m_options.clearRange ? 1 : 0;
+        }
+    }
+    return static_cast<double>(slow) >= m_options.unevenPart * static_cast<double>(measured);
+}
+
+Core::Duration ReplicaSpeed::usualEventTime(const std::string &service) const
+{
+    const auto found = m_usual.find(service);
+    const auto microseconds = found == m_usual.end() ? 0 : found->second.event;
+    return std::chrono::duration_cast<Core::Duration>(std::chrono::duration<double, std::micro>(microseconds));
+}
+
+bool ReplicaSpeed::isUneven(const std::string &service) const
+{
+    const auto found = m_usual.find(service);
+    return found != m_usual.end() && found->second.isUneven;
+}
+
 double ReplicaSpeed::speedBy(const LearnedTime &learned, double usual, double usualSamples) const
 {
     if (learned.time <= 0) {
--- a/Libraries/LibPlacement/ReplicaSpeed.h
+++ b/Libraries/LibPlacement/ReplicaSpeed.h
@@ -23,6 +23,9 @@
     // The responses of a route aren't compared if they differ by more than this part of their mean. With stalls of a
     // 2.5th of the speed in 15% of the time, they differ by 0.31.
     double maxVariation = 0.5;
+    // A service is uneven if at least this part of its engines is slow. Prompts make single engines of a fleet of one
+    // speed look slow for a moment.
+    double unevenPart = 0.2;
 };
 
 // What the holder of an engine has learned from the reports of all hosts.
@@ -53,6 +56,11 @@
     // The mean response time of a plain service; zero if it isn't known.
     [[nodiscard]] Core::Duration usualResponse(const std::string &service) const;
 
+    // The usual time between two events of a stream at an engine of the service; zero if it isn't known.
+    [[nodiscard]] Core::Duration usualEventTime(const std::string &service) const;
+    // Whether some engines of the service are clearly slower than the usual one.
+    [[nodiscard]] bool isUneven(const std::string &service) const;
+
     struct Counts {
         std::size_t slow = 0;
         std::size_t fast = 0;
@@ -82,8 +90,11 @@
         double event = 0;
         double prefill = 0;
         double response = 0;
+        bool isUneven = false;
     };
 
+    // Whether the engines of the service whose event time isn't the usual one are many enough.
+    [[nodiscard]] bool hasSlowEngines(const std::string &service, double usualEvent, Core::TimePoint now) const;
     [[nodiscard]] LearnedTime learned(const Known &known, Quantity quantity, Core::TimePoint now) const;
     [[nodiscard]] double median(const std::string &service, Quantity quantity, Core::TimePoint now) const;
     [[nodiscard]] double speedBy(const LearnedTime &learned, double usual, double usualSamples) const;
--- a/Libraries/LibPlacement/Tests/PlacementTest.cpp
+++ b/Libraries/LibPlacement/Tests/PlacementTest.cpp
@@ -26,6 +26,8 @@
     CPPUNIT_TEST(copiesWithStaleLoadsShareRequests);
     CPPUNIT_TEST(nearlyFullCopyGetsNoMoreRequests);
     CPPUNIT_TEST(rareAdapterKeepsItsHomeWhateverTheRequest);
+    CPPUNIT_TEST(promptThatWouldInterruptStreamsGoesElsewhere);
+    CPPUNIT_TEST(shortPromptIsSentToSlowReplica);
     CPPUNIT_TEST(failingReplicaIsAvoided);
     CPPUNIT_TEST(replicaThatCannotLoadIsSkipped);
     CPPUNIT_TEST(twoUnreachableReplicasBlockTheirZone);
@@ -289,6 +291,41 @@
         }
     }
 
+    // Three replicas, the first of which has the only copy of the adapter, is slow and runs eight streams.
+    static std::vector<Placement::Candidate> slowReplicaWithCopy(std::uint64_t waitingTokens)
+    {
+        auto candidates = fleet(3);
+        for (auto &candidate : candidates) {
+            candidate.active = 8;
+            candidate.eventTime = 40ms;
+        }
+        candidates[0].residency = Placement::Residency::Resident;
+        candidates[0].speed = 0.6;
+        candidates[0].eventTime = 67ms;
+        candidates[0].waitingTokens = waitingTokens;
+        return candidates;
+    }
+
+    // Two waiting prompts and a third one hold the streams of a slow replica up for 67 + 275 ms, so that all eight are
+    // late where 300 ms are allowed. A load elsewhere makes one caller wait.
+    void promptThatWouldInterruptStreamsGoesElsewhere()
+    {
+        const auto candidates = slowReplicaWithCopy(2200);
+        Placement::PlacementRequest placement {.key = "m/a", .request = "request", .promptTokens = 1100};
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), *m_chooser.choose(placement, candidates));
+        placement.pauseLimit = 300ms;
+        CPPUNIT_ASSERT(*m_chooser.choose(placement, candidates) != 0);
+    }
+
+    // The pause stays far below the limit, so that the copy of the adapter is used.
+    void shortPromptIsSentToSlowReplica()
+    {
+        CPPUNIT_ASSERT_EQUAL(
+            std::size_t(0),
+            *m_chooser.choose({.key = "m/a", .request = "request", .promptTokens = 500, .pauseLimit = 300ms},
+                              slowReplicaWithCopy(0)));
+    }
+
     void failingReplicaIsAvoided()
     {
         Placement::ReplicaHealth health;
--- a/Libraries/LibPlacement/Tests/UnevenFleetTest.cpp
+++ b/Libraries/LibPlacement/Tests/UnevenFleetTest.cpp
@@ -19,6 +19,8 @@
 constexpr double OutputTokens = 150;
 constexpr double PrefillRate = 22.1; // Tokens per millisecond.
 constexpr double EventTime = 6.8; // Milliseconds.
+constexpr std::uint64_t TokensPerEvent = 5; // As they reach the caller.
+constexpr auto PauseLimit = 300ms;
 
 // A request at an engine.
 struct Stream {
@@ -26,6 +28,8 @@
     double prompt = PromptTokens; // Still to be processed.
     double output = 0;
     Placement::EventSpans spans;
+    Core::TimePoint eventAt {}; // Of the last event that reached the caller.
+    bool isLate = false; // A pause was longer than the limit.
 };
 
 struct Engine {
@@ -41,12 +45,17 @@
     double requestsPerSecond = 0;
     bool isSpeedUsed = true;
     unsigned seed = 1;
+    // By how much a token takes longer while the engine processes a prompt. With prompts in pieces of 1,024 tokens
+    // between two tokens it is 7.8.
+    double interruption = 2;
+    bool arePausesAvoided = false;
 };
 
 struct Result {
     std::vector<double> firstEvents; // Milliseconds, sorted.
     std::vector<std::size_t> choices;
     std::size_t mostActive = 0;
+    std::size_t lateStreams = 0; // With a pause above the limit.
     bool isUsualThroughout = true; // All hosts took all engines for equal at all times.
 
     double quantile(double part) const
@@ -116,7 +125,8 @@
                 continue;
             }
             const auto before = static_cast<std::uint64_t>(stream.output);
-            stream.output += stepSeconds * 1000 / EventTime * speed / (isPrefilling ? 2 : 1);
+            stream.output += stepSeconds * 1000 / EventTime * speed / (isPrefilling ? m_fleet.interruption : 1);
+            recordEvent(stream, before);
             if (const auto events = static_cast<std::uint64_t>(stream.output) - before; events > 0) {
                 if (const auto time = stream.spans.record(events, m_now); time.has_value()) {
                     engine.learned.record(std::chrono::duration<double, std::micro>(*time).count(), 1, m_now);
@@ -129,6 +139,18 @@
         m_result.mostActive = std::max(m_result.mostActive, engine.streams.size());
     }
 
+    void recordEvent(Stream &stream, std::uint64_t tokensBefore)
+    {
+        if (static_cast<std::uint64_t>(stream.output) / TokensPerEvent == tokensBefore / TokensPerEvent) {
+            return;
+        }
+        if (stream.eventAt != Core::TimePoint {} && m_now - stream.eventAt > PauseLimit && !stream.isLate) {
+            stream.isLate = true;
+            ++m_result.lateStreams;
+        }
+        stream.eventAt = m_now;
+    }
+
     void publish()
     {
         std::vector<Placement::Candidate> state;
@@ -152,6 +174,8 @@
             const auto speed = m_speed.speed(candidate.replica, m_now);
             m_result.isUsualThroughout = m_result.isUsualThroughout && speed == 1;
             candidate.speed = m_fleet.isSpeedUsed ? speed : 1;
+            candidate.eventTime
+                = std::chrono::duration_cast<Core::Duration>(m_speed.usualEventTime("s") * TokensPerEvent / speed);
         }
         m_history.push_back(std::move(state));
         if (m_history.size() > KnowledgeAge / NoticePeriod + 1) {
@@ -166,7 +190,10 @@
         }
         const auto chosen = *m_chooser.choose({.key = "m/a",
                                                .request = "r" + std::to_string(m_result.choices.size()),
-                                               .promptTokens = static_cast<std::uint64_t>(PromptTokens)},
+                                               .promptTokens = static_cast<std::uint64_t>(PromptTokens),
+                                               .pauseLimit = m_fleet.arePausesAvoided && m_speed.isUneven("s")
+                                                   ? Core::Duration(PauseLimit)
+                                                   : Core::Duration {}},
                                               m_history.front());
         m_result.choices.push_back(chosen);
         m_engines[chosen].streams.push_back({.sentAt = m_now});
@@ -201,6 +228,7 @@
         all.firstEvents.insert(all.firstEvents.end(), result.firstEvents.begin(), result.firstEvents.end());
         all.choices.insert(all.choices.end(), result.choices.begin(), result.choices.end());
         all.mostActive = std::max(all.mostActive, result.mostActive);
+        all.lateStreams += result.lateStreams;
         all.isUsualThroughout = all.isUsualThroughout && result.isUsualThroughout;
     }
     std::sort(all.firstEvents.begin(), all.firstEvents.end());
@@ -230,6 +258,8 @@
     CPPUNIT_TEST(threeSpeedsAreServedFaster);
     CPPUNIT_TEST(stallsAreServedNoSlower);
     CPPUNIT_TEST(fewCopiesOfUnevenSpeedAreNotFlooded);
+    CPPUNIT_TEST(slowEnginesInterruptFewerStreams);
+    CPPUNIT_TEST(pausesAreIgnoredInFleetOfOneSpeed);
     CPPUNIT_TEST_SUITE_END();
 
     // Load makes equal engines look unequal at any moment. No host may choose otherwise by it.
@@ -270,6 +300,39 @@
         CPPUNIT_ASSERT(with.quantile(0.95) <= without.quantile(0.95));
         CPPUNIT_ASSERT(with.mostActive <= without.mostActive + 2);
     }
+
+    static std::pair<Result, Result> withAndWithoutPauses(Fleet fleet)
+    {
+        fleet.interruption = 7.8;
+        fleet.arePausesAvoided = true;
+        auto with = runs(fleet);
+        fleet.arePausesAvoided = false;
+        auto without = runs(fleet);
+        for (const auto *result : {&with, &without}) {
+            std::cerr << "streams " << result->choices.size() << ", late by a pause " << result->lateStreams
+                      << ", first event ms: median " << result->quantile(0.5) << ", 95th " << result->quantile(0.95)
+                      << "\n";
+        }
+        return {std::move(with), std::move(without)};
+    }
+
+    // Prompts at an engine of 0.6 of the usual speed hold all of its streams up for longer than callers accept.
+    // Choosing by the time of the first event alone sends them there once the others are busy.
+    void slowEnginesInterruptFewerStreams()
+    {
+        const auto [with, without]
+            = withAndWithoutPauses({.speeds = thirds(9), .stalledShare = 0.15, .requestsPerSecond = 50});
+        CPPUNIT_ASSERT(with.lateStreams < without.lateStreams);
+        CPPUNIT_ASSERT(with.quantile(0.95) <= without.quantile(0.95));
+    }
+
+    // Deployments with engines of one speed are served as before.
+    void pausesAreIgnoredInFleetOfOneSpeed()
+    {
+        const auto [with, without]
+            = withAndWithoutPauses({.speeds = std::vector<double>(9, 1), .requestsPerSecond = 50});
+        CPPUNIT_ASSERT(with.choices == without.choices);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(UnevenFleetTest);
--- a/Libraries/LibRoutes/RouteConfiguration.h
+++ b/Libraries/LibRoutes/RouteConfiguration.h
@@ -34,6 +34,7 @@
     bool isResumable = false; // A broken stream may continue at another replica after its last complete event.
     Core::Duration timeout {}; // Maximum duration of a request; zero if the route sets no limit.
     Core::Duration objective {}; // Latency objective: time to the response, or to a stream's first event.
+    Core::Duration pauseLimit {}; // Longest pause between the events of a stream that is on time; zero for no limit.
     int priority = 0; // 0 is the most urgent.
     bool isPublic = false; // Needs no account, also if the configuration has accounts.
     unsigned maxAttempts = 1; // Maximum number of replicas at which one attempt of a caller may run.
@@ -62,6 +63,7 @@
     std::string name;
     unsigned maxConnections = 0; // Connections to one replica, over all callers.
     std::optional<EngineSettings> engine; // Empty for a service whose replicas run no models.
+    Core::Duration pauseLimit {}; // The shortest one of the routes to the service; zero if none has one.
 };
 
 // All routes and services of one configuration version. A newer version replaces all of them at once.
@@ -75,6 +77,8 @@
 
     // The service's settings, or null if there is no such service.
     [[nodiscard]] const ServiceSettings *findService(const std::string &name) const;
+    // Fills in what the settings of services take from the routes.
+    void updateServices();
 };
 
 }
