--- a/Libraries/LibPlacement/AdmissionShare.cpp
+++ b/Libraries/LibPlacement/AdmissionShare.cpp
@@ -57,11 +57,15 @@
     lower(now);
 }
 
-bool AdmissionShare::admits(std::string_view request, Core::TimePoint now) const
+bool AdmissionShare::isInPart(std::string_view request, double part)
 {
-    const auto current = share(now);
     const auto step = Core::stableHash(request, HashSeed) % HashSteps;
-    return current >= 1 || static_cast<double>(step) < current * static_cast<double>(HashSteps);
+    return part >= 1 || static_cast<double>(step) < part * static_cast<double>(HashSteps);
+}
+
+bool AdmissionShare::admits(std::string_view request, Core::TimePoint now) const
+{
+    return isInPart(request, share(now));
 }
 
 }
--- a/Libraries/LibPlacement/AdmissionShare.h
+++ b/Libraries/LibPlacement/AdmissionShare.h
@@ -34,6 +34,8 @@
     void recordRejection(Core::TimePoint now);
     // Whether to send the request. The same for every attempt of the request.
     [[nodiscard]] bool admits(std::string_view request, Core::TimePoint now) const;
+    // Whether the request belongs to the given part of all requests. One in a part belongs to every larger part.
+    [[nodiscard]] static bool isInPart(std::string_view request, double part);
     // From the least share to 1.
     [[nodiscard]] double share(Core::TimePoint now) const;
 
