LibGateway: Share overloaded plain services between accounts

Where a plain service has no room for all requests, a hash selected those that are sent, so that an account at many times its usual rate took the room of the others. Where the configuration has accounts, FleetView now decides by Accounts::FairShare, once when a request arrives and for all its attempts. accountAdmission() is const, for a caller that only wants to know the decision. Without accounts nothing changes. What depends on the account in ForwardedRequest has moved to a file of its own.

--- a/Libraries/LibGateway/CallerRequest.h
+++ b/Libraries/LibGateway/CallerRequest.h
@@ -2,6 +2,7 @@
 
 #include <LibCore/Identifier.h>
 #include <LibCore/Time.h>
+#include <LibGateway/RequestAccount.h>
 #include <LibNet/HttpRequest.h>
 #include <LibNet/HttpServer.h>
 #include <optional>
@@ -29,6 +30,8 @@
     std::uint64_t promptTokens = 0;
     std::uint64_t outputTokens = 0; // Expected number, or the maximum if no expectation was given.
     std::optional<std::uint64_t> lastEventId; // The caller resumes a stream after this event.
+    // No value for requests that need a model, and if the configuration has no accounts.
+    std::optional<AccountAdmission> admission;
 };
 
 // The parameters that one attempt at a replica adds to a request.
--- a/Libraries/LibGateway/FleetView.cpp
+++ b/Libraries/LibGateway/FleetView.cpp
@@ -83,6 +83,9 @@
     m_demand.prune(now);
     m_pauses.prune(now);
     m_returns.refresh(m_replicas.all(), now);
+    std::erase_if(m_fairShares, [now](const auto &entry) {
+        return entry.second.isForgotten(now);
+    });
     std::erase_if(m_views, [this](const auto &view) {
         if (m_replicas.find(view.first) != nullptr || view.second.active > 0) {
             return false;
@@ -399,6 +402,9 @@
 
 bool FleetView::admits(const Fleet::Replica &replica, const CallerRequest &request, Core::TimePoint now) const
 {
+    if (request.admission.has_value()) {
+        return !request.admission->replicasWithoutRoom.contains(replica.id);
+    }
     const auto view = m_views.find(replica.id);
     return !request.model.empty() || view == m_views.end() || view->second.admission.admits(request.attemptId, now);
 }
--- a/Libraries/LibGateway/FleetView.h
+++ b/Libraries/LibGateway/FleetView.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <LibAccounts/FairShare.h>
 #include <LibFleet/ReleaseTable.h>
 #include <LibFleet/ReplicaSet.h>
 #include <LibGateway/CallerRequest.h>
 #include <LibGateway/ReplicaReturns.h>
+#include <LibGateway/RequestAccount.h>
 #include <LibHolding/HoldingMessages.h>
 #include <LibPlacement/AdapterDemand.h>
 #include <LibPlacement/AdmissionShare.h>
@@ -109,6 +111,15 @@
     void recordTimeliness(const Core::TargetId &replica, const CallerRequest &request, Core::Duration time,
                           Core::Duration objective, Core::TimePoint now);
     void recordNoRoom(const Core::TargetId &replica, const CallerRequest &request, Core::TimePoint now);
+    // The replicas of a plain service without room for a request that has just arrived, by what its account and the
+    // others send. Records nothing. No value if the configuration has no accounts or if the request needs a model.
+    [[nodiscard]] std::optional<AccountAdmission> accountAdmission(const CallerRequest &request,
+                                                                   const std::string &service,
+                                                                   const RequestAccount &account,
+                                                                   Core::TimePoint now) const;
+    // Records the request of the account, for the decisions about later ones.
+    void recordAccountRequest(const CallerRequest &request, const std::string &service, const RequestAccount &account,
+                              Core::TimePoint now);
     // This host's use of each replica that has changed since the last call, or wasn't returned for some time.
     [[nodiscard]] std::vector<Holding::ReplicaUse> collectUse(Core::TimePoint now);
 
@@ -227,6 +238,7 @@
     Placement::AdapterDemand m_demand;
     Placement::ReplicaSpeed m_speed;
     MemoryFunction m_memory;
+    std::map<std::string, Accounts::FairShare> m_fairShares; // By plain service.
     std::map<Core::TargetId, ReplicaView> m_views;
 };
 
--- a/Libraries/LibGateway/ForwardedRequest.cpp
+++ b/Libraries/LibGateway/ForwardedRequest.cpp
@@ -55,6 +55,7 @@
     m_service = Routes::chooseService(route, m_request.attemptId);
     m_dependencies.retryBudget.countRequest(m_service, m_startedAt);
     m_dependencies.fleet.recordDemand(m_request, m_startedAt);
+    decideAdmission();
     if (m_request.lastEventId.has_value()) {
         m_events.setLastId(*m_request.lastEventId);
     }
@@ -205,17 +206,6 @@
     return true;
 }
 
-int ForwardedRequest::priority() const
-{
-    return m_account.priority.value_or(m_route.route->priority);
-}
-
-bool ForwardedRequest::hasValidKey() const
-{
-    const bool needsKey = m_account.name.has_value() && !m_account.name->empty();
-    return !needsKey || m_dependencies.isKeyValid(m_request.accountKey, *m_account.name);
-}
-
 void ForwardedRequest::send()
 {
     if (refuseIfQuarantined()) {
--- a/Libraries/LibGateway/ForwardedRequest.h
+++ b/Libraries/LibGateway/ForwardedRequest.h
@@ -58,6 +58,8 @@
 private:
     enum class Stage { Selecting, Loading, Sending, Ended };
 
+    // Decides which replicas of a plain service have room for the request, by what its account and the others send.
+    void decideAdmission();
     void selectReplica();
     void loadAdapter();
     void requestLoad();
--- a/Libraries/LibGateway/RequestAccount.h
+++ b/Libraries/LibGateway/RequestAccount.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <LibCore/Identifier.h>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace Gateway {
@@ -15,4 +17,11 @@
     std::uint64_t cost = 0;
 };
 
+// Which replicas of a plain service have room for a request of an account, decided once for all attempts.
+struct AccountAdmission {
+    std::set<Core::TargetId> replicasWithoutRoom;
+    // One of these replicas has room for the request by its admission share alone, but not for its account.
+    bool isDueToAccount = false;
+};
+
 }
--- a/Libraries/LibGateway/Tests/ForwardingHarness.h
+++ b/Libraries/LibGateway/Tests/ForwardingHarness.h
@@ -168,7 +168,8 @@
     }
 
     // Sends a request and returns what its caller receives. Without a path it is none that was sent before.
-    std::shared_ptr<CallerEnd> start(Routes::Route route, Gateway::CallerRequest request)
+    std::shared_ptr<CallerEnd> start(Routes::Route route, Gateway::CallerRequest request,
+                                     Gateway::RequestAccount account = {})
     {
         if (request.target.empty()) {
             request.target = "/" + std::to_string(++m_requests);
@@ -195,10 +196,14 @@
                                                                 [] {
                                                                     return std::size_t(1);
                                                                 },
+                                                            .isKeyValid =
+                                                                [](const auto &, const auto &) {
+                                                                    return true;
+                                                                },
                                                             .budget = buffers};
         std::make_shared<Gateway::ForwardedRequest>(
             dependencies, caller, std::move(request),
-            Routes::MatchedRoute {.configuration = configuration, .route = matched})
+            Routes::MatchedRoute {.configuration = configuration, .route = matched}, std::move(account))
             ->start();
         return caller;
     }
