LibNet: Use the limit on bodies of the configuration

Cause: Routes::RouteConfiguration::maxBodySize was decoded from max_body_bytes and nothing read it, so that 8 MB held whatever operators had set.

Change: HttpServer asks for the operators' limit at the head of each request, so that a change applies to requests that arrive after it. A request whose head names a larger body gets 413 before its body is read, and its connection ends. A limit above limits.bodyBytes raises it, up to half of the host's buffer budget, since requests can't use more. Without the field nothing changes. LingeringConnections reads on for up to 2 s what the caller of a refused request still sends, since a reset connection hides the response from many callers. Only the server for callers has this limit.

Result: OperatorBodyLimitTest fails in five of its six cases if the limit is ignored, and in callerThatSendsTheWholeBodyReceivesTheRefusal without LingeringConnections.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -181,6 +181,12 @@
     m_retryBudget.setOptions(options);
 }
 
+std::size_t Gateway::maxBodySize() const
+{
+    const auto &configuration = m_routes.current();
+    return configuration == nullptr ? 0 : configuration->maxBodySize;
+}
+
 void Gateway::beginLeaving()
 {
     m_isLeaving = true;
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -65,6 +65,8 @@
     [[nodiscard]] bool isReady() const;
     // Changes the options of the retry budget.
     void setRetryBudget(const ServiceRetryBudgetOptions &options);
+    // The limit on the body of a request by the active configuration; zero if there is none.
+    [[nodiscard]] std::size_t maxBodySize() const;
     // Starts a planned stop: the host reports that it isn't ready but still serves requests that arrive.
     void beginLeaving();
     // Refuses requests that arrive from now on, because there is no time left to serve them.
--- a/Libraries/LibNet/BufferBudget.cpp
+++ b/Libraries/LibNet/BufferBudget.cpp
@@ -68,7 +68,12 @@
 
 bool BufferBudget::hasRoomForWork(std::size_t bytes) const
 {
-    return m_usedByWork + bytes <= m_limit / WorkShare;
+    return m_usedByWork + bytes <= maxWork();
+}
+
+std::size_t BufferBudget::maxWork() const
+{
+    return m_limit / WorkShare;
 }
 
 std::size_t BufferBudget::used() const
--- a/Libraries/LibNet/BufferBudget.h
+++ b/Libraries/LibNet/BufferBudget.h
@@ -47,6 +47,8 @@
 
     // Whether so many more bytes of work fit, so that it can be refused before it is received.
     [[nodiscard]] bool hasRoomForWork(std::size_t bytes) const;
+    // The most bytes that work can use.
+    [[nodiscard]] std::size_t maxWork() const;
     [[nodiscard]] std::size_t used() const;
     // How many buffers had to be given up.
     [[nodiscard]] std::size_t reclaimed() const;
--- a/Libraries/LibNet/Exchange.h
+++ b/Libraries/LibNet/Exchange.h
@@ -30,6 +30,14 @@
     [[nodiscard]] std::string_view header(const std::string &name) const;
 };
 
+// The limit on the body of a request.
+struct BodyLimit {
+    std::size_t bytes = 0;
+    // A request whose head names a larger body is refused at once and its connection ends. Otherwise the body is read
+    // and discarded before the refusal.
+    bool isRefusedAtHead = false;
+};
+
 // The status and headers of a response.
 struct ResponseHead {
     unsigned status = 200;
@@ -90,6 +98,7 @@
     ServerRequest m_request;
     std::string_view m_targetInBuffer; // The target where libmicrohttpd has read it, until the head is complete.
     ResponseHead m_head;
+    BodyLimit m_bodyLimit; // In force when the head arrived.
     std::string m_received; // The body of the request while it arrives.
     std::size_t m_discardedBytes = 0; // Of the body of a request that is going to be refused.
     BufferBudget::Reservation m_requestBytes;
@@ -99,6 +108,7 @@
     BodyState m_bodyState = BodyState::Open;
     std::optional<unsigned> m_refusal; // The status with which the server itself refuses the request.
     bool m_endsConnection = false; // The connection closes after the response.
+    bool m_isBodyUnread = false; // The response is sent while the caller may still be sending the body.
     bool m_isHandled = false;
     bool m_hasResponse = false;
     bool m_isStreaming = false;
--- a/Libraries/LibNet/HttpServer.cpp
+++ b/Libraries/LibNet/HttpServer.cpp
@@ -3,6 +3,7 @@
 #include <LibCore/SocketAddress.h>
 #include <LibCore/StepError.h>
 #include <LibNet/ServerCallbacks.h>
+#include <algorithm>
 #include <arpa/inet.h>
 #include <cerrno>
 #include <cstring>
@@ -24,6 +25,7 @@
     : m_loop(loop)
     , m_options(std::move(options))
     , m_handler(std::move(handler))
+    , m_lingering(loop, {})
 {
     sockaddr_in address {};
     address.sin_family = AF_INET;
@@ -93,6 +95,17 @@
     return m_ambiguousRequests;
 }
 
+BodyLimit HttpServer::bodyLimit() const
+{
+    const auto ownLimit = m_options.maxBodyBytes;
+    const auto operatorLimit = m_options.operatorMaxBodyBytes ? m_options.operatorMaxBodyBytes() : 0;
+    if (operatorLimit == 0) {
+        return {.bytes = ownLimit};
+    }
+    const auto possible = m_options.budget == nullptr ? operatorLimit : m_options.budget->maxWork();
+    return {.bytes = std::min(operatorLimit, std::max(ownLimit, possible)), .isRefusedAtHead = true};
+}
+
 void HttpServer::closeDisconnectedExchanges()
 {
     // Iterates over a copy, because closing a connection may remove its exchange from the set.
--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -2,6 +2,7 @@
 
 #include <LibNet/EventLoop.h>
 #include <LibNet/Exchange.h>
+#include <LibNet/LingeringConnections.h>
 #include <functional>
 #include <memory>
 #include <string>
@@ -16,6 +17,10 @@
     std::string address = "127.0.0.1";
     std::uint16_t port = 0;
     std::size_t maxBodyBytes = 1U << 20U; // Larger requests get status 413.
+    // The limit that operators have set, or zero for none; asked at the head of each request. It replaces maxBodyBytes,
+    // and a request whose head names a larger body is refused at once. It can't exceed both maxBodyBytes and what the
+    // budget has for requests.
+    std::function<std::size_t()> operatorMaxBodyBytes;
     unsigned maxConnections = 1000;
     unsigned idleTimeoutSeconds = 30;
     std::size_t connectionMemory = 32 * 1024; // Bytes for the headers and buffers of one connection.
@@ -59,6 +64,8 @@
     friend class Exchange;
     friend struct ServerCallbacks;
 
+    // The limit for a request that arrives now.
+    [[nodiscard]] BodyLimit bodyLimit() const;
     void scheduleRun();
     void processEvents();
     void closeDisconnectedExchanges();
@@ -71,6 +78,7 @@
     bool m_isListening = true;
     bool m_isRunScheduled = false;
     std::unordered_set<std::shared_ptr<Exchange>> m_openExchanges;
+    LingeringConnections m_lingering;
     std::size_t m_ambiguousRequests = 0;
     Core::TimerId m_disconnectCheckTimer = Core::TimerId::None;
     bool m_isKeepAliveDisabled = false;
--- a/Libraries/LibNet/ServerCallbacks.cpp
+++ b/Libraries/LibNet/ServerCallbacks.cpp
@@ -102,8 +102,10 @@
         const auto length = request.header("content-length");
         std::size_t bytes = 0;
         std::from_chars(length.data(), length.data() + length.size(), bytes);
+        exchange->m_bodyLimit = exchange->m_server->bodyLimit();
         limitBody(*exchange, bytes);
-        return MHD_YES;
+        const bool isTooLarge = exchange->m_refusal == ContentTooLarge;
+        return isTooLarge && exchange->m_bodyLimit.isRefusedAtHead ? refuseAtHead(exchange) : MHD_YES;
     }
     ++exchange->m_server->m_ambiguousRequests;
     // The response is queued before any byte of the body is read, so libmicrohttpd reads nothing more.
@@ -113,11 +115,20 @@
     return queueResponse(exchange);
 }
 
+MHD_Result ServerCallbacks::refuseAtHead(const std::shared_ptr<Exchange> &exchange)
+{
+    exchange->m_isHandled = true;
+    exchange->m_endsConnection = true;
+    exchange->m_isBodyUnread = true;
+    refuse(*exchange);
+    return queueResponse(exchange);
+}
+
 void ServerCallbacks::limitBody(Exchange &exchange, std::size_t bytes)
 {
     const auto &options = exchange.m_server->m_options;
     const auto missing = bytes - std::min(bytes, exchange.m_requestBytes.size());
-    if (bytes > options.maxBodyBytes) {
+    if (bytes > exchange.m_bodyLimit.bytes) {
         exchange.m_refusal = ContentTooLarge;
     } else if (options.budget != nullptr && !options.budget->hasRoomForWork(missing)) {
         exchange.m_refusal = Core::HttpStatus::ServiceUnavailable;
@@ -139,17 +150,16 @@
     exchange.m_requestBytes.release();
     // A caller that sends on without reading would otherwise find its connection reset in place of the response.
     exchange.m_discardedBytes += bytes.size();
-    return exchange.m_discardedBytes > exchange.m_server->m_options.maxBodyBytes * MaxDiscardedBodies ? MHD_NO
-                                                                                                      : MHD_YES;
+    return exchange.m_discardedBytes > exchange.m_bodyLimit.bytes * MaxDiscardedBodies ? MHD_NO : MHD_YES;
 }
 
 void ServerCallbacks::refuse(Exchange &exchange)
 {
     ResponseHead head {.status = *exchange.m_refusal, .headers = {{"Currantbay-Outcome", "not-run"}}};
     if (head.status == ContentTooLarge) {
-        exchange.respond(std::move(head),
-                         refusalBody("its body is larger than "
-                                     + std::to_string(exchange.m_server->m_options.maxBodyBytes) + " bytes"));
+        exchange.respond(
+            std::move(head),
+            refusalBody("its body is larger than " + std::to_string(exchange.m_bodyLimit.bytes) + " bytes"));
         return;
     }
     head.headers.emplace_back("Retry-After", RetryAfterNoMemory);
@@ -263,6 +273,9 @@
     const auto exchange = *static_cast<std::shared_ptr<Exchange> *>(*state);
     delete static_cast<std::shared_ptr<Exchange> *>(*state);
     *state = nullptr;
+    if (exchange->m_isBodyUnread && code == MHD_REQUEST_TERMINATED_COMPLETED_OK) {
+        server->m_lingering.add(exchange->socket());
+    }
     exchange->m_connection = nullptr;
     exchange->m_requestBytes.release();
     exchange->m_pendingBytes.attach(nullptr);
--- a/Libraries/LibNet/ServerCallbacks.h
+++ b/Libraries/LibNet/ServerCallbacks.h
@@ -25,6 +25,8 @@
     // Stores a part of the body, or discards it if the request is refused. Fails after too much of that.
     static MHD_Result receiveBody(Exchange &exchange, std::string_view bytes);
     static MHD_Result processRequest(HttpServer &server, const std::shared_ptr<Exchange> &exchange);
+    // Refuses the request before its body is read. The connection closes after the response.
+    static MHD_Result refuseAtHead(const std::shared_ptr<Exchange> &exchange);
     // Responds with the server's own refusal.
     static void refuse(Exchange &exchange);
     static MHD_Result queueResponse(const std::shared_ptr<Exchange> &exchange);
--- a/Services/currantbayd/GatewayDaemon.cpp
+++ b/Services/currantbayd/GatewayDaemon.cpp
@@ -57,6 +57,17 @@
     return options;
 }
 
+// Only callers' requests have a limit in the configuration.
+Net::HttpServerOptions callerServerOptions(const Settings::GatewaySettings &settings, Net::BufferBudget &budget,
+                                           const Gateway::Gateway &gateway)
+{
+    auto options = serverOptions(settings.callerAddress, settings, budget);
+    options.operatorMaxBodyBytes = [&gateway] {
+        return gateway.maxBodySize();
+    };
+    return options;
+}
+
 Gateway::ServiceRetryBudgetOptions retryOptions(const Settings::GatewaySettings &settings)
 {
     return {.ratio = settings.retryRatio, .extra = settings.retryExtra, .window = settings.retryWindow};
@@ -106,7 +117,7 @@
                          return std::make_unique<PlatformAdapter::StoreDeploymentSource>(rows);
                      }},
                 gatewayOptions(settings))
-    , m_callerServer(m_loop, serverOptions(settings.callerAddress, settings, m_budget),
+    , m_callerServer(m_loop, callerServerOptions(settings, m_budget, m_gateway),
                      [this](const auto &exchange) {
                          m_gateway.handleRequest(exchange);
                      })
