LibHolding: Remove the rows of replicas that are gone

Cause: HolderTable dropped its hold of an unlisted replica and left the row, so that the table kept a row for each replica id there ever was.

Change: a row is removed 60 s and the order gap after the replica was last listed and the row last changed, while the list can be read. Holding::GoneRows decides the order: hosts see the same rows, so that one row after the other is removed, by its live holder or else by the first live host. The removal is conditioned on the versions of the row and of its dead holder's row, so that a replica that comes back keeps its new row. A host drops holds of unlisted replicas before it claims; a full read of the rows had it claim them again.

Ruled out: any host removing the row of a live holder, as a holder whose list is old goes on ordering.

Result: four of the new HolderTableTest cases fail without the removal, lateRemovalLeavesRowOfReturnedReplica without the condition, and rowOfHolderThatListsTheReplicaStays without the check of the lease.

--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -120,6 +120,10 @@
               m_holders.apply(changes, extent == decltype(m_holderFeed)::Extent::Full);
           })
 {
+    m_holders.removeRowsOfGone([this](const Core::TargetId &replica) {
+        return m_replicaFeed.isFilled() && m_replicaFeed.healthySince().has_value()
+            && m_replicas.find(replica) == nullptr;
+    });
     m_fleet.setMemory([this](const std::string &service) {
         return memoryTokensOf(service);
     });
--- a/Libraries/LibHolding/HolderTable.cpp
+++ b/Libraries/LibHolding/HolderTable.cpp
@@ -23,6 +23,7 @@
     , m_options(std::move(options))
     , m_replicas(std::move(replicas))
     , m_write(std::move(write))
+    , m_goneRows(m_options.goneRows)
     , m_retryDelay(m_options.initialRetryDelay)
 {
 }
@@ -36,6 +37,11 @@
     });
 }
 
+void HolderTable::removeRowsOfGone(GoneFunction isGone)
+{
+    m_isGone = std::move(isGone);
+}
+
 void HolderTable::renew()
 {
     if (m_isLeaving) {
@@ -174,14 +180,16 @@
     std::erase_if(m_claims, [now](const auto &claim) {
         return now - claim.second.sentAt > ClaimRetryDelay;
     });
-    claimDueReplicas();
     std::set<Core::TargetId> listed;
     for (const auto &[replica, zone] : m_replicas()) {
         listed.insert(replica);
     }
+    // Before the claims, so that a replica that is gone isn't claimed again because its row was read again.
     std::erase_if(m_holds, [&listed](const auto &held) {
         return !listed.contains(held.first);
     });
+    claimDueReplicas();
+    removeGoneRow();
     m_scheduler.runAfter(m_options.tickPeriod, [this] {
         tick();
     });
@@ -207,6 +215,64 @@
     }
 }
 
+void HolderTable::removeGoneRow()
+{
+    if (!m_isGone) {
+        return;
+    }
+    std::vector<GoneRow> gone;
+    for (const auto &[replica, seen] : m_holders) {
+        if (m_isGone(replica)) {
+            gone.push_back({.replica = replica, .version = seen.version});
+        }
+    }
+    const auto now = m_scheduler.now();
+    const auto replica = m_goneRows.next(gone, now);
+    const bool isRemoving = m_removalSentAt.has_value() && now - *m_removalSentAt <= ClaimRetryDelay;
+    Platform::Transaction transaction;
+    if (!replica.has_value() || isRemoving || now >= m_leaseExpiresAt || !isRemover(*replica, transaction.conditions)) {
+        return;
+    }
+    // The store may do this late, when the replica has come back and has a new row.
+    transaction.deletions.push_back({.table = std::string(Table), .key = holderKey(*replica)});
+    m_removalSentAt = now;
+    m_table.transact(std::move(transaction),
+                     [this, replica = *replica,
+                      version = m_holders.at(*replica).version](const Platform::TransactionResult &result) {
+                         if (result.outcome != Platform::TransactionOutcome::Unknown) {
+                             m_removalSentAt.reset();
+                         }
+                         const auto removed = m_holders.find(replica);
+                         if (result.outcome == Platform::TransactionOutcome::Committed && removed != m_holders.end()
+                             && removed->second.version == version) {
+                             m_holders.erase(removed);
+                         }
+                     });
+}
+
+bool HolderTable::isRemover(const Core::TargetId &replica, std::vector<Platform::RowCondition> &conditions) const
+{
+    const auto &seen = m_holders.at(replica);
+    const auto &holder = seen.row.holder;
+    conditions.push_back({.table = std::string(Table), .key = holderKey(replica), .version = seen.version});
+    if (holder == m_options.self.host) {
+        return !m_holds.contains(replica) && !m_claims.contains(replica);
+    }
+    if (!holder.isEmpty()) {
+        if (mayHoldLease(seen)) {
+            return false;
+        }
+        // The removal has to fail if the holder renews its lease in the meantime.
+        const auto host = m_hosts.find(holder);
+        conditions.push_back({.table = std::string(Table),
+                              .key = hostKey(holder),
+                              .version = host == m_hosts.end() ? 0 : host->second.version});
+    }
+    return std::ranges::none_of(m_hosts, [this](const auto &host) {
+        return host.first < m_options.self.host && isLive(host.second);
+    });
+}
+
 std::vector<Core::TargetId> HolderTable::replicasToClaim() const
 {
     const auto live = liveHosts();
--- a/Libraries/LibHolding/HolderTable.h
+++ b/Libraries/LibHolding/HolderTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <LibCore/Scheduler.h>
+#include <LibHolding/GoneRows.h>
 #include <LibHolding/HoldingRows.h>
 #include <LibPlatform/RowFeed.h>
 #include <LibPlatform/TableService.h>
@@ -31,6 +32,7 @@
     Core::Duration discoveryTime = std::chrono::milliseconds(1500);
     // How long a released replica is reserved for its last holder, which needs no handover gap if it restarts.
     Core::Duration returnGracePeriod = std::chrono::milliseconds(2500);
+    GoneRowsOptions goneRows;
 };
 
 // A replica that needs a holder.
@@ -51,10 +53,16 @@
     // Writes a row. The callback runs once, with true only if the write was confirmed.
     using WriteFunction = std::function<void(Platform::RowPut row, std::function<void(bool isWritten)> done)>;
 
+    // Whether the replica isn't listed any more; false while the list may be old.
+    using GoneFunction = std::function<bool(const Core::TargetId &replica)>;
+
     HolderTable(Core::Scheduler &scheduler, Platform::TableService &table, HolderTableOptions options,
                 ReplicasFunction replicas, WriteFunction write);
 
     void start();
+    // Has the rows of replicas that have been gone for long removed. The fence numbers of a replica still never go
+    // down: they are versions of the store, which rise with every write of any row.
+    void removeRowsOfGone(GoneFunction isGone);
     // Applies rows of the table: all of them if isFull, otherwise those that changed.
     void apply(const Platform::FeedResult &rows, bool isFull);
     // Releases all replicas and deletes the row of this host, unless another process of the host or a late renewal has
@@ -117,6 +125,11 @@
     void readAndRemoveOwnRow(std::function<void()> done);
     [[nodiscard]] bool isClaimable(const Core::TargetId &replica,
                                    std::vector<Platform::RowCondition> &conditions) const;
+    // Removes the row of one replica that has been gone for long, if it is the turn of this host.
+    void removeGoneRow();
+    // Whether this host is the one to remove the row: its live holder, or the first live host if there is none. Adds
+    // the conditions of the removal.
+    [[nodiscard]] bool isRemover(const Core::TargetId &replica, std::vector<Platform::RowCondition> &conditions) const;
     [[nodiscard]] bool isOwn(const HolderRow &row) const;
     // Whether this host, in this process or an earlier one, is the holder or the last holder by the replica's row.
     [[nodiscard]] bool isLastHolder(const Core::TargetId &replica) const;
@@ -133,6 +146,9 @@
     std::map<Core::TargetId, SeenHolder> m_holders;
     std::map<Core::TargetId, Hold> m_holds;
     std::map<Core::TargetId, PendingClaim> m_claims;
+    GoneRows m_goneRows;
+    GoneFunction m_isGone; // Null if no rows are removed.
+    std::optional<Core::TimePoint> m_removalSentAt; // Of the removal whose outcome isn't known.
     Core::Duration m_retryDelay {};
     Core::TimePoint m_startedAt {};
     Core::TimePoint m_leaseExpiresAt {};
--- a/Libraries/LibHolding/Tests/HolderTableTest.cpp
+++ b/Libraries/LibHolding/Tests/HolderTableTest.cpp
@@ -26,6 +26,7 @@
     }
     void transact(Platform::Transaction transaction, TransactionFunction done) override
     {
+        removals += static_cast<int>(transaction.deletions.size());
         if (isRemovalLate && !transaction.deletions.empty()) {
             m_scheduler.runAfter(RemovalDelay, [this, transaction = std::move(transaction)]() mutable {
                 m_rows.transact(std::move(transaction), [](const auto &) {});
@@ -47,6 +48,7 @@
         m_rows.scan(table, afterKey, limit, std::move(done));
     }
 
+    int removals = 0; // Rows that transactions of the process were to remove.
     bool isEnded = false;
     bool isCutOff = false;
     bool isRemovalLate = false; // Transactions that remove rows get no answer and are done late.
@@ -77,6 +79,11 @@
                   });
               })
     {
+        table.removeRowsOfGone([this, &replicas](const Core::TargetId &replica) {
+            return isListRead && std::ranges::none_of(replicas, [&replica](const auto &listed) {
+                       return listed.replica == replica;
+                   });
+        });
         table.start();
         follow();
     }
@@ -101,6 +108,7 @@
     Core::VirtualScheduler &scheduler;
     Holding::HolderTable table;
     bool isFeedCutOff = false;
+    bool isListRead = true;
 };
 
 }
@@ -120,6 +128,12 @@
     CPPUNIT_TEST(lateRemovalLeavesRowOfNextProcess);
     CPPUNIT_TEST(missingRowDoesNotEndLease);
     CPPUNIT_TEST(stoppedHostLeavesNoRow);
+    CPPUNIT_TEST(rowOfGoneReplicaIsRemovedAfterTheDelay);
+    CPPUNIT_TEST(rowOfGoneReplicaStaysWhileTheListIsUnread);
+    CPPUNIT_TEST(rowWithoutLiveHolderIsRemovedByOneHost);
+    CPPUNIT_TEST(rowsAreRemovedOneAfterTheOther);
+    CPPUNIT_TEST(rowOfHolderThatListsTheReplicaStays);
+    CPPUNIT_TEST(lateRemovalLeavesRowOfReturnedReplica);
     CPPUNIT_TEST_SUITE_END();
 
     Core::VirtualScheduler m_scheduler;
@@ -349,6 +363,113 @@
         CPPUNIT_ASSERT(!hasRow("host/h1"));
         CPPUNIT_ASSERT(hasRow("holder/r1"));
     }
+
+    // Guards against rows that stay for ever, and against a fence number that starts again when the replica returns.
+    void rowOfGoneReplicaIsRemovedAfterTheDelay()
+    {
+        const auto first = host("h1");
+        m_scheduler.advance(3s);
+        const auto fence = first->table.orderFence({"r1"});
+        CPPUNIT_ASSERT(fence.has_value());
+        const auto listed = std::exchange(m_replicas, {});
+        m_scheduler.advance(59s);
+        CPPUNIT_ASSERT(hasRow("holder/r1"));
+        m_scheduler.advance(3s);
+        CPPUNIT_ASSERT(!hasRow("holder/r1"));
+        m_replicas = listed;
+        m_scheduler.advance(3s);
+        CPPUNIT_ASSERT(first->table.orderFence({"r1"}).has_value());
+        CPPUNIT_ASSERT(*first->table.orderFence({"r1"}) > *fence);
+    }
+
+    // Guards against an outage of the list counting as time for which the replica was gone.
+    void rowOfGoneReplicaStaysWhileTheListIsUnread()
+    {
+        const auto only = host("h1");
+        m_scheduler.advance(3s);
+        m_replicas.clear();
+        for (int i = 0; i < 4; ++i) {
+            m_scheduler.advance(50s);
+            only->isListRead = false;
+            m_scheduler.advance(1s);
+            only->isListRead = true;
+            CPPUNIT_ASSERT(hasRow("holder/r1"));
+        }
+    }
+
+    void rowWithoutLiveHolderIsRemovedByOneHost()
+    {
+        const auto holder = host("h2");
+        m_scheduler.advance(3s);
+        CPPUNIT_ASSERT(holder->table.orderFence({"r1"}).has_value());
+        const auto first = host("h1");
+        const auto third = host("h3");
+        m_scheduler.advance(1s);
+        holder->process.isEnded = true;
+        m_replicas.clear();
+        m_scheduler.advance(65s);
+        CPPUNIT_ASSERT(!hasRow("holder/r1"));
+        CPPUNIT_ASSERT_EQUAL(1, first->process.removals);
+        CPPUNIT_ASSERT_EQUAL(0, third->process.removals);
+    }
+
+    // Guards against hundreds of removals at once after a replacement of all replicas.
+    void rowsAreRemovedOneAfterTheOther()
+    {
+        m_replicas.clear();
+        for (int i = 0; i < 20; ++i) {
+            m_replicas.push_back({.replica = {"r" + std::to_string(i)}, .zone = {"a"}});
+        }
+        const auto first = host("h1");
+        const auto second = host("h2");
+        m_scheduler.advance(10s);
+        m_replicas.clear();
+        const auto removals = [&] {
+            return first->process.removals + second->process.removals;
+        };
+        for (int elapsed = 0; elapsed < 120; ++elapsed) {
+            const auto before = removals();
+            m_scheduler.advance(1s);
+            CPPUNIT_ASSERT(removals() - before <= 4);
+        }
+        CPPUNIT_ASSERT_EQUAL(20, removals());
+        CPPUNIT_ASSERT(first->process.removals > 0 && second->process.removals > 0);
+    }
+
+    // Guards against two hosts that order one replica: the holder's list is old, and it goes on ordering.
+    void rowOfHolderThatListsTheReplicaStays()
+    {
+        const auto holder = host("h1");
+        m_scheduler.advance(3s);
+        std::vector<Holding::ClaimableReplica> newer;
+        TestHost other(m_scheduler, m_rows, "h0", 1, newer);
+        m_scheduler.advance(100s);
+        CPPUNIT_ASSERT(hasRow("holder/r1"));
+        CPPUNIT_ASSERT(holder->table.orderFence({"r1"}).has_value());
+        CPPUNIT_ASSERT_EQUAL(0, other.process.removals);
+    }
+
+    // Guards against a removal that the store does after the replica has come back and was claimed again.
+    void lateRemovalLeavesRowOfReturnedReplica()
+    {
+        const auto only = host("h1");
+        m_scheduler.advance(3s);
+        const auto listed = std::exchange(m_replicas, {});
+        only->process.isRemovalLate = true;
+        for (int i = 0; i < 700 && only->process.removals == 0; ++i) {
+            m_scheduler.advance(100ms);
+        }
+        CPPUNIT_ASSERT_EQUAL(1, only->process.removals);
+        m_replicas = listed;
+        m_scheduler.advance(2s);
+        const auto fence = only->table.orderFence({"r1"});
+        CPPUNIT_ASSERT(fence.has_value());
+        for (int i = 0; i < 100; ++i) {
+            m_scheduler.advance(100ms);
+            CPPUNIT_ASSERT(hasRow("holder/r1"));
+            CPPUNIT_ASSERT(only->table.orderFence({"r1"}) == fence);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HolderTableTest);
--- a/Libraries/LibPlatform/TableService.h
+++ b/Libraries/LibPlatform/TableService.h
@@ -9,7 +9,8 @@
 
 namespace Platform {
 
-// One row as read from the table. The version counts the writes to this row and is never zero.
+// One row as read from the table. The version is never zero and rises with each write to this row, also if the row was
+// removed in between.
 struct Row {
     std::string key;
     std::uint64_t version = 0;
--- a/Services/currantbayd/GatewayDaemon.cpp
+++ b/Services/currantbayd/GatewayDaemon.cpp
@@ -83,6 +83,7 @@
     // The first order of a new holder must be sent after the order gap that follows the last order of the previous
     // holder.
     holding.handoverGap = settings.orderGap + std::chrono::milliseconds(500);
+    holding.goneRows.removalDelay += holding.handoverGap;
     return {.holding = holding,
             .retryBudget = retryOptions(settings),
             .peerKey = settings.peerKey,
