LibAccounts: Describe the state of an allowance

Operators can't see who uses an allowance up: the books of lenders and borrowers have no function that only reads. AllowanceExchange::overview() returns the lenders, the lender's bucket and what the host has borrowed, as of now.

LenderRole::mayLend() records the position of the host, so its decision moves to the const isLending(), and the level of a bucket to levelAt(). What is taken without a lender is summed in a rate of its own, which isn't part of the expected use.

A second host that was once probed was taken for a lender in tick() for as long as no further request arrived, and kept a full bucket; in a trial with two daemons both said that they lend. No request was served from it, since the probe before each loan drops such silence. isLending() now requires a recent probe, so that the bucket is closed too.

In the new one, 12 hosts that are asked for their overview every 10 ms for 20 s, with the lender cut off meanwhile, allow the same requests and send as many messages as without.

--- a/Libraries/LibAccounts/AllowanceExchange.cpp
+++ b/Libraries/LibAccounts/AllowanceExchange.cpp
@@ -216,6 +216,19 @@
     return m_counts;
 }
 
+AllowanceOverview AllowanceExchange::overview(const std::string &account) const
+{
+    const auto now = m_scheduler.now();
+    AllowanceOverview overview {.lenders = lendersOf(account), .borrowed = m_borrowed.overview(account, now)};
+    if (m_role.isLending(account, ownPosition(overview.lenders), now) && m_isProven()) {
+        overview.lent = m_lent.overview(account, now);
+    }
+    if (overview.lenders.empty()) {
+        overview.lenders.push_back(m_router.self());
+    }
+    return overview;
+}
+
 void AllowanceExchange::serveWaiting(const std::string &account)
 {
     auto &waiting = m_waiting[account];
--- a/Libraries/LibAccounts/AllowanceExchange.h
+++ b/Libraries/LibAccounts/AllowanceExchange.h
@@ -63,6 +63,8 @@
     // Returns the cost of a request that was allowed and didn't run.
     void giveBack(const std::string &account, double cost);
     [[nodiscard]] const AllowanceCounts &counts() const;
+    // Describes the account's allowance as far as this host knows it. Changes nothing and sends no message.
+    [[nodiscard]] AllowanceOverview overview(const std::string &account) const;
     // The hosts that may lend for an account, in order of preference, each in another availability zone as far as there
     // are that many. Small hosts don't lend while there are large ones, since the lender of a busy account receives
     // messages from every host.
--- a/Libraries/LibAccounts/BorrowerBook.cpp
+++ b/Libraries/LibAccounts/BorrowerBook.cpp
@@ -18,6 +18,7 @@
 
 BorrowerBook::Account::Account(const BorrowerBookOptions &options)
     : use(options.useHalfLife)
+    , unlentUse(options.useHalfLife)
     , lent(options.lentHalfLife)
 {
 }
@@ -111,6 +112,7 @@
     if (account.unlentLevel > 0) {
         account.unlentLevel -= cost;
         account.unlentUsed += cost;
+        account.unlentUse.add(cost, now);
         return {.outcome = TakeOutcome::Taken};
     }
     const Seconds missing(-account.unlentLevel / std::max(account.unlentRate, 1e-9));
@@ -138,6 +140,22 @@
     }
 }
 
+BorrowedOverview BorrowerBook::overview(const std::string &name, Core::TimePoint now) const
+{
+    const auto found = m_accounts.find(name);
+    if (found == m_accounts.end()) {
+        return {};
+    }
+    const auto &account = found->second;
+    BorrowedOverview overview {.usedPerSecond = account.use.perSecond(now) + account.unlentUse.perSecond(now),
+                               .refusedFor = std::max<Core::Duration>(account.refusedUntil - now, {}),
+                               .isWithoutLender = account.unlentSince.has_value()};
+    for (const auto &loan : account.loans) {
+        overview.unused += loan.leaseEnd > now ? loan.amount : 0;
+    }
+    return overview;
+}
+
 void BorrowerBook::prune(Core::TimePoint now)
 {
     std::erase_if(m_accounts, [now](const auto &entry) {
--- a/Libraries/LibAccounts/BorrowerBook.h
+++ b/Libraries/LibAccounts/BorrowerBook.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibAccounts/AllowanceOverview.h>
 #include <LibAccounts/LenderBook.h>
 #include <deque>
 #include <optional>
@@ -52,6 +53,8 @@
     void restoreUnlent(const std::string &account, double unlent);
     // Returns the cost of a request that didn't run.
     void giveBack(const std::string &account, double cost, Core::TimePoint now);
+    // Describes what the host has borrowed for the account. Changes nothing.
+    [[nodiscard]] BorrowedOverview overview(const std::string &account, Core::TimePoint now) const;
     // Forgets accounts that haven't been used for long. To be called periodically.
     void prune(Core::TimePoint now);
 
@@ -66,6 +69,7 @@
         std::deque<Held> loans; // By the end of their lease.
         double returned = 0; // Lapsed and not returned to the lender yet.
         DecayingRate use;
+        DecayingRate unlentUse; // Without a lender; not part of the expected use.
         DecayingRate lent;
         double headroom = 1; // As the lender last said.
         Core::TimePoint refusedUntil {};
--- a/Libraries/LibAccounts/LenderBook.cpp
+++ b/Libraries/LibAccounts/LenderBook.cpp
@@ -20,11 +20,16 @@
     return std::max(terms.burst, terms.ratePerSecond * Seconds(m_options.minBucketTime).count());
 }
 
-void LenderBook::refill(Bucket &bucket, Core::TimePoint now) const
+double LenderBook::levelAt(const Bucket &bucket, Core::TimePoint now) const
 {
     const auto elapsed = std::max(Seconds(now - bucket.filledAt).count(), 0.0);
     const auto rate = std::max(bucket.terms.ratePerSecond - bucket.silentRate, 0.0);
-    bucket.level = std::min(bucket.level + elapsed * rate, capacity(bucket.terms));
+    return std::min(bucket.level + elapsed * rate, capacity(bucket.terms));
+}
+
+void LenderBook::refill(Bucket &bucket, Core::TimePoint now) const
+{
+    bucket.level = levelAt(bucket, now);
     bucket.filledAt = now;
     if (now - bucket.silenceCheckedAt >= m_options.silenceCheckPeriod) {
         bucket.silenceCheckedAt = now;
@@ -89,4 +94,13 @@
                                    m_options.maxRetryAfter)};
 }
 
+std::optional<LentOverview> LenderBook::overview(std::string_view account, Core::TimePoint now) const
+{
+    const auto found = m_buckets.find(account);
+    if (found == m_buckets.end()) {
+        return std::nullopt;
+    }
+    return LentOverview {.level = levelAt(found->second, now), .perSecond = found->second.borrowers.lentRate(now)};
+}
+
 }
--- a/Libraries/LibAccounts/LenderBook.h
+++ b/Libraries/LibAccounts/LenderBook.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <LibAccounts/AllowanceOverview.h>
 #include <LibAccounts/AllowanceTerms.h>
 #include <LibAccounts/BorrowerGroups.h>
 #include <LibCore/Time.h>
@@ -55,6 +56,8 @@
     // Lends between the least and the wanted amount, or refuses. A request that costs more than the burst is allowed
     // when the bucket is full, and puts it into debt. Refuses accounts that aren't open.
     [[nodiscard]] Loan lend(std::string_view account, const LoanRequest &request, Core::TimePoint now);
+    // Describes the bucket of the account; no value if it isn't open. Changes nothing.
+    [[nodiscard]] std::optional<LentOverview> overview(std::string_view account, Core::TimePoint now) const;
 
 private:
     struct Bucket {
@@ -69,6 +72,7 @@
     };
 
     [[nodiscard]] double capacity(const AllowanceTerms &terms) const;
+    [[nodiscard]] double levelAt(const Bucket &bucket, Core::TimePoint now) const;
     void refill(Bucket &bucket, Core::TimePoint now) const;
     [[nodiscard]] double refusedLately(const Bucket &bucket, Core::TimePoint now) const;
 
--- a/Libraries/LibAccounts/LenderRole.cpp
+++ b/Libraries/LibAccounts/LenderRole.cpp
@@ -20,20 +20,36 @@
 bool LenderRole::mayLend(const std::string &account, std::optional<std::size_t> position, Core::TimePoint now)
 {
     auto &state = m_positions[account];
+    if (position != 0) {
+        state.firstSince.reset();
+        return isLending(account, position, now);
+    }
+    state.silentSince.reset();
+    state.firstSince = state.firstSince.value_or(now);
+    const bool isEstablished = isLending(account, position, now);
+    if (isEstablished) {
+        state.firstUntil = now;
+    }
+    return isEstablished;
+}
+
+bool LenderRole::isLending(const std::string &account, std::optional<std::size_t> position, Core::TimePoint now) const
+{
+    const auto found = m_positions.find(account);
+    if (found == m_positions.end()) {
+        return false;
+    }
+    const auto &state = found->second;
     if (position == 0) {
-        state.silentSince.reset();
-        state.firstSince = state.firstSince.value_or(now);
-        const bool isEstablished = now - *state.firstSince >= m_options.takeover;
-        if (isEstablished) {
-            state.firstUntil = now;
-        }
-        return isEstablished;
+        return state.firstSince.has_value() && now - *state.firstSince >= m_options.takeover;
     }
-    state.firstSince.reset();
     if (state.firstUntil != Core::TimePoint {} && now - state.firstUntil < m_options.handover) {
         return true;
     }
-    return position.has_value() && state.silentSince.has_value() && now - *state.silentSince >= m_options.silence;
+    // Without recent probes it isn't known whether a host before this one lends again.
+    const bool isSilent = state.silentSince.has_value() && now - *state.silentSince >= m_options.silence
+        && now - state.probedAt <= MaxProbeGap;
+    return position.has_value() && isSilent;
 }
 
 bool LenderRole::shouldProbe(const std::string &account, Core::TimePoint now)
--- a/Libraries/LibAccounts/LenderRole.h
+++ b/Libraries/LibAccounts/LenderRole.h
@@ -28,6 +28,9 @@
     // Whether this host lends, given its position among the hosts that may: 0 for the first, no value if it is none of
     // them. To be called regularly, so that changes of the position are noticed.
     [[nodiscard]] bool mayLend(const std::string &account, std::optional<std::size_t> position, Core::TimePoint now);
+    // Returns what mayLend() would return, without recording the position.
+    [[nodiscard]] bool isLending(const std::string &account, std::optional<std::size_t> position,
+                                 Core::TimePoint now) const;
     // Whether a further host, which is asked for a loan, should check now whether one before it lends.
     [[nodiscard]] bool shouldProbe(const std::string &account, Core::TimePoint now);
     // A host before this one has answered that it lends.
--- a/Libraries/LibAccounts/Tests/AllowanceBooksTest.cpp
+++ b/Libraries/LibAccounts/Tests/AllowanceBooksTest.cpp
@@ -137,6 +137,7 @@
             (void)role.shouldProbe("a", now);
         }
         CPPUNIT_ASSERT(role.mayLend("a", 1, Start + 3500ms));
+        CPPUNIT_ASSERT(!role.isLending("a", 1, Start + 6s));
         role.recordLending("a");
         CPPUNIT_ASSERT(!role.mayLend("a", 1, Start + 3600ms));
         // Silence that was last checked long ago proves nothing.
--- a/Libraries/LibAccounts/Tests/AllowanceExchangeTest.cpp
+++ b/Libraries/LibAccounts/Tests/AllowanceExchangeTest.cpp
@@ -188,6 +188,7 @@
     CPPUNIT_TEST(cutLenderStopsLending);
     CPPUNIT_TEST(cutZoneKeepsToItsPart);
     CPPUNIT_TEST(refusedDemandCausesFewMessages);
+    CPPUNIT_TEST(overviewChangesNothing);
     CPPUNIT_TEST(boundHoldsUnderRandomCutsAndRestarts);
     CPPUNIT_TEST_SUITE_END();
 
@@ -302,6 +303,31 @@
         CPPUNIT_ASSERT(network.messages / 20 <= 2 * 63);
     }
 
+    // Guards against an overview that lets loans lapse, opens or fills buckets, or asks a lender.
+    void overviewChangesNothing()
+    {
+        const Accounts::AllowanceTerms terms {.account = "a", .ratePerSecond = 60000, .burst = 60000};
+        const auto outcome = [&terms](bool isWatched) {
+            AllowanceNetwork network(12, terms, 1s);
+            std::mt19937 random(7);
+            const auto lender = Accounts::AllowanceExchange::lenders("a", network.candidates()).front();
+            std::size_t lending = 0;
+            play(network, {.perSecond = 90000, .hosts = 12}, random, [&](Core::Duration elapsed) {
+                if (elapsed == 6s) {
+                    network.cut.insert(lender.value);
+                } else if (elapsed == 12s) {
+                    network.cut.clear();
+                }
+                for (const auto &[name, host] : network.hosts) {
+                    lending += isWatched && host->exchange.overview("a").lent.has_value() ? 1 : 0;
+                }
+            });
+            CPPUNIT_ASSERT(!isWatched || lending > 1000);
+            return std::tuple(network.allowed, network.refused, network.messages);
+        };
+        CPPUNIT_ASSERT(outcome(true) == outcome(false));
+    }
+
     void boundHoldsUnderRandomCutsAndRestarts()
     {
         const bool hasPassed = rc::check([] {
