LibGateway: Count how requests end by account

Metrics can't have an account as a label, since there may be thousands of accounts, so nothing tells whose requests a host has served or refused. AccountCounters counts them by the status that the caller got: answered by a replica below 500, 429, and 503 for any reason, so that an account without room on a plain service shows too. It holds the accounts of the active configuration only. Gateway::accountOverview() adds the terms of the accounts and their allowances. No type of it holds a key.

Ruled out: counting at the decision in GatewayAccounts.cpp. A request that is admitted and then finds no replica would count as served.

--- a/Libraries/LibGateway/ForwardedRequest.cpp
+++ b/Libraries/LibGateway/ForwardedRequest.cpp
@@ -384,6 +384,9 @@
     if (m_account.cost > 0 && m_possibleRuns == 0 && m_dependencies.giveBack) {
         m_dependencies.giveBack(m_account);
     }
+    if (m_account.name.has_value() && m_dependencies.recordEnd) {
+        m_dependencies.recordEnd(*m_account.name, status);
+    }
     m_dependencies.scheduler.cancel(m_deadlineTimer);
     m_dependencies.scheduler.cancel(m_idleTimer);
     const auto now = m_dependencies.scheduler.now();
--- a/Libraries/LibGateway/ForwardedRequest.h
+++ b/Libraries/LibGateway/ForwardedRequest.h
@@ -39,6 +39,8 @@
     std::function<bool(const std::string &key, const std::string &account)> isKeyValid;
     // Returns what the request has taken from the allowance of its account, if it has certainly not run.
     std::function<void(const RequestAccount &account)> giveBack;
+    // Called at the end of a request that has an account, with the status of the response; zero if there was none.
+    std::function<void(const std::string &account, unsigned status)> recordEnd;
     Net::BufferBudget *budget = nullptr; // For the responses that the host buffers; null for no limit.
 };
 
--- a/Libraries/LibGateway/Gateway.cpp
+++ b/Libraries/LibGateway/Gateway.cpp
@@ -264,6 +264,10 @@
                                     [this](const auto &used) {
                                         m_allowances.giveBack(*used.name, static_cast<double>(used.cost));
                                     },
+                                .recordEnd =
+                                    [this](const auto &name, auto status) {
+                                        m_accountCounters.record(name, status);
+                                    },
                                 .budget = m_dependencies.budget},
         exchange, std::move(request), std::move(route), std::move(account));
     m_requests.push_back(forwarded);
--- a/Libraries/LibGateway/Gateway.h
+++ b/Libraries/LibGateway/Gateway.h
@@ -3,6 +3,7 @@
 #include <LibAccounts/AllowanceExchange.h>
 #include <LibFleet/Feed.h>
 #include <LibFleet/OrderLink.h>
+#include <LibGateway/AccountOverview.h>
 #include <LibGateway/ConfigurationProof.h>
 #include <LibGateway/FeedTimes.h>
 #include <LibGateway/ForwardedRequest.h>
@@ -76,6 +77,8 @@
     [[nodiscard]] Peer::PeerRouter &router();
     [[nodiscard]] const Holding::HolderTable &holders() const;
     [[nodiscard]] const Accounts::AllowanceCounts &allowanceCounts() const;
+    // Describes the accounts and what this host knows of their allowances. Changes nothing.
+    [[nodiscard]] AccountOverview accountOverview() const;
     // Replicas whose learned speed isn't the usual one of their service.
     [[nodiscard]] Placement::ReplicaSpeed::Counts unusualReplicas() const;
 
@@ -157,6 +160,7 @@
     std::unique_ptr<Fleet::DeploymentSource> m_deployment;
     Holding::HolderTable m_holders;
     Accounts::AllowanceExchange m_allowances;
+    AccountCounters m_accountCounters;
     Fleet::Feed<Fleet::ReplicaChanges> m_replicaFeed;
     Fleet::Feed<Fleet::ConfigurationChanges> m_configurationFeed;
     Fleet::Feed<Platform::FeedResult> m_holderFeed;
--- a/Libraries/LibGateway/GatewayAccounts.cpp
+++ b/Libraries/LibGateway/GatewayAccounts.cpp
@@ -85,6 +85,7 @@
                 {"status", std::to_string(status)},
                 {"retryAfterMs", retryAfter.has_value() ? std::to_string(Core::toMilliseconds(*retryAfter)) : ""},
                 {"reason", std::string(reason)}});
+    m_accountCounters.record(account, status);
     refuse(exchange, status, reason, retryAfter);
 }
 
@@ -93,6 +94,33 @@
     return m_allowances.counts();
 }
 
+AccountOverview Gateway::accountOverview() const
+{
+    AccountOverview overview {.host = m_options.holding.self.host};
+    const auto &configuration = m_routes.current();
+    if (configuration == nullptr) {
+        return overview;
+    }
+    overview.configuration = configuration->version;
+    if (!configuration->accounts.has_value()) {
+        return overview;
+    }
+    for (const auto &account : *configuration->accounts) {
+        auto &described = overview.accounts.emplace_back(
+            AccountOverview::Account {.name = account.name,
+                                      .priority = account.priority,
+                                      .unit = account.unit,
+                                      .ratePerSecond = account.ratePerSecond,
+                                      .burst = account.burst,
+                                      .keyCount = account.keys.size(),
+                                      .counts = m_accountCounters.counts(account.name)});
+        if (account.isLimited()) {
+            described.allowance = m_allowances.overview(account.name);
+        }
+    }
+    return overview;
+}
+
 bool Gateway::isKeyValid(const std::string &key, const std::string &account) const
 {
     if (!m_routes.current()->accounts.has_value()) {
@@ -105,7 +133,10 @@
 void Gateway::updateAllowances()
 {
     std::vector<Accounts::AllowanceTerms> terms;
-    if (const auto &accounts = m_routes.current()->accounts; accounts.has_value()) {
+    const auto &accounts = m_routes.current()->accounts;
+    m_accountCounters.setAccounts(accounts.has_value() ? std::span(*accounts)
+                                                       : std::span<const Routes::ClientAccount>());
+    if (accounts.has_value()) {
         for (const auto &account : *accounts) {
             if (account.isLimited()) {
                 terms.push_back(
