--- a/Libraries/LibGateway/Tests/ForwardingHarness.h
+++ b/Libraries/LibGateway/Tests/ForwardingHarness.h
@@ -53,7 +53,7 @@
 };
 
 // Records what a caller receives.
-class CallerEnd final : public Net::Exchange
+class CallerEnd : public Net::Exchange
 {
 public:
     void respond(Net::ResponseHead head, std::string responseBody) override
@@ -100,7 +100,7 @@
 
 // Reads the headers "Not-Run", "Stream", "Framed", "Length", "Unstamped", "Leaving", "Limit" and "Pause", which is in
 // milliseconds.
-class PlainProtocol final : public Gateway::Protocol
+class PlainProtocol : public Gateway::Protocol
 {
 public:
     [[nodiscard]] Gateway::CallerRequest readRequest(const Net::ServerRequest & /*request*/) const override
--- a/Libraries/LibNet/Exchange.h
+++ b/Libraries/LibNet/Exchange.h
@@ -50,7 +50,7 @@
     using ReaderFunction = std::function<void(ReaderState)>;
 
     virtual ~Exchange() = default;
-    [[nodiscard]] const ServerRequest &request() const;
+    [[nodiscard]] virtual const ServerRequest &request() const;
     // Sends a response with a complete body.
     virtual void respond(ResponseHead head, std::string body);
     // Starts a response whose body is sent in pieces by send().
