currantbay: List the allowances of accounts

`currantbay allowance list` and `currantbay allowance show NAME` print what a host answers at GET /operator/accounts. The noun is allowance because `currantbay account FILE...` reads logs.

printTable() computed the width of a column anew for each row, so that the time of a table grew with the square of its rows; it computes the widths once. reportFailure() prints the reason where an interface gives it as text.

--- a/Utilities/currantbay/Main.cpp
+++ b/Utilities/currantbay/Main.cpp
@@ -11,6 +11,7 @@
                "  currantbay ticket submit ticket-17.json && currantbay ticket wait 17\n"
                "  currantbay adapter show outline-sohar\n"
                "  currantbay host list --json\n"
+               "  currantbay allowance show acme --address 10.0.0.5:9464\n"
                "Exit codes: 0 done; 1 refused, nothing was changed or run; 2 bad command line, file or settings;\n"
                "3 no answer, or it isn't known whether it took effect.\n"
                "The address and token can also be given by CURRANTBAY_ADDRESS and CURRANTBAY_TOKEN.");
@@ -33,6 +34,7 @@
     Client::addRequestCommand(app, common, exitCode);
     Client::addServiceCommand(app, common, exitCode);
     Client::addSettingsCommands(app, common, exitCode);
+    Client::addAllowanceCommands(app, common, exitCode);
     Client::addTraceCommands(app, exitCode);
     Client::addLogCommands(app, exitCode);
     try {
--- a/Utilities/currantbay/Output.cpp
+++ b/Utilities/currantbay/Output.cpp
@@ -28,21 +28,20 @@
 
 void printTable(const nlohmann::json &rows, std::span<const Column> columns)
 {
+    std::vector<int> widths;
     for (const auto &column : columns) {
         std::size_t width = column.heading.size();
         for (const auto &row : rows) {
             width = std::max(width, cellText(row, column.member).size());
         }
-        std::cout << std::left << std::setw(static_cast<int>(width) + 2) << column.heading;
+        widths.push_back(static_cast<int>(width) + 2);
+        std::cout << std::left << std::setw(widths.back()) << column.heading;
     }
     std::cout << '\n';
     for (const auto &row : rows) {
+        auto width = widths.begin();
         for (const auto &column : columns) {
-            std::size_t width = column.heading.size();
-            for (const auto &other : rows) {
-                width = std::max(width, cellText(other, column.member).size());
-            }
-            std::cout << std::left << std::setw(static_cast<int>(width) + 2) << cellText(row, column.member);
+            std::cout << std::left << std::setw(*width++) << cellText(row, column.member);
         }
         std::cout << '\n';
     }
@@ -55,6 +54,11 @@
         return ExitCode::Unknown;
     }
     const auto json = answer.json();
+    // The interface of a gateway gives the reason as text.
+    if (json.is_object() && json.contains("error") && json["error"].is_string()) {
+        std::cerr << "refused with status " << answer.status << ": " << json["error"].get<std::string>() << '\n';
+        return ExitCode::Refused;
+    }
     if (!json.is_object() || !json.contains("error") || !json["error"].is_object()) {
         std::cerr << "answered with status " << answer.status << '\n';
         return ExitCode::Refused;
