LibPlacement: Tell what a choice of a replica compares

Operators can't see why a request goes to one replica and not to another: choose() added up a cost and kept nothing of it. The cost is now a sum of named parts, and explain() returns them for each candidate, with its rank and whether it was compared. choose() uses the same functions and the same sums; its speed wasn't measured. ReturnLoad can tell of a request whose demand isn't recorded, so that a decision about a replica that has returned can be made without recording it.

--- a/Libraries/LibPlacement/ReplicaChooser.cpp
+++ b/Libraries/LibPlacement/ReplicaChooser.cpp
@@ -27,16 +27,20 @@
                                                       / (1 + demand / m_options.additionalCopyDemand));
 }
 
-Core::Duration ReplicaChooser::cost(const PlacementRequest &placement, const Candidate &candidate, std::size_t rank,
-                                    Core::Duration copyCost) const
+ReplicaCost ReplicaChooser::cost(const PlacementRequest &placement, const Candidate &candidate, std::size_t rank,
+                                 Core::Duration copyCost) const
 {
     using Milliseconds = std::chrono::duration<double, std::milli>;
     const Milliseconds prefillTime(static_cast<double>(candidate.waitingTokens) / m_options.promptTokensPerMillisecond);
     const Milliseconds activeCost = m_options.costPerActive * static_cast<int>(candidate.active);
-    auto cost = std::chrono::duration_cast<Core::Duration>((prefillTime + activeCost) / candidate.speed)
-        + slownessCost(placement, candidate) + candidate.penalty + m_options.costPerRank * static_cast<int>(rank);
+    ReplicaCost cost {
+        .work = std::chrono::duration_cast<Core::Duration>((prefillTime + activeCost) / candidate.speed),
+        .slowness = slownessCost(placement, candidate),
+        .failures = candidate.penalty,
+        .rank = m_options.costPerRank * static_cast<int>(rank),
+    };
     if (candidate.zone != m_options.ownZone) {
-        cost += placement.isStream ? m_options.crossZoneStreamCost : m_options.crossZoneCost;
+        cost.zone = placement.isStream ? m_options.crossZoneStreamCost : m_options.crossZoneCost;
     }
     int queued = 0;
     if (candidate.slots > 0 && candidate.active >= candidate.slots) {
@@ -44,20 +48,20 @@
     } else if (candidate.memoryTokens > 0 && candidate.usedTokens + placement.totalTokens > candidate.memoryTokens) {
         queued = 1;
     }
-    cost
-        += std::chrono::duration_cast<Core::Duration>(Milliseconds(m_options.costPerQueued) * queued / candidate.speed);
-    cost += crowdingCost(placement, candidate);
+    cost.queue
+        = std::chrono::duration_cast<Core::Duration>(Milliseconds(m_options.costPerQueued) * queued / candidate.speed);
+    cost.crowding = crowdingCost(placement, candidate);
     if (candidate.residency == Residency::Absent && candidate.isCached) {
-        cost += m_options.cachedLoadCost + candidate.loadDelay;
+        cost.load = m_options.cachedLoadCost + candidate.loadDelay;
     } else if (candidate.residency != Residency::Resident) {
-        cost += m_options.loadCost + candidate.loadDelay + copyCost
+        cost.load = m_options.loadCost + candidate.loadDelay + copyCost
             + m_options.additionalHomeCost * static_cast<int>(rank);
     }
     if (candidate.residency == Residency::Unloadable) {
-        cost += m_options.unloadableCost;
+        cost.unloadable = m_options.unloadableCost;
     }
     if (candidate.isBlocked) {
-        cost += m_options.blockedCost;
+        cost.blocked = m_options.blockedCost;
     }
     return cost;
 }
@@ -115,42 +119,62 @@
     return isSampled;
 }
 
+std::vector<std::size_t> ReplicaChooser::ranksOf(std::string_view key, std::span<const Candidate> candidates)
+{
+    std::vector<std::size_t> ranks(candidates.size(), 0);
+    if (key.empty()) {
+        return ranks;
+    }
+    // All replicas have equal weight, so that the order of the hashes is sufficient.
+    const auto keyHash = Core::stableHash(key);
+    std::vector<std::size_t> order(candidates.size());
+    std::iota(order.begin(), order.end(), 0);
+    std::vector<std::uint64_t> scores(candidates.size());
+    std::transform(candidates.begin(), candidates.end(), scores.begin(), [keyHash](const auto &candidate) {
+        return Core::stableHash(candidate.home, keyHash);
+    });
+    std::sort(order.begin(), order.end(), [&scores](auto left, auto right) {
+        return scores[left] > scores[right];
+    });
+    for (std::size_t rank = 0; rank < order.size(); ++rank) {
+        ranks[order[rank]] = rank;
+    }
+    return ranks;
+}
+
+ReplicaChooser::Comparison ReplicaChooser::compare(const PlacementRequest &placement,
+                                                   std::span<const Candidate> candidates) const
+{
+    return {.ranks = ranksOf(placement.key, candidates),
+            .isSampled = sampledReplicas(placement.request, candidates),
+            .copyCost = additionalCopyCost(placement.demand),
+            .hasCopy = std::any_of(candidates.begin(), candidates.end(), [](const auto &candidate) {
+                return candidate.residency == Residency::Resident && !candidate.isBlocked;
+            })};
+}
+
+ReplicaCost ReplicaChooser::costOf(const PlacementRequest &placement, std::span<const Candidate> candidates,
+                                   const Comparison &comparison, std::size_t index) const
+{
+    const auto rank = comparison.ranks[index];
+    const bool isFirstCopy = rank == 0 && !comparison.hasCopy;
+    return cost(placement, candidates[index], rank, isFirstCopy ? Core::Duration {} : comparison.copyCost);
+}
+
 std::optional<std::size_t> ReplicaChooser::choose(const PlacementRequest &placement,
                                                   std::span<const Candidate> candidates) const
 {
     if (candidates.empty()) {
         return std::nullopt;
     }
-    std::vector<std::size_t> ranks(candidates.size(), 0);
-    if (!placement.key.empty()) {
-        // All replicas have equal weight, so that the order of the hashes is sufficient.
-        const auto keyHash = Core::stableHash(placement.key);
-        std::vector<std::size_t> order(candidates.size());
-        std::iota(order.begin(), order.end(), 0);
-        std::vector<std::uint64_t> scores(candidates.size());
-        std::transform(candidates.begin(), candidates.end(), scores.begin(), [keyHash](const auto &candidate) {
-            return Core::stableHash(candidate.home, keyHash);
-        });
-        std::sort(order.begin(), order.end(), [&scores](auto left, auto right) {
-            return scores[left] > scores[right];
-        });
-        for (std::size_t rank = 0; rank < order.size(); ++rank) {
-            ranks[order[rank]] = rank;
-        }
-    }
-    const auto isSampled = sampledReplicas(placement.request, candidates);
-    const auto copyCost = additionalCopyCost(placement.demand);
-    const bool hasCopy = std::any_of(candidates.begin(), candidates.end(), [](const auto &candidate) {
-        return candidate.residency == Residency::Resident && !candidate.isBlocked;
-    });
+    const auto comparison = compare(placement, candidates);
     std::optional<std::size_t> best;
     Core::Duration lowest {};
     for (std::size_t i = 0; i < candidates.size(); ++i) {
-        if (!isSampled[i]) {
+        if (!comparison.isSampled[i]) {
             continue;
         }
-        const bool isFirstCopy = ranks[i] == 0 && !hasCopy;
-        const auto expected = cost(placement, candidates[i], ranks[i], isFirstCopy ? Core::Duration {} : copyCost);
+        const auto expected = costOf(placement, candidates, comparison, i).total();
         if (!best.has_value() || expected < lowest) {
             best = i;
             lowest = expected;
@@ -159,4 +183,17 @@
     return best;
 }
 
+std::vector<CandidateCost> ReplicaChooser::explain(const PlacementRequest &placement,
+                                                   std::span<const Candidate> candidates) const
+{
+    const auto comparison = compare(placement, candidates);
+    std::vector<CandidateCost> costs;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        costs.push_back({.isCompared = comparison.isSampled[i],
+                         .rank = comparison.ranks[i],
+                         .cost = costOf(placement, candidates, comparison, i)});
+    }
+    return costs;
+}
+
 }
--- a/Libraries/LibPlacement/ReplicaChooser.h
+++ b/Libraries/LibPlacement/ReplicaChooser.h
@@ -50,6 +50,33 @@
     std::uint64_t totalTokens = 0; // The prompt and the expected output.
 };
 
+// The expected delay of the response at one replica, by cause. The replica with the lowest sum is chosen.
+struct ReplicaCost {
+    Core::Duration work {}; // The requests that run there and the prompts that wait there.
+    Core::Duration slowness {}; // The request itself, compared to a replica of the usual speed; negative at a fast one.
+    Core::Duration failures {};
+    Core::Duration rank {}; // Breaks ties.
+    Core::Duration zone {};
+    Core::Duration queue {}; // For a free slot or free memory.
+    Core::Duration
+        crowding {}; // Grows from half of the slots, memory or limit on, with a part that differs by request.
+    Core::Duration load {}; // Of the adapter, with what an additional copy and an additional home cost.
+    Core::Duration unloadable {};
+    Core::Duration blocked {};
+
+    [[nodiscard]] Core::Duration total() const
+    {
+        return work + slowness + failures + rank + zone + queue + crowding + load + unloadable + blocked;
+    }
+};
+
+// What a choice made of one candidate.
+struct CandidateCost {
+    bool isCompared = false; // Only some of many replicas that are ready are compared.
+    std::size_t rank = 0; // Among the homes of the adapter; zero is the first home.
+    ReplicaCost cost; // Also of a candidate that wasn't compared.
+};
+
 // Costs are expected delays of the response; the replica with the lowest sum is chosen.
 struct ReplicaChooserOptions {
     Core::ZoneId ownZone;
@@ -93,12 +120,28 @@
     // The index of the candidate with the lowest cost, or no value if there are no candidates.
     [[nodiscard]] std::optional<std::size_t> choose(const PlacementRequest &placement,
                                                     std::span<const Candidate> candidates) const;
+    // What choose() compares, for each candidate.
+    [[nodiscard]] std::vector<CandidateCost> explain(const PlacementRequest &placement,
+                                                     std::span<const Candidate> candidates) const;
 
 private:
+    // What the candidates of one request have in common.
+    struct Comparison {
+        std::vector<std::size_t> ranks;
+        std::vector<bool> isSampled;
+        Core::Duration copyCost {};
+        bool hasCopy = false; // The adapter is in the memory of a replica that isn't blocked.
+    };
+
+    [[nodiscard]] Comparison compare(const PlacementRequest &placement, std::span<const Candidate> candidates) const;
+    // The position of each candidate among the homes of the key.
+    [[nodiscard]] static std::vector<std::size_t> ranksOf(std::string_view key, std::span<const Candidate> candidates);
+    [[nodiscard]] ReplicaCost costOf(const PlacementRequest &placement, std::span<const Candidate> candidates,
+                                     const Comparison &comparison, std::size_t index) const;
     // Cost of an additional copy of the adapter, not counting its load time.
     [[nodiscard]] Core::Duration additionalCopyCost(double demand) const;
-    [[nodiscard]] Core::Duration cost(const PlacementRequest &placement, const Candidate &candidate, std::size_t rank,
-                                      Core::Duration copyCost) const;
+    [[nodiscard]] ReplicaCost cost(const PlacementRequest &placement, const Candidate &candidate, std::size_t rank,
+                                   Core::Duration copyCost) const;
     // How much longer than at a replica of the usual speed the request itself takes until its response; negative at a
     // fast replica.
     [[nodiscard]] Core::Duration slownessCost(const PlacementRequest &placement, const Candidate &candidate) const;
--- a/Libraries/LibPlacement/ReturnPace.cpp
+++ b/Libraries/LibPlacement/ReturnPace.cpp
@@ -217,7 +217,7 @@
 double ReturnPace::expectedDemand(Core::Duration turn, const ReturnLoad &load, const LimitSharing &sharing,
                                   Core::TimePoint now) const
 {
-    const auto own = recent(m_wanted, now);
+    const auto own = recent(m_wanted, now) + load.unrecordedDemand;
     const auto turns = Seconds(m_options.signWindow) / Seconds(turn);
     // Hosts without known demand may all have their first request at the same moment, such as when they learn of the
     // replica. Without news, a single request says nothing about the demand.
--- a/Libraries/LibPlacement/ReturnPace.h
+++ b/Libraries/LibPlacement/ReturnPace.h
@@ -39,6 +39,7 @@
     std::optional<unsigned> others; // Requests of the other hosts; empty if nothing is known of them.
     ReturnSigns othersSigns; // Sum over the other hosts.
     Core::Duration usualTime {}; // Usual response time; zero if unknown.
+    unsigned unrecordedDemand = 0; // Requests of this host for the replica for which recordDemand() wasn't called.
 };
 
 // The limit on the requests in progress at one replica, over all hosts, from its return until it has shown its usual
