currantbayd: Answer operators where a request would go

Gateways get an interface for operators at the address of the metrics: POST /operator/where takes the head of a request and answers with the account, the candidates with their states and expected delays, and the choice or the refusal that a caller would get. The head is decoded by the code that decodes callers' requests. Errors name a member of the question and never quote it, as it may contain a key. Other paths outside /operator/ give the metrics as before.

--- a/Libraries/LibNet/Exchange.cpp
+++ b/Libraries/LibNet/Exchange.cpp
@@ -20,6 +20,11 @@
     return found == headers.end() ? std::string_view() : std::string_view(found->second);
 }
 
+Exchange::Exchange(ServerRequest request)
+    : m_request(std::move(request))
+{
+}
+
 const ServerRequest &Exchange::request() const
 {
     return m_request;
--- a/Libraries/LibNet/Exchange.h
+++ b/Libraries/LibNet/Exchange.h
@@ -49,6 +49,9 @@
     using ClosedFunction = std::function<void()>;
     using ReaderFunction = std::function<void(ReaderState)>;
 
+    Exchange() = default;
+    // An exchange without a connection, for tests.
+    explicit Exchange(ServerRequest request);
     virtual ~Exchange() = default;
     [[nodiscard]] const ServerRequest &request() const;
     // Sends a response with a complete body.
--- a/Services/currantbayd/GatewayDaemon.cpp
+++ b/Services/currantbayd/GatewayDaemon.cpp
@@ -106,6 +106,7 @@
                          return std::make_unique<PlatformAdapter::StoreDeploymentSource>(rows);
                      }},
                 gatewayOptions(settings))
+    , m_operators(m_gateway, {.maxBodyBytes = settings.largestBodyBytes, .idSeed = randomBits()})
     , m_callerServer(m_loop, serverOptions(settings.callerAddress, settings, m_budget),
                      [this](const auto &exchange) {
                          m_gateway.handleRequest(exchange);
@@ -122,6 +123,10 @@
     if (!settings.metricsAddress.empty()) {
         m_metricsServer = std::make_unique<Net::HttpServer>(
             m_loop, serverOptions(settings.metricsAddress, settings, m_budget), [this](const auto &exchange) {
+                if (GatewayOperatorInterface::isResponsibleFor(exchange->request().path)) {
+                    m_operators.handleRequest(*exchange);
+                    return;
+                }
                 exchange->respond({.contentType = "text/plain; version=0.0.4"}, m_metrics.toPrometheusText());
             });
     }
--- a/Services/currantbayd/GatewayDaemon.h
+++ b/Services/currantbayd/GatewayDaemon.h
@@ -7,6 +7,7 @@
 #include <LibNet/PeerSocket.h>
 #include <LibNet/ServerDrain.h>
 #include <LibSettings/GatewaySettings.h>
+#include <currantbayd/GatewayOperatorInterface.h>
 #include <filesystem>
 #include <platform/ReplicaOrders.h>
 #include <platform/RequestProtocol.h>
@@ -48,10 +49,11 @@
     PlatformAdapter::RequestProtocol m_protocol;
     Net::PeerSocket m_peers;
     Gateway::Gateway m_gateway;
+    GatewayOperatorInterface m_operators;
     Net::HttpServer m_callerServer;
     Net::ServerDrain m_drain;
     Net::HttpServer m_readinessServer;
-    std::unique_ptr<Net::HttpServer> m_metricsServer;
+    std::unique_ptr<Net::HttpServer> m_metricsServer; // Of the metrics and the interface for operators.
     Core::TimePoint m_stopDeadline {}; // The drain is aborted at this time.
     Core::TimePoint m_balancerRemovalTime {}; // Until then the load balancer may still send requests.
     bool m_isStopping = false;
