--- a/Utilities/currantbay/Commands.h
+++ b/Utilities/currantbay/Commands.h
@@ -11,6 +11,7 @@
 void addRequestCommand(CLI::App &app, const CommonOptions &common, ExitCode &exitCode);
 void addSettingsCommands(CLI::App &app, const CommonOptions &common, ExitCode &exitCode);
 void addServiceCommand(CLI::App &app, const CommonOptions &common, ExitCode &exitCode);
+void addWhereCommand(CLI::App &app, const CommonOptions &common, ExitCode &exitCode);
 void addTraceCommands(CLI::App &app, ExitCode &exitCode);
 void addLogCommands(CLI::App &app, ExitCode &exitCode);
 
--- a/Utilities/currantbay/Main.cpp
+++ b/Utilities/currantbay/Main.cpp
@@ -33,6 +33,7 @@
     Client::addRequestCommand(app, common, exitCode);
     Client::addServiceCommand(app, common, exitCode);
     Client::addSettingsCommands(app, common, exitCode);
+    Client::addWhereCommand(app, common, exitCode);
     Client::addTraceCommands(app, exitCode);
     Client::addLogCommands(app, exitCode);
     try {
