--- a/Libraries/LibNet/HttpServer.h
+++ b/Libraries/LibNet/HttpServer.h
@@ -59,13 +59,13 @@
     [[nodiscard]] std::size_t openExchanges() const;
     // Returns the number of requests that were refused because their limits are ambiguous.
     [[nodiscard]] std::size_t ambiguousRequests() const;
+    // The limit on the body of a request that arrives now.
+    [[nodiscard]] BodyLimit bodyLimit() const;
 
 private:
     friend class Exchange;
     friend struct ServerCallbacks;
 
-    // The limit for a request that arrives now.
-    [[nodiscard]] BodyLimit bodyLimit() const;
     void scheduleRun();
     void processEvents();
     void closeDisconnectedExchanges();
--- a/Services/currantbayd/GatewayDaemon.cpp
+++ b/Services/currantbayd/GatewayDaemon.cpp
@@ -118,6 +118,12 @@
                          return std::make_unique<PlatformAdapter::StoreDeploymentSource>(rows);
                      }},
                 gatewayOptions(settings))
+    , m_operators(m_gateway,
+                  {.maxBodyBytes =
+                       [this] {
+                           return m_callerServer.bodyLimit().bytes;
+                       },
+                   .idSeed = randomBits()})
     , m_callerServer(m_loop, callerServerOptions(settings, m_budget, m_gateway),
                      [this](const auto &exchange) {
                          m_gateway.handleRequest(exchange);
@@ -134,6 +140,10 @@
     if (!settings.metricsAddress.empty()) {
         m_metricsServer = std::make_unique<Net::HttpServer>(
             m_loop, serverOptions(settings.metricsAddress, settings, m_budget), [this](const auto &exchange) {
+                if (GatewayOperatorInterface::isResponsibleFor(exchange->request().path)) {
+                    m_operators.handleRequest(*exchange);
+                    return;
+                }
                 exchange->respond({.contentType = "text/plain; version=0.0.4"}, m_metrics.toPrometheusText());
             });
     }
--- a/Utilities/currantbay/Main.cpp
+++ b/Utilities/currantbay/Main.cpp
@@ -35,6 +35,7 @@
     Client::addServiceCommand(app, common, exitCode);
     Client::addSettingsCommands(app, common, exitCode);
     Client::addAllowanceCommands(app, common, exitCode);
+    Client::addWhereCommand(app, common, exitCode);
     Client::addTraceCommands(app, exitCode);
     Client::addLogCommands(app, exitCode);
     try {
