LibMembership: Let no late write restore an earlier process

Cause: renewals and updates of a host's lease row had no condition, so that one of an ended process that the store did late showed its incarnation again in the row of the next process. TargetOwnership::isClaimable takes another incarnation for the proof that the owner has ended, without a condition on the lease row, so that other hosts claimed what the next process owns. An old read of the row was enough for that.

Change: a process registers itself in a row of the table host-processes at its start, and all its writes of the lease row are conditioned on the version of that row. A planned stop changes it too, so that a late renewal doesn't bring the lease row back. The claim carries the condition on the lease row. A condition on the lease row itself was ruled out for renewals: unanswered ones would fail each other.

The stand-in of HostLeasesTest now checks conditions, which it took for committed before.

--- a/Libraries/LibMembership/HostLeases.cpp
+++ b/Libraries/LibMembership/HostLeases.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::string_view HostTable = "hosts";
+constexpr std::string_view ProcessTable = "host-processes"; // Keys as in the table of hosts; values are incarnations.
 constexpr std::size_t RowsPerPage = 200;
 constexpr std::size_t MaxUnconfirmedRenewals = 64;
 
@@ -25,6 +26,9 @@
 void HostLeases::start()
 {
     m_lastTableResponse = m_scheduler.now();
+    // A host that has never run is registered before the row has been read, so that others which start with it see it
+    // in their first scans.
+    writeProcess(0);
     renew();
     scanOwnZone();
     scanOtherZones();
@@ -33,7 +37,11 @@
 void HostLeases::update(const std::function<void(HostRecord &)> &change)
 {
     change(m_self);
-    m_table.transact({.puts = {{.table = std::string(HostTable), .key = ownKey(), .value = toText(m_self)}}},
+    if (!m_processVersion.has_value()) {
+        return; // The registration or the renewal that follows it writes the change.
+    }
+    m_table.transact({.conditions = {processCondition()},
+                      .puts = {{.table = std::string(HostTable), .key = ownKey(), .value = toText(m_self)}}},
                      [](const auto &) {});
 }
 
@@ -60,12 +68,17 @@
             return;
         }
         // The service may do this seconds later, when the next process of this host has written the row.
-        m_table.transact(
-            {.conditions = {{.table = std::string(HostTable), .key = ownKey(), .version = read.row->version}},
-             .deletions = {{.table = std::string(HostTable), .key = ownKey()}}},
-            [done](const auto &) {
-                done();
-            });
+        Platform::Transaction transaction {
+            .conditions = {{.table = std::string(HostTable), .key = ownKey(), .version = read.row->version}},
+            .deletions = {{.table = std::string(HostTable), .key = ownKey()}}};
+        if (m_processVersion.has_value()) {
+            // A renewal that is done late must not write the row again.
+            transaction.conditions.push_back(processCondition());
+            transaction.puts.push_back({.table = std::string(ProcessTable), .key = ownKey()});
+        }
+        m_table.transact(std::move(transaction), [done](const auto &) {
+            done();
+        });
     });
 }
 
@@ -161,6 +174,11 @@
     return m_scheduler.now() - m_lastTableResponse;
 }
 
+Platform::RowCondition HostLeases::processCondition() const
+{
+    return {.table = std::string(ProcessTable), .key = ownKey(), .version = m_processVersion.value_or(0)};
+}
+
 std::string HostLeases::ownKey() const
 {
     return m_self.zone.value + '/' + m_self.id.value;
@@ -171,20 +189,72 @@
     if (m_isReleased) {
         return;
     }
+    if (m_processVersion.has_value()) {
+        writeRenewal({.conditions = {processCondition()}});
+    } else {
+        registerProcess();
+    }
+    m_scheduler.runAfter(m_options.renewalPeriod, [this] {
+        renew();
+    });
+}
+
+void HostLeases::registerProcess()
+{
+    readProcess([this](const Platform::ReadResult &read) {
+        if (m_processVersion.has_value()) {
+            writeRenewal({.conditions = {processCondition()}});
+            return;
+        }
+        // Once registered, only a later process of the host can have replaced this one, and this one has ended then.
+        if (!read.isAvailable || (m_wasRegistered && read.row.has_value())) {
+            return;
+        }
+        writeProcess(read.row.has_value() ? read.row->version : 0);
+    });
+}
+
+void HostLeases::writeProcess(std::uint64_t version)
+{
+    writeRenewal(
+        {.conditions = {{.table = std::string(ProcessTable), .key = ownKey(), .version = version}},
+         .puts
+         = {{.table = std::string(ProcessTable), .key = ownKey(), .value = std::to_string(m_self.incarnation)}}});
+}
+
+void HostLeases::readProcess(std::function<void(const Platform::ReadResult &read)> done)
+{
+    m_table.read(ProcessTable, ownKey(), [this, done = std::move(done)](const Platform::ReadResult &read) {
+        if (m_isReleased) {
+            return;
+        }
+        if (read.row.has_value() && read.row->value == std::to_string(m_self.incarnation)) {
+            m_processVersion = read.row->version;
+            m_wasRegistered = true;
+        }
+        done(read);
+    });
+}
+
+void HostLeases::writeRenewal(Platform::Transaction transaction)
+{
     const auto renewal = ++m_self.renewal;
     m_sentRenewals[renewal] = m_scheduler.now();
     if (m_sentRenewals.size() > MaxUnconfirmedRenewals) {
         m_sentRenewals.erase(m_sentRenewals.begin());
     }
-    m_table.transact({.puts = {{.table = std::string(HostTable), .key = ownKey(), .value = toText(m_self)}}},
-                     [this, renewal](const Platform::TransactionResult &result) {
-                         if (result.outcome == Platform::TransactionOutcome::Committed) {
-                             m_lastTableResponse = m_scheduler.now();
-                             confirmRenewal(renewal);
-                         }
-                     });
-    m_scheduler.runAfter(m_options.renewalPeriod, [this] {
-        renew();
+    transaction.puts.push_back({.table = std::string(HostTable), .key = ownKey(), .value = toText(m_self)});
+    m_table.transact(std::move(transaction), [this, renewal](const Platform::TransactionResult &result) {
+        if (result.outcome == Platform::TransactionOutcome::Committed) {
+            m_lastTableResponse = m_scheduler.now();
+            confirmRenewal(renewal);
+            if (!m_processVersion.has_value()) {
+                readProcess([](const auto &) {});
+            }
+        } else if (result.outcome == Platform::TransactionOutcome::Conflicted) {
+            m_lastTableResponse = m_scheduler.now();
+            m_processVersion.reset();
+        }
     });
 }
 
--- a/Libraries/LibMembership/HostLeases.h
+++ b/Libraries/LibMembership/HostLeases.h
@@ -24,6 +24,11 @@
 // that its host must renew within a term to count as alive. The host counts the term from before it sent the renewal;
 // other hosts count it from when they first read the row. The host's own view therefore always expires first, and wall
 // clocks of different hosts are never compared.
+//
+// A second row, in the table of processes, names the process of the host that was started last. Only its start and its
+// release change it, and every other write of the lease row is conditional on its version. The service may do a write
+// seconds late; it fails then if the host's next process has started. Renewals don't fail because of each other, also
+// if several are unanswered.
 class HostLeases
 {
 public:
@@ -75,6 +80,14 @@
     };
 
     void renew();
+    // Makes this process the one that the table of processes names, or reads the version of that row if it is.
+    void registerProcess();
+    // Writes the row of the process if it still has the version; with version zero, if there is none.
+    void writeProcess(std::uint64_t version);
+    // Reads the row of the host's process, and stores its version if it names this process.
+    void readProcess(std::function<void(const Platform::ReadResult &read)> done);
+    // Writes the lease row as a renewal, in the given transaction.
+    void writeRenewal(Platform::Transaction transaction);
     void confirmRenewal(std::uint64_t renewal);
     void scanOwnZone();
     void scanOtherZones();
@@ -84,6 +97,8 @@
     void removeDeletedHosts(const std::set<Core::HostId> &found);
     // Whether this process has written the row of this host.
     [[nodiscard]] bool isOwnRow(const Platform::Row &row) const;
+    // The condition that no other process of this host has started.
+    [[nodiscard]] Platform::RowCondition processCondition() const;
     [[nodiscard]] std::string ownKey() const;
     [[nodiscard]] bool isExpired(const ObservedHost &observed) const;
 
@@ -97,6 +112,8 @@
     Core::TimePoint m_leaseHeldUntil {};
     Core::TimePoint m_lastTableResponse {};
     std::uint64_t m_session = 0;
+    std::optional<std::uint64_t> m_processVersion; // Of the row that names this process; empty until it is known.
+    bool m_wasRegistered = false; // The row has named this process.
     bool m_isReady = false;
     bool m_isReleased = false;
 };
--- a/Libraries/LibMembership/TargetOwnershipClaims.cpp
+++ b/Libraries/LibMembership/TargetOwnershipClaims.cpp
@@ -94,10 +94,10 @@
         return true;
     }
     const auto record = m_leases.find(row.owner);
-    if (record.has_value() && record->incarnation != row.incarnation) {
-        return true;
-    }
-    if (record.has_value() && !m_leases.isExpired(row.owner)) {
+    // Another process of the owner has ended the one that the row names, unless the record is older than the row. The
+    // condition on the lease row shows that too.
+    const bool isRestarted = record.has_value() && record->incarnation != row.incarnation;
+    if (record.has_value() && !isRestarted && !m_leases.isExpired(row.owner)) {
         return false;
     }
     conditions.push_back(m_leases.unchangedCondition(row.owner));
--- a/Libraries/LibMembership/Tests/HostLeasesTest.cpp
+++ b/Libraries/LibMembership/Tests/HostLeasesTest.cpp
@@ -7,10 +7,10 @@
 
 namespace {
 
-// When the table does a removal late.
-constexpr auto RemovalDelay = 5200ms;
+// When the table does a late write.
+constexpr auto WriteDelay = 5200ms;
 
-// A table whose responses to transactions are delayed or lost. Every transaction takes effect at once.
+// A table whose responses to transactions are delayed or lost. Transactions take effect at once, unless they are late.
 class SlowTable final : public Platform::TableService
 {
 public:
@@ -20,15 +20,17 @@
     }
     void transact(Platform::Transaction transaction, TransactionFunction done) override
     {
-        if (!isDown && isRemovalLate && !transaction.deletions.empty()) {
-            m_scheduler.runAfter(RemovalDelay, [this, transaction] {
+        auto outcome = Platform::TransactionOutcome::Unknown;
+        if (!isDown && (isWriteLate || (isRemovalLate && !transaction.deletions.empty()))) {
+            m_scheduler.runAfter(WriteDelay, [this, transaction] {
                 rows.transact(transaction);
             });
         } else if (!isDown) {
-            rows.transact(transaction);
+            const bool isCommitted = rows.transact(transaction);
+            outcome = isLosingResponses ? Platform::TransactionOutcome::Unknown
+                : isCommitted           ? Platform::TransactionOutcome::Committed
+                                        : Platform::TransactionOutcome::Conflicted;
         }
-        const auto outcome = isLosingResponses || isDown ? Platform::TransactionOutcome::Unknown
-                                                         : Platform::TransactionOutcome::Committed;
         m_scheduler.runAfter(responseDelay, [done = std::move(done), outcome] {
             done({.outcome = outcome});
         });
@@ -54,6 +56,7 @@
     bool isDown = false;
     bool isScanDown = false;
     bool isRemovalLate = false;
+    bool isWriteLate = false; // Writes get no response and are done late.
 
 private:
     Core::Scheduler &m_scheduler;
@@ -68,6 +71,9 @@
     CPPUNIT_TEST(renewalWithLostResponseCountsOnceReadBack);
     CPPUNIT_TEST(leaseExpiresForHolderBeforeOtherHosts);
     CPPUNIT_TEST(lateRemovalLeavesRowOfNextProcess);
+    CPPUNIT_TEST(lateRenewalLeavesRowOfNextProcess);
+    CPPUNIT_TEST(lateRenewalDoesNotRestoreAReleasedRow);
+    CPPUNIT_TEST(processIsRegisteredAgainIfItsRowIsLost);
     CPPUNIT_TEST_SUITE_END();
 
     Core::VirtualScheduler m_clock;
@@ -142,6 +148,59 @@
         }
         CPPUNIT_ASSERT(restarted.isLeaseHeld());
     }
+
+    // Other hosts took the incarnation in such a row for the end of the process that had written the row before.
+    void lateRenewalLeavesRowOfNextProcess()
+    {
+        m_holder.start();
+        m_clock.advance(10s);
+        m_table.isWriteLate = true;
+        for (int i = 0; i < 20; ++i) {
+            m_clock.advance(100ms);
+            m_holder.update([](auto &record) {
+                record.isLeaving = true;
+            });
+        }
+        m_table.isWriteLate = false;
+        m_holder.release([] {});
+        Membership::HostLeases restarted(m_clock, m_table, {.id = {"h"}, .zone = {"a"}, .incarnation = 3}, {});
+        restarted.start();
+        m_clock.advance(1s);
+        for (int i = 0; i < 100; ++i) {
+            m_clock.advance(100ms);
+            const auto row = m_table.rows.read("hosts", "a/h");
+            CPPUNIT_ASSERT(row.has_value());
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), Membership::hostRecordFromText(row->value).incarnation);
+            CPPUNIT_ASSERT(restarted.isLeaseHeld());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), restarted.session());
+    }
+
+    // Other hosts took such a row for that of a live host.
+    void lateRenewalDoesNotRestoreAReleasedRow()
+    {
+        m_holder.start();
+        m_clock.advance(10s);
+        m_table.isWriteLate = true;
+        m_clock.advance(1s);
+        m_table.isWriteLate = false;
+        m_holder.release([] {});
+        for (int i = 0; i < 100; ++i) {
+            m_clock.advance(100ms);
+            CPPUNIT_ASSERT(!m_table.rows.read("hosts", "a/h").has_value());
+        }
+    }
+
+    // Guards against a host that can't renew its lease any more until it is started again.
+    void processIsRegisteredAgainIfItsRowIsLost()
+    {
+        m_holder.start();
+        m_clock.advance(10s);
+        m_table.rows.transact({.deletions = {{.table = "host-processes", .key = "a/h"}}});
+        m_clock.advance(10s);
+        CPPUNIT_ASSERT(m_holder.isLeaseHeld());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), m_holder.session());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HostLeasesTest);
--- a/Libraries/LibMembership/Tests/TargetOwnershipTest.cpp
+++ b/Libraries/LibMembership/Tests/TargetOwnershipTest.cpp
@@ -23,6 +23,9 @@
     std::array<bool, HostCount> isDisconnectedFromPlatform {};
     std::array<bool, HostCount> isDisconnectedFromPeers {};
     std::array<Core::Duration, HostCount> orderDelay {};
+    std::array<Core::Duration, HostCount> leaseWriteDelay {}; // Of writes to the table of hosts.
+    std::optional<StandIns::MemoryTable>
+        staleRows; // What scans of the table of hosts show instead of the present rows.
 };
 
 // The timers of one host. Those that expire during a pause run when the host resumes.
@@ -41,6 +44,9 @@
     Core::TimerId runAfter(Core::Duration delay, Task task) override
     {
         return m_clock.runAfter(delay, [this, task = std::move(task)] {
+            if (m_isEnded) {
+                return;
+            }
             if (m_isPaused) {
                 m_dueTasks.push_back(task);
             } else {
@@ -52,6 +58,15 @@
     {
         m_clock.cancel(timer);
     }
+    // Ends the process: nothing runs any more.
+    void end()
+    {
+        m_isEnded = true;
+    }
+    [[nodiscard]] bool isEnded() const
+    {
+        return m_isEnded;
+    }
     void resume()
     {
         for (const auto &task : std::exchange(m_dueTasks, {})) {
@@ -63,6 +78,7 @@
     Core::VirtualScheduler &m_clock;
     const bool &m_isPaused;
     std::vector<Task> m_dueTasks;
+    bool m_isEnded = false;
 };
 
 // The reference model of the ownership history: the fences that the target has accepted, in order. Each belongs to one
@@ -99,7 +115,7 @@
                              public Engine::EngineLink,
                              public Peer::PeerTransport,
                              public Platform::HostList {
-    SimulatedHost(Simulation &simulation, int index);
+    SimulatedHost(Simulation &simulation, int index, std::uint64_t incarnation);
 
     void transact(Platform::Transaction transaction, TransactionFunction done) override;
     void read(std::string_view table, std::string_view key, ReadFunction done) override;
@@ -130,7 +146,8 @@
     // Sends a request to the platform. The function runs once, with the response or, after a timeout, with the
     // fallback.
     template<typename Response>
-    void callPlatform(std::function<Response()> execute, std::function<void(Response)> done, Response fallback);
+    void callPlatform(std::function<Response()> execute, std::function<void(Response)> done, Response fallback,
+                      Core::Duration delay = {});
 
     Simulation &simulation;
     int index;
@@ -143,14 +160,11 @@
 
 struct Simulation {
     explicit Simulation(Platform::FenceChecking checking)
-        : engine({.incarnation = "1", .fenceChecking = checking})
+        : checking(checking)
+        , engine({.incarnation = "1", .fenceChecking = checking})
     {
         for (int i = 0; i < HostCount; ++i) {
-            hosts.push_back(std::make_unique<SimulatedHost>(*this, i));
-            hosts.back()->directory.apply({{.kind = Platform::MachineKind::Engine,
-                                            .name = Target.value,
-                                            .zone = {"a"},
-                                            .fenceChecking = checking}});
+            hosts.push_back(makeHost(i, static_cast<std::uint64_t>(i) + 1));
         }
         for (const auto &host : hosts) {
             host->leases.start();
@@ -158,30 +172,68 @@
         }
     }
 
+    std::unique_ptr<SimulatedHost> makeHost(int index, std::uint64_t incarnation)
+    {
+        auto host = std::make_unique<SimulatedHost>(*this, index, incarnation);
+        host->directory.apply(
+            {{.kind = Platform::MachineKind::Engine, .name = Target.value, .zone = {"a"}, .fenceChecking = checking}});
+        return host;
+    }
+
+    // Ends the process of a host. Its writes that are on their way are still done.
+    void end(int index)
+    {
+        hosts.at(index)->scheduler.end();
+    }
+
+    // Starts the next process of a host.
+    void restart(int index)
+    {
+        endedHosts.push_back(std::exchange(hosts.at(index), makeHost(index, ++lastIncarnation)));
+        hosts.at(index)->leases.start();
+        hosts.at(index)->ownership.start();
+    }
+
+    [[nodiscard]] bool isOwner(int index) const
+    {
+        return !hosts.at(index)->scheduler.isEnded() && !hosts.at(index)->ownership.owned().empty();
+    }
+
+    // The first host that acts as the owner; HostCount if none does.
+    [[nodiscard]] int owner() const
+    {
+        int found = 0;
+        while (found < HostCount && !isOwner(found)) {
+            ++found;
+        }
+        return found;
+    }
+
+    Platform::FenceChecking checking;
     Core::VirtualScheduler clock;
     Faults faults;
+    std::uint64_t lastIncarnation = HostCount;
     StandIns::MemoryTable table;
     StandIns::EngineModel engine;
     ReferenceHistory reference;
     std::vector<std::unique_ptr<SimulatedHost>> hosts;
+    std::vector<std::unique_ptr<SimulatedHost>> endedHosts; // Processes that have ended.
 };
 
-SimulatedHost::SimulatedHost(Simulation &simulation, int index)
+SimulatedHost::SimulatedHost(Simulation &simulation, int index, std::uint64_t incarnation)
     : simulation(simulation)
     , index(index)
     , scheduler(simulation.clock, simulation.faults.isPaused[index])
     , directory(scheduler, *this, 1s)
-    , router(scheduler, *this, {.self = {"h" + std::to_string(index)}, .incarnation = 1, .key = "key"})
-    , leases(scheduler, *this,
-             {.id = {"h" + std::to_string(index)}, .zone = {"a"}, .incarnation = static_cast<std::uint64_t>(index) + 1},
-             {})
+    , router(scheduler, *this, {.self = {"h" + std::to_string(index)}, .incarnation = incarnation, .key = "key"})
+    , leases(scheduler, *this, {.id = {"h" + std::to_string(index)}, .zone = {"a"}, .incarnation = incarnation}, {})
     , ownership(scheduler, *this, router, *this, leases, directory, {})
 {
 }
 
 template<typename Response>
 void SimulatedHost::callPlatform(std::function<Response()> execute, std::function<void(Response)> done,
-                                 Response fallback)
+                                 Response fallback, Core::Duration delay)
 {
     auto isDone = std::make_shared<bool>(false);
     const auto finish = [isDone, done](const Response &response) {
@@ -192,7 +244,7 @@
     scheduler.runAfter(ResponseTimeout, [finish, fallback] {
         finish(fallback);
     });
-    simulation.clock.runAfter(LinkDelay, [this, execute, finish] {
+    simulation.clock.runAfter(LinkDelay + delay, [this, execute, finish] {
         const auto &faults = simulation.faults;
         if (faults.isPlatformDown || faults.isDisconnectedFromPlatform[index]) {
             return;
@@ -208,13 +260,16 @@
 
 void SimulatedHost::transact(Platform::Transaction transaction, TransactionFunction done)
 {
+    const bool isLeaseWrite = std::ranges::any_of(transaction.puts, [](const auto &put) {
+        return put.table == "hosts";
+    });
     callPlatform<Platform::TransactionResult>(
         [this, transaction = std::move(transaction)] {
             const bool isCommitted = simulation.table.transact(transaction);
             return Platform::TransactionResult {.outcome = isCommitted ? Platform::TransactionOutcome::Committed
                                                                        : Platform::TransactionOutcome::Conflicted};
         },
-        std::move(done), {});
+        std::move(done), {}, isLeaseWrite ? simulation.faults.leaseWriteDelay[index] : Core::Duration {});
 }
 
 void SimulatedHost::read(std::string_view table, std::string_view key, ReadFunction done)
@@ -230,7 +285,9 @@
 {
     callPlatform<Platform::ScanResult>(
         [this, table = std::string(table), afterKey = std::string(afterKey), limit] {
-            return Platform::ScanResult {.isAvailable = true, .rows = simulation.table.scan(table, afterKey, limit)};
+            const auto &stale = simulation.faults.staleRows;
+            const auto &rows = table == "hosts" && stale.has_value() ? *stale : simulation.table;
+            return Platform::ScanResult {.isAvailable = true, .rows = rows.scan(table, afterKey, limit)};
         },
         std::move(done), {});
 }
@@ -320,6 +377,8 @@
 {
     CPPUNIT_TEST_SUITE(TargetOwnershipTest);
     CPPUNIT_TEST(targetHasOneEffectiveOwnerAndFencesIncrease);
+    CPPUNIT_TEST(lateRenewalOfEarlierProcessLeavesTargetOfTheNext);
+    CPPUNIT_TEST(staleRowOfEarlierProcessLeavesTargetOfTheNext);
     CPPUNIT_TEST_SUITE_END();
 
     // Random outages, lost responses, pauses and delayed orders could make two hosts act as owner of one target. Checks
@@ -353,6 +412,61 @@
             RC_ASSERT(row.fence == simulation.reference.fence());
         }));
     }
+
+    // The owner stops as planned and starts again. The renewals of the first process are done 5.2 s late and show it as
+    // leaving: another host wants its target then, and took the other incarnation for the proof that the owner ended.
+    void lateRenewalOfEarlierProcessLeavesTargetOfTheNext()
+    {
+        Simulation simulation(Platform::FenceChecking::Ignores);
+        simulation.clock.advance(20s);
+        const auto owner = simulation.owner();
+        simulation.faults.leaseWriteDelay[owner] = 5200ms;
+        for (int i = 0; i < 15; ++i) {
+            simulation.hosts[owner]->leases.update([](auto &record) {
+                record.isLeaving = true;
+            });
+            simulation.clock.advance(100ms);
+        }
+        simulation.hosts[owner]->ownership.leave([] {});
+        simulation.clock.advance(100ms);
+        simulation.end(owner);
+        simulation.faults.leaseWriteDelay[owner] = {};
+        simulation.restart(owner);
+        simulation.clock.advance(3s);
+        CPPUNIT_ASSERT(simulation.isOwner(owner));
+        for (int i = 0; i < 100; ++i) {
+            simulation.clock.advance(100ms);
+            CPPUNIT_ASSERT_EQUAL(owner, simulation.owner());
+            CPPUNIT_ASSERT(simulation.isOwner(owner));
+            for (int other = 0; other < HostCount; ++other) {
+                CPPUNIT_ASSERT(other == owner || !simulation.isOwner(other));
+            }
+        }
+    }
+
+    // A host starts and reads old rows of the hosts, which show the earlier process of the owner.
+    void staleRowOfEarlierProcessLeavesTargetOfTheNext()
+    {
+        Simulation simulation(Platform::FenceChecking::Ignores);
+        simulation.clock.advance(20s);
+        const auto preferred = simulation.owner();
+        simulation.end(preferred);
+        simulation.clock.advance(20s);
+        const auto owner = simulation.owner();
+        CPPUNIT_ASSERT(owner < HostCount);
+        const auto oldRows = simulation.table;
+        simulation.end(owner);
+        simulation.restart(owner);
+        simulation.clock.advance(10s); // Until it counts the host that has ended as such.
+        CPPUNIT_ASSERT(simulation.isOwner(owner));
+        simulation.faults.staleRows = oldRows;
+        simulation.restart(preferred);
+        for (int i = 0; i < 50; ++i) {
+            simulation.clock.advance(100ms);
+            CPPUNIT_ASSERT(simulation.isOwner(owner));
+            CPPUNIT_ASSERT(!simulation.isOwner(preferred));
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(TargetOwnershipTest);
