--- a/Libraries/LibMembership/HostLeases.cpp
+++ b/Libraries/LibMembership/HostLeases.cpp
@@ -218,8 +218,7 @@
 {
     writeRenewal(
         {.conditions = {{.table = std::string(ProcessTable), .key = ownKey(), .version = version}},
-         .puts
-         = {{.table = std::string(ProcessTable), .key = ownKey(), .value = std::to_string(m_self.incarnation)}}});
+         .puts = {{.table = std::string(ProcessTable), .key = ownKey(), .value = std::to_string(m_self.incarnation)}}});
 }
 
 void HostLeases::readProcess(std::function<void(const Platform::ReadResult &read)> done)
