LibGateway: Let clang read a test of the explanation

clang reports an error for structured bindings that a lambda captures; gcc accepts them. The pair is named instead, and what is checked is unchanged.

--- a/Libraries/LibGateway/Tests/FleetExplanationTest.cpp
+++ b/Libraries/LibGateway/Tests/FleetExplanationTest.cpp
@@ -118,12 +118,12 @@
     void endSomeAttempts()
     {
         while (!m_running.empty() && upTo(8) != 0) {
-            const auto [replica, request] = m_running[upTo(static_cast<unsigned>(m_running.size()))];
-            std::erase_if(m_running, [&id = request.attemptId](const auto &running) {
-                return running.second.attemptId == id;
+            const auto ended = m_running[upTo(static_cast<unsigned>(m_running.size()))];
+            std::erase_if(m_running, [&ended](const auto &running) {
+                return running.second.attemptId == ended.second.attemptId;
             });
-            forBoth([&](View &view) {
-                view.fleet.recordAttemptEnded(replica, request, true);
+            forBoth([&ended](View &view) {
+                view.fleet.recordAttemptEnded(ended.first, ended.second, true);
             });
         }
     }
